--- /dev/null
+++ b/Source/Core/Common/Assert.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace Common {
+
+// Reports a broken invariant on standard error and ends the process: going on could break a promise to a caller.
+[[noreturn]] void invariantFailed(const char* condition, const char* what, const char* file, int line);
+
+} // namespace Common
+
+// Checked in release builds too.
+#define CORIANDERLOCK_INVARIANT(condition, what)                                                                       \
+    do {                                                                                                               \
+        if (!(condition))                                                                                              \
+            ::Common::invariantFailed(#condition, what, __FILE__, __LINE__);                                           \
+    } while (false)
--- /dev/null
+++ b/Tools/format.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Formats the sources in place; with --check only says which differ.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mode=(-i)
+[ "${1:-}" = --check ] && mode=(--dry-run --Werror)
+git ls-files -co --exclude-standard 'Source/*.h' 'Source/*.cpp' | grep -v '\.capnp\.' | xargs -r clang-format "${mode[@]}"
--- /dev/null
+++ b/Tools/install-packages.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Installs compilers, libraries and checkers from Debian, if any of them is absent.
+set -euo pipefail
+packages=(g++ cmake ninja-build ccache pkg-config git python3 clang-format clang-tidy
+  libcpprest-dev libssl-dev libcapnp-dev prometheus-cpp-dev libyaml-cpp-dev libcli11-dev
+  liblog4cxx-dev libgtest-dev libgmock-dev libbenchmark-dev libxxhash-dev librapidcheck-dev)
+if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
+  echo "packages: all present"
+  exit 0
+fi
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -q
+apt-get install -y -q --no-install-recommends "${packages[@]}"
