--- /dev/null
+++ b/Source/Core/Settings/Settings.cpp
@@ -0,0 +1,183 @@
+#include "Settings/Settings.h"
+
+#include "Settings/YamlReader.h"
+
+#include <algorithm>
+
+using Common::Milliseconds;
+using Common::Result;
+
+namespace Settings {
+
+namespace {
+
+    constexpr double longestWaitMs = 600'000;
+    constexpr int maximumThreads = 256;
+
+    bool isAddress(const std::string& text)
+    {
+        auto colon = text.rfind(':');
+        if (colon == std::string::npos || !colon || colon + 1 == text.size())
+            return false;
+        std::string port = text.substr(colon + 1);
+        return port.size() <= 5
+            && std::all_of(port.begin(), port.end(), [](unsigned char c) { return std::isdigit(c); })
+            && std::stoi(port) <= 65'535;
+    }
+
+    Common::Address readAddress(Section& section, const std::string& field, const Common::Address& fallback)
+    {
+        std::string text = section.text(field, fallback.value());
+        if (!isAddress(text))
+            section.note(field, "'" + text + "'", "IP:PORT");
+        return Common::Address(text);
+    }
+
+    Milliseconds readTime(Section& section, const std::string& field, Milliseconds fallback, double low = 1)
+    {
+        return Milliseconds(section.number(field, fallback.value(), low, longestWaitMs));
+    }
+
+    int readCount(Section& section, const std::string& field, int fallback, int low, int high)
+    {
+        return static_cast<int>(section.whole(field, fallback, low, high));
+    }
+
+    void readRoles(Section& root, Daemon& daemon)
+    {
+        for (const std::string& role : root.texts("roles")) {
+            if (role == "entry")
+                daemon.isEntry = true;
+            else if (role == "control")
+                daemon.isControl = true;
+            else
+                root.note("roles", "'" + role + "'", "entry or control");
+        }
+        if (!daemon.isEntry && !daemon.isControl)
+            root.note("roles", "empty", "entry, control or both");
+    }
+
+    void readPeer(Section section, Peer& peer)
+    {
+        peer.listen = readAddress(section, "listen", peer.listen);
+        peer.threads = readCount(section, "threads", peer.threads, 1, maximumThreads);
+        section.close();
+    }
+
+    void readHttp(Section section, Http& http)
+    {
+        http.listen = readAddress(section, "listen", http.listen);
+        http.threads = readCount(section, "threads", http.threads, 2, maximumThreads);
+        http.maximumBody = Common::Bytes(section.whole("maximum_body_bytes", http.maximumBody.value(), 1024, 1 << 30));
+        http.bodyTimeout = readTime(section, "body_timeout_ms", http.bodyTimeout);
+        section.close();
+    }
+
+    void readMembers(Section& section, Control& control)
+    {
+        for (Section& item : section.sections("members")) {
+            ControlMember member;
+            member.instance = Common::InstanceId(item.text("instance"));
+            member.address = readAddress(item, "address", Common::Address());
+            item.close();
+            auto same = [&](const ControlMember& other) { return other.instance == member.instance; };
+            if (std::any_of(control.members.begin(), control.members.end(), same))
+                item.note("instance", "'" + member.instance.value() + "' twice", "each instance once");
+            control.members.push_back(member);
+        }
+        if (control.members.empty())
+            section.note("members", "empty", "the control instances, an odd number of them");
+    }
+
+    void readControl(Section section, Control& control)
+    {
+        readMembers(section, control);
+        control.claimShards = readCount(section, "claim_shards", control.claimShards, 1, 64);
+        control.electionTimeout = readTime(section, "election_timeout_ms", control.electionTimeout, 50);
+        control.heartbeat = readTime(section, "heartbeat_ms", control.heartbeat, 5);
+        control.lease = readTime(section, "lease_ms", control.lease, 100);
+        control.renewal = readTime(section, "renewal_ms", control.renewal, 10);
+        control.snapshotEvery = section.whole("snapshot_every", control.snapshotEvery, 10, 100'000'000);
+        control.rememberedChanges = section.whole("remembered_changes", control.rememberedChanges, 1, 10'000'000);
+        control.rememberedClaims = section.whole("remembered_claims", control.rememberedClaims, 1, 100'000'000);
+        if (control.heartbeat * 2 > control.electionTimeout)
+            section.note(
+                "heartbeat_ms", std::to_string(control.heartbeat.value()), "at most half of election_timeout_ms");
+        if (control.renewal * 2 > control.lease)
+            section.note("renewal_ms", std::to_string(control.renewal.value()), "at most half of lease_ms");
+        section.close();
+    }
+
+    void readEntry(Section section, Entry& entry)
+    {
+        entry.gossipInterval = readTime(section, "gossip_interval_ms", entry.gossipInterval, 10);
+        entry.announcementTimeout = readTime(section, "announcement_timeout_ms", entry.announcementTimeout, 100);
+        entry.attempts = readCount(section, "attempts", entry.attempts, 1, 10);
+        entry.returnMargin = readTime(section, "return_margin_ms", entry.returnMargin, 0);
+        section.close();
+    }
+
+    void readStop(Section section, Stop& stop)
+    {
+        stop.balancerWait = readTime(section, "balancer_wait_ms", stop.balancerWait, 0);
+        stop.finishBound = readTime(section, "finish_bound_ms", stop.finishBound, 0);
+        section.close();
+    }
+
+    void readLog(Section section, Log& log)
+    {
+        log.level = section.text("level", log.level);
+        static const std::vector<std::string> levels { "debug", "info", "warn", "error" };
+        if (std::find(levels.begin(), levels.end(), log.level) == levels.end())
+            section.note("level", "'" + log.level + "'", "debug, info, warn or error");
+        log.file = section.text("file", log.file);
+        section.close();
+    }
+
+    void checkControlRole(Section& root, const Daemon& daemon)
+    {
+        if (!daemon.isControl)
+            return;
+        if (daemon.dataFolder.empty())
+            root.note("data_folder", "absent", "a folder, for the role control");
+        const auto& members = daemon.control.members;
+        auto isSelf = [&](const ControlMember& member) { return member.instance == daemon.instance; };
+        if (!members.empty() && std::none_of(members.begin(), members.end(), isSelf))
+            root.note("instance", "'" + daemon.instance.value() + "'", "one of control.members, for the role control");
+    }
+
+    Result<Daemon> read(Section root)
+    {
+        Daemon daemon;
+        daemon.instance = Common::InstanceId(root.text("instance"));
+        daemon.failureDomain = Common::FailureDomain(root.text("failure_domain"));
+        readRoles(root, daemon);
+        daemon.dataFolder = root.text("data_folder", "");
+        readPeer(root.section("peer"), daemon.peer);
+        readHttp(root.section("http"), daemon.http);
+        readControl(root.section("control"), daemon.control);
+        readEntry(root.section("entry"), daemon.entry);
+        readStop(root.section("stop"), daemon.stop);
+        readLog(root.section("log"), daemon.log);
+        daemon.timelineEvents = readCount(root, "timeline_events", daemon.timelineEvents, 64, 1 << 20);
+        checkControlRole(root, daemon);
+        root.close();
+        BOOST_OUTCOME_TRYV(root.result());
+        return daemon;
+    }
+
+} // namespace
+
+Result<Daemon> parse(const std::string& file, const std::string& text)
+{
+    BOOST_OUTCOME_TRY(root, Section::parse(file, text));
+    return read(root);
+}
+
+Result<Daemon> load(const std::string& file)
+{
+    BOOST_OUTCOME_TRY(root, Section::load(file));
+    return read(root);
+}
+
+} // namespace Settings
--- /dev/null
+++ b/Source/Core/Settings/Settings.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Error.h"
+#include "Common/Ids.h"
+#include "Common/Units.h"
+
+#include <string>
+#include <vector>
+
+// The settings of one process. Each field's default stands here and nowhere else.
+namespace Settings {
+
+struct Peer {
+    Common::Address listen { "127.0.0.1:7000" };
+    int threads { 1 };
+};
+
+struct Http {
+    Common::Address listen { "127.0.0.1:8000" };
+    int threads { 8 };
+    Common::Bytes maximumBody { 1 << 20 };
+    Common::Milliseconds bodyTimeout { 10'000 };
+};
+
+struct ControlMember {
+    Common::InstanceId instance;
+    Common::Address address;
+};
+
+struct Control {
+    std::vector<ControlMember> members;
+    // Log shard 0 carries the configuration, the others claims of requests that run at most once.
+    int claimShards { 3 };
+    Common::Milliseconds electionTimeout { 400 };
+    Common::Milliseconds heartbeat { 100 };
+    Common::Milliseconds lease { 4'000 };
+    Common::Milliseconds renewal { 1'000 };
+    int64_t snapshotEvery { 20'000 }; // Log entries.
+    int64_t rememberedChanges { 20'000 }; // Change ids whose first answer is kept.
+    int64_t rememberedClaims { 200'000 }; // Claims kept in each claim shard.
+};
+
+struct Entry {
+    Common::Milliseconds gossipInterval { 200 };
+    Common::Milliseconds announcementTimeout { 5'000 }; // A backend server silent for that long is taken as lost.
+    int attempts { 2 }; // Sub-requests of a shard one after another, hedges aside.
+    Common::Milliseconds returnMargin { 5 }; // Kept back from a deadline for the way to the caller.
+};
+
+struct Stop {
+    // Time that the balancer gets to notice that this instance is not ready.
+    Common::Milliseconds balancerWait { 2'000 };
+    // Requests still in flight after that are cut off, and logged.
+    Common::Milliseconds finishBound { 30'000 };
+};
+
+struct Log {
+    std::string level { "info" };
+    std::string file; // Standard error if empty.
+};
+
+struct Daemon {
+    Common::InstanceId instance;
+    Common::FailureDomain failureDomain;
+    bool isEntry { false };
+    bool isControl { false };
+    std::string dataFolder; // Control only.
+    Peer peer;
+    Http http;
+    Control control;
+    Entry entry;
+    Stop stop;
+    Log log;
+    int timelineEvents { 8'192 };
+};
+
+// Reads and checks a whole settings file. The error has a line for each problem, with file, line, field, what was
+// found and what was expected.
+Common::Result<Daemon> load(const std::string& file);
+Common::Result<Daemon> parse(const std::string& file, const std::string& text);
+
+} // namespace Settings
--- /dev/null
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -0,0 +1,64 @@
+#include "Settings/Settings.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+const std::string good = "instance: entry-1\n"
+                         "failure_domain: kozep-a\n"
+                         "roles: [entry]\n"
+                         "peer: {listen: '127.0.0.1:7000'}\n"
+                         "control:\n"
+                         "  members:\n"
+                         "    - {instance: control-1, address: '127.0.0.1:7001'}\n";
+
+std::string errorOf(const std::string& text)
+{
+    auto result = Settings::parse("a.yaml", text);
+    return result ? "" : result.error().message;
+}
+
+void expectError(const std::string& text, const std::string& part)
+{
+    std::string error = errorOf(text);
+    EXPECT_NE(error.find(part), std::string::npos) << "in: " << error;
+}
+
+} // namespace
+
+TEST(Settings, ReadsAGoodFileWithDefaults)
+{
+    auto result = Settings::parse("a.yaml", good);
+    ASSERT_TRUE(result) << result.error().message;
+    EXPECT_EQ(result.value().instance, Common::InstanceId("entry-1"));
+    EXPECT_TRUE(result.value().isEntry);
+    EXPECT_EQ(result.value().control.lease, Common::Milliseconds(4000));
+}
+
+TEST(Settings, NamesFileLineFieldFoundAndExpected)
+{
+    expectError(good + "http: {threads: many}\n", "a.yaml:8: field http.threads is 'many', expected a whole number");
+    expectError(good + "speed: 3\n", "a.yaml:8: field speed is not a known field");
+    expectError(good + "peers: {listen: x}\n", "field peers is not a known field");
+    expectError(good + "http: {listen: nowhere}\n", "field http.listen is 'nowhere', expected IP:PORT");
+    expectError(good + "http: 7\n", "a.yaml:8: field http is '7', expected a map of fields");
+    expectError(good + "entry: {attempts: 99}\n", "field entry.attempts is '99', expected a whole number from 1 to 10");
+    expectError(good + "log: {level: loud}\n", "field log.level is 'loud'");
+    expectError("roles: [entry\n", "not YAML");
+    expectError("- 1\n", "expected a map of fields");
+}
+
+TEST(Settings, ReportsAllProblemsAtOnce)
+{
+    std::string error = errorOf("roles: [king]\n");
+    for (const char* field : { "instance", "failure_domain", "roles", "control.members" })
+        EXPECT_NE(error.find(std::string("field ") + field), std::string::npos) << error;
+}
+
+TEST(Settings, ControlNeedsAFolderAndItsOwnName)
+{
+    std::string text = good;
+    text.replace(text.find("[entry]"), 7, "[control]");
+    expectError(text, "field data_folder is absent");
+    expectError(text, "field instance is 'entry-1', expected one of control.members");
+}
