--- /dev/null
+++ b/Source/Core/Api/ResourceJson.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Control/Change.h"
+#include "Control/Messages.h"
+#include "Model/Resources.h"
+
+#include <string>
+#include <vector>
+
+// The JSON of the administration API.
+namespace Api {
+
+// {"kind": "query-route", "name": ..., ...}; see docs/OPERATING.md for the fields of each kind.
+std::string encodeResource(const Model::Resource&);
+std::string encodeStored(const Control::StoredResource&);
+std::string encodeList(const Control::ReadFound&);
+
+// Errors: InvalidInput, naming the field.
+Common::Result<Model::Resource> decodeResource(const std::string& body);
+
+// A PUT's body: {"change_id": ..., "made_from": n, "resource": {...}}. made_from 0 or absent creates.
+Common::Result<Control::Change> decodePut(const std::string& body, const Model::ResourceKey&);
+std::string encodePut(const Control::Change&);
+
+std::string encodeOutcome(const Control::ChangeOutcome&);
+// 200 or 201 for accepted ones, else 400, 404 or 409.
+int statusOf(const Control::ChangeOutcome&);
+
+std::string encodeChanges(const Control::Changes&);
+std::string encodeStatus(const Control::StatusFound&);
+
+// What clients read of an answer. Errors: Corrupt.
+struct ListedResource {
+    Model::Resource resource;
+    Common::Revision version;
+};
+Common::Result<std::vector<ListedResource>> decodeList(const std::string& body);
+Common::Result<Common::Revision> decodeAcceptedRevision(const std::string& body);
+
+struct StatusSummary {
+    Common::Revision revision;
+    std::string state; // "in-force" or "applying".
+    std::vector<std::string> missing;
+    bool newLeader { false };
+};
+Common::Result<StatusSummary> decodeStatus(const std::string& body);
+
+} // namespace Api
--- /dev/null
+++ b/Source/Core/CommandLine/Commands.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "CommandLine/Remote.h"
+#include "Common/Clock.h"
+#include "Common/Ids.h"
+
+#include <string>
+
+namespace CommandLine {
+
+// What a command's process returns; docs/OPERATING.md lists them.
+enum class ExitCode : int {
+    Success = 0,
+    Failed = 1, // Nobody answered, or an answer makes no sense.
+    InvalidInput = 2,
+    Conflict = 3,
+    NotFound = 4,
+    Partial = 5, // An answer that does not cover all, or a wait that ended too early.
+};
+
+enum class Output {
+    Text,
+    Json,
+};
+
+struct ApplyOptions {
+    std::string file;
+    std::string changeId; // Made up if empty. Later resources of a file get "-1", "-2" at its end.
+    bool wait { false };
+    Common::Milliseconds waitBound { 15'000 };
+};
+
+struct QueryOptions {
+    std::string route;
+    std::string text;
+    Common::Milliseconds deadline { 0 }; // The route's own if 0.
+};
+
+ExitCode runDaemon(const std::string& settingsFile);
+ExitCode check(const std::string& file);
+ExitCode apply(const Remote&, const ApplyOptions&, Output);
+ExitCode get(const Remote&, const std::string& kind, const std::string& name, Output);
+ExitCode remove(const Remote&, const std::string& kind, const std::string& name, const std::string& changeId, Output);
+ExitCode status(const Remote&, Common::Revision, Output);
+ExitCode query(const Remote&, const QueryOptions&, Output);
+ExitCode drain(const Remote&, const std::string& instance, bool undo, Output);
+ExitCode timeline(const Remote&, const std::string& subject, size_t limit, Output);
+
+} // namespace CommandLine
--- /dev/null
+++ b/Source/Core/CommandLine/Main.cpp
@@ -0,0 +1,128 @@
+#include "CommandLine/Commands.h"
+
+#include <CLI/CLI.hpp>
+
+using namespace CommandLine;
+
+namespace {
+
+struct Arguments {
+    std::vector<std::string> servers { "127.0.0.1:8000" };
+    std::string output { "text" };
+    double timeoutMs { 10'000 };
+    std::string file;
+    std::string kind;
+    std::string name;
+    std::string changeId;
+    std::string subject;
+    uint64_t revision { 0 };
+    size_t limit { 100 };
+    bool undo { false };
+    ApplyOptions apply;
+    double waitMs { 15'000 };
+    QueryOptions query;
+    double deadlineMs { 0 };
+};
+
+Remote remoteOf(const Arguments& args)
+{
+    Remote remote;
+    for (const std::string& server : args.servers)
+        remote.servers.emplace_back(server);
+    remote.timeout = Common::Milliseconds(args.timeoutMs);
+    return remote;
+}
+
+Output outputOf(const Arguments& args) { return args.output == "json" ? Output::Json : Output::Text; }
+
+void addRemoteOptions(CLI::App& command, Arguments& args)
+{
+    command.add_option("--server", args.servers, "HTTP address IP:PORT of an instance; may be given several times")
+        ->envname("CORIANDERLOCK_SERVER")
+        ->delimiter(',');
+    command.add_option("--output", args.output, "text or json")->check(CLI::IsMember({ "text", "json" }));
+    command.add_option("--timeout-ms", args.timeoutMs, "bound of each request")->check(CLI::Range(1.0, 600'000.0));
+}
+
+void addLocalCommands(CLI::App& app, Arguments& args, ExitCode& code)
+{
+    auto run = app.add_subcommand("run", "Run an instance until SIGTERM, with the roles that its settings name");
+    run->add_option("--config", args.file, "settings file")->required();
+    run->callback([&] { code = runDaemon(args.file); });
+    auto checkCommand = app.add_subcommand("check", "Check a file of settings or resources, and start nothing");
+    checkCommand->add_option("FILE", args.file)->required();
+    checkCommand->callback([&] { code = check(args.file); });
+}
+
+void addResourceCommands(CLI::App& app, Arguments& args, ExitCode& code)
+{
+    auto applyCommand = app.add_subcommand("apply", "Create or replace the resources of a file");
+    applyCommand->add_option("FILE", args.apply.file)->required();
+    applyCommand->add_option("--change-id", args.apply.changeId, "id of this change, for a resend");
+    applyCommand->add_flag("--wait", args.apply.wait, "wait until the change is in force");
+    applyCommand->add_option("--wait-ms", args.waitMs, "bound of that wait");
+    addRemoteOptions(*applyCommand, args);
+    applyCommand->callback([&] {
+        args.apply.waitBound = Common::Milliseconds(args.waitMs);
+        code = apply(remoteOf(args), args.apply, outputOf(args));
+    });
+    auto getCommand = app.add_subcommand("get", "Show resources of a kind");
+    getCommand->add_option("KIND", args.kind)->required();
+    getCommand->add_option("NAME", args.name);
+    addRemoteOptions(*getCommand, args);
+    getCommand->callback([&] { code = get(remoteOf(args), args.kind, args.name, outputOf(args)); });
+    auto deleteCommand = app.add_subcommand("delete", "Delete a resource");
+    deleteCommand->add_option("KIND", args.kind)->required();
+    deleteCommand->add_option("NAME", args.name)->required();
+    deleteCommand->add_option("--change-id", args.changeId, "id of this change, for a resend");
+    addRemoteOptions(*deleteCommand, args);
+    deleteCommand->callback(
+        [&] { code = remove(remoteOf(args), args.kind, args.name, args.changeId, outputOf(args)); });
+}
+
+void addOperatorCommands(CLI::App& app, Arguments& args, ExitCode& code)
+{
+    auto statusCommand = app.add_subcommand("status", "Show whether a revision is in force, and who is missing");
+    statusCommand->add_option("--revision", args.revision, "the latest one if absent");
+    addRemoteOptions(*statusCommand, args);
+    statusCommand->callback([&] { code = status(remoteOf(args), Common::Revision(args.revision), outputOf(args)); });
+    auto queryCommand = app.add_subcommand("query", "Send a lookup, as a caller would");
+    queryCommand->add_option("ROUTE", args.query.route)->required();
+    queryCommand->add_option("TEXT", args.query.text, "alternatives parted by |")->required();
+    queryCommand->add_option("--deadline-ms", args.deadlineMs, "shorter than the route's own");
+    addRemoteOptions(*queryCommand, args);
+    queryCommand->callback([&] {
+        args.query.deadline = Common::Milliseconds(args.deadlineMs);
+        code = query(remoteOf(args), args.query, outputOf(args));
+    });
+    auto drainCommand = app.add_subcommand("drain", "Have an instance take no new work");
+    drainCommand->add_option("INSTANCE", args.name)->required();
+    drainCommand->add_flag("--undo", args.undo, "have it take work again");
+    addRemoteOptions(*drainCommand, args);
+    drainCommand->callback([&] { code = drain(remoteOf(args), args.name, args.undo, outputOf(args)); });
+    auto timelineCommand = app.add_subcommand("timeline", "Show the events of all processes in causal order");
+    timelineCommand->add_option("--subject", args.subject, "request id, change id, server or revision");
+    timelineCommand->add_option("--limit", args.limit, "the latest so many");
+    addRemoteOptions(*timelineCommand, args);
+    timelineCommand->callback([&] { code = timeline(remoteOf(args), args.subject, args.limit, outputOf(args)); });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("corianderlock: a query tier over many shards");
+    app.require_subcommand(1);
+    Arguments args;
+    ExitCode code = ExitCode::Success;
+    addLocalCommands(app, args, code);
+    addResourceCommands(app, args, code);
+    addOperatorCommands(app, args, code);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        int parsed = app.exit(e);
+        return parsed ? static_cast<int>(ExitCode::InvalidInput) : parsed;
+    }
+    return static_cast<int>(code);
+}
--- /dev/null
+++ b/Source/Core/CommandLine/Print.cpp
@@ -0,0 +1,111 @@
+#include <utility>
+
+#define _TURN_OFF_PLATFORM_STRING
+#include "CommandLine/Print.h"
+
+#include "Json/Reader.h"
+
+#include <ctime>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+using Json::Value;
+
+namespace CommandLine {
+
+namespace {
+
+    constexpr size_t shownResults = 20;
+    constexpr int64_t millisecondsInSecond = 1'000;
+
+    Value parse(const std::string& body)
+    {
+        auto value = Json::parseObject(body, Common::Reason::Corrupt, "read-answer");
+        return value ? value.value() : Value::object();
+    }
+
+    std::string clockText(double wallClockMs)
+    {
+        auto ms = static_cast<int64_t>(wallClockMs);
+        std::time_t seconds = ms / millisecondsInSecond;
+        std::tm parts {};
+        gmtime_r(&seconds, &parts);
+        std::ostringstream out;
+        out << std::put_time(&parts, "%H:%M:%S") << "." << std::setw(3) << std::setfill('0')
+            << ms % millisecondsInSecond;
+        return out.str();
+    }
+
+} // namespace
+
+std::string encodeQueryBody(const std::string& text, Common::Milliseconds deadline)
+{
+    Value value = Value::object();
+    value["q"] = Value(text);
+    if (deadline > Common::Milliseconds(0))
+        value["deadline_ms"] = Value(deadline.value());
+    return value.serialize();
+}
+
+bool isComplete(const std::string& body)
+{
+    Value value = parse(body);
+    Json::Problem problem;
+    return Json::Reader(value, "", problem).flag("complete", false);
+}
+
+void printPlain(const std::string& body) { std::cout << body << "\n"; }
+
+void printList(const std::string& body)
+{
+    Value value = parse(body);
+    for (const Value& item : value.at("resources").as_array()) {
+        std::cout << "version " << item.at("version").serialize() << "  " << item.at("resource").serialize() << "\n";
+    }
+}
+
+void printStatus(const std::string& body)
+{
+    Value value = parse(body);
+    std::cout << "revision " << value.at("revision").serialize() << ": " << value.at("state").as_string();
+    for (const Value& id : value.at("missing").as_array())
+        std::cout << " " << id.as_string();
+    std::cout << (value.at("new_leader").as_bool() ? " (the leader is new and may not know all instances yet)\n"
+                                                   : "\n");
+}
+
+void printAnswer(const std::string& body)
+{
+    Value value = parse(body);
+    std::cout << (value.at("complete").as_bool() ? "complete" : "PARTIAL") << ", coverage "
+              << value.at("coverage").serialize() << ", snapshot version "
+              << value.at("snapshot").at("index_version").serialize() << ", " << value.at("results").size()
+              << " results\n";
+    size_t n = 0;
+    for (const Value& item : value.at("results").as_array()) {
+        if (++n > shownResults)
+            break;
+        std::cout << "  " << item.at("key").as_string() << "  " << item.at("value").as_string() << "\n";
+    }
+    if (n > shownResults)
+        std::cout << "  ...\n";
+    for (const Value& part : value.at("missing").as_array())
+        std::cout << "  missing: shard " << part.at("shard").serialize() << " " << part.at("reason").as_string() << " "
+                  << part.at("detail").as_string() << "\n";
+}
+
+void printTimeline(const std::string& body)
+{
+    Value value = parse(body);
+    for (const Value& event : value.at("events").as_array()) {
+        std::cout << std::setw(8) << event.at("time").serialize() << "  "
+                  << clockText(event.at("wall_clock_ms").as_double()) << "  " << std::left << std::setw(12)
+                  << event.at("instance").as_string() << std::setw(24) << event.at("event").as_string() << std::right
+                  << event.at("subject").as_string() << "  " << event.at("detail").as_string() << "\n";
+    }
+    for (const Value& address : value.at("silent").as_array())
+        std::cout << "no answer from " << address.as_string() << "\n";
+}
+
+} // namespace CommandLine
--- /dev/null
+++ b/Source/Core/CommandLine/Remote.cpp
@@ -0,0 +1,42 @@
+#include "CommandLine/Remote.h"
+
+#include "Http/Connection.h"
+
+#include <future>
+
+using Common::Result;
+
+namespace CommandLine {
+
+namespace {
+
+    Result<Http::Response> callOne(
+        const Common::Address& server, const Http::Request& request, Common::Milliseconds timeout)
+    {
+        Http::Connection connection(server, Http::Reuse::Never, timeout);
+        std::promise<Result<Http::Response>> promise;
+        auto future = promise.get_future();
+        connection.send(request, [&](Result<Http::Response> result) { promise.set_value(std::move(result)); });
+        return future.get();
+    }
+
+    bool shouldAskAnother(const Result<Http::Response>& result)
+    {
+        return !result || (result.value().status >= 502 && result.value().status <= 504);
+    }
+
+} // namespace
+
+Result<Http::Response> call(const Remote& remote, const Http::Request& request)
+{
+    Result<Http::Response> result
+        = Common::makeError(Common::Reason::InvalidInput, "call", "no server is named: use --server");
+    for (const Common::Address& server : remote.servers) {
+        result = callOne(server, request, remote.timeout);
+        if (!shouldAskAnother(result))
+            break;
+    }
+    return result;
+}
+
+} // namespace CommandLine
--- /dev/null
+++ b/Source/Core/Common/Timers.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/StrongType.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace Common {
+
+using TimerId = StrongId<struct TimerIdTag, uint64_t>;
+
+// Calls functions at given times, on threads of its own. Timers are spread over shards, each with a lock and a thread
+// that sleeps until its next timer is due. Functions must be short and must not block.
+class Timers {
+public:
+    explicit Timers(int shards);
+    ~Timers();
+    Timers(const Timers&) = delete;
+    Timers& operator=(const Timers&) = delete;
+
+    TimerId at(TimePoint, std::function<void()>);
+    TimerId after(Milliseconds, std::function<void()>);
+    // Does nothing if the function was called or is being called.
+    void cancel(TimerId);
+    // Joins the threads; what is not due is dropped. Not from a timer's function.
+    void stop();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_private;
+};
+
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -0,0 +1,417 @@
+#include "Daemon/ControlRole.h"
+
+#include "Control/Leases.h"
+#include "Control/Messages.h"
+#include "Observe/Log.h"
+#include "Wire/ControlCodec.h"
+
+#include <algorithm>
+#include <set>
+
+using Common::Clock;
+using Common::LogShardId;
+using Common::Milliseconds;
+using Common::Reason;
+using Common::Result;
+using Control::configurationShard;
+using Observe::EventKind;
+using Observe::Part;
+
+namespace Daemon {
+
+namespace {
+
+    constexpr Milliseconds sweepInterval { 500 };
+    constexpr Milliseconds expiryInterval { 10'000 };
+    constexpr Milliseconds orphanBound { 5'000 };
+    // A watch that has nothing to tell is answered after this time, so that a lost connection is noticed.
+    constexpr Milliseconds watchHold { 10'000 };
+
+    using OwnerKey = std::pair<Common::InstanceId, Common::Incarnation>;
+
+    struct Watcher {
+        uint64_t id { 0 };
+        Common::Revision from;
+        Peer::Reply reply;
+    };
+
+    Common::Error notLeading()
+    {
+        return Common::makeError(Reason::Unavailable, "find-leader", "this instance does not lead");
+    }
+
+} // namespace
+
+struct ControlRole::Private : std::enable_shared_from_this<ControlRole::Private> {
+    explicit Private(ControlDependencies d)
+        : use(d)
+    {
+    }
+
+    ControlDependencies use;
+    std::unique_ptr<ReplicatedState> state;
+    std::mutex leaseMutex;
+    std::optional<Control::LeaseTable> leases; // While this instance leads the configuration.
+    std::mutex watchMutex;
+    std::vector<Watcher> watchers;
+    uint64_t nextWatcher { 1 };
+    Common::TimePoint lastExpiry;
+
+    void leadershipChanged(bool leading, Common::Term);
+    void configurationChanged();
+    void answer(const Peer::Reply&, Control::Reply) const;
+    Control::LeaderHint hint(LogShardId id = configurationShard) const { return state->leaderOf(id); }
+
+    void serve(const Control::ProposeRequest&, const Peer::Reply&);
+    void serve(const Control::RenewRequest&, const Peer::Reply&);
+    void serve(const Control::ReadRequest&, const Peer::Reply&);
+    void serve(const Control::WatchRequest&, const Peer::Reply&);
+    void serve(const Control::StatusRequest&, const Peer::Reply&);
+    void serve(const Control::ReleaseRequest&, const Peer::Reply&);
+    Control::RenewReply renew(const Control::RenewRequest&);
+    Control::Changes changesSince(Common::Revision) const;
+
+    void sweepLater();
+    void sweep();
+    void orphan(LogShardId, const OwnerKey&);
+    std::set<OwnerKey> runningOwners(LogShardId) const;
+    bool isEnded(const OwnerKey&);
+    void expireClaims();
+};
+
+void ControlRole::Private::leadershipChanged(bool leading, Common::Term term)
+{
+    use.timeline.record(
+        leading ? EventKind::LeaderElected : EventKind::LeaderSteppedDown, "term " + std::to_string(term.value()));
+    std::lock_guard lock(leaseMutex);
+    leases.reset();
+    if (leading)
+        leases.emplace(term, Clock::now(), use.settings.control.lease);
+}
+
+Control::Changes ControlRole::Private::changesSince(Common::Revision from) const
+{
+    Control::Changes changes;
+    state->withConfiguration([&](const Control::Configuration& c) { changes = Control::changesSince(c, from); });
+    return changes;
+}
+
+// Answers the watchers that now have something to be told.
+void ControlRole::Private::configurationChanged()
+{
+    std::vector<Watcher> ready;
+    {
+        std::lock_guard lock(watchMutex);
+        ready.swap(watchers);
+    }
+    for (Watcher& watcher : ready) {
+        auto changes = changesSince(watcher.from);
+        if (changes.revision > watcher.from) {
+            answer(watcher.reply, Control::WatchReply { changes, {} });
+            continue;
+        }
+        std::lock_guard lock(watchMutex);
+        watchers.push_back(std::move(watcher));
+    }
+}
+
+void ControlRole::Private::answer(const Peer::Reply& reply, Control::Reply message) const
+{
+    reply(Wire::encode(message));
+}
+
+void ControlRole::Private::serve(const Control::ProposeRequest& request, const Peer::Reply& reply)
+{
+    auto self = shared_from_this();
+    auto shard = request.shard;
+    std::string subject;
+    if (auto change = std::get_if<Control::Change>(&request.command))
+        subject = change->id.value();
+    state->propose(
+        shard, request.command, [self, reply, shard, subject](const Result<Control::CommandOutcome>& outcome) {
+            if (!outcome) {
+                self->answer(reply, Control::ProposeReply { outcome.error(), self->hint(shard) });
+                return;
+            }
+            if (auto change = std::get_if<Control::ChangeOutcome>(&outcome.value())) {
+                auto accepted = std::get_if<Control::Accepted>(change);
+                self->use.timeline.record(accepted ? EventKind::ChangeAccepted : EventKind::ChangeRefused, subject,
+                    accepted ? "revision " + std::to_string(accepted->revision.value())
+                             : std::get<Control::Rejected>(*change).error.message);
+            }
+            self->answer(reply, Control::ProposeReply { outcome.value(), {} });
+        });
+}
+
+// Called when a quorum has confirmed the lead after the request came in; see Control::LeaseTable.
+Control::RenewReply ControlRole::Private::renew(const Control::RenewRequest& request)
+{
+    Control::RenewGrant grant;
+    std::lock_guard lock(leaseMutex);
+    if (!leases)
+        return { notLeading(), {} };
+    auto granted = Control::renew(*leases, { request.instance, request.applied }, Clock::now());
+    if (!granted)
+        return { granted.error(), {} };
+    grant.lease = granted.value().duration;
+    grant.changes = changesSince(request.applied);
+    grant.live = Control::liveSince(*leases, request.live);
+    return { grant, {} };
+}
+
+void ControlRole::Private::serve(const Control::RenewRequest& request, const Peer::Reply& reply)
+{
+    auto self = shared_from_this();
+    state->confirmConfiguration([self, request, reply](const Result<void>& confirmed) {
+        if (!confirmed)
+            self->answer(reply, Control::RenewReply { confirmed.error(), self->hint() });
+        else
+            self->answer(reply, self->renew(request));
+    });
+}
+
+void ControlRole::Private::serve(const Control::ReadRequest& request, const Peer::Reply& reply)
+{
+    auto self = shared_from_this();
+    state->confirmConfiguration([self, request, reply](const Result<void>& confirmed) {
+        if (!confirmed) {
+            self->answer(reply, Control::ReadReply { confirmed.error(), self->hint() });
+            return;
+        }
+        Control::ReadFound found;
+        self->state->withConfiguration([&](const Control::Configuration& c) {
+            found.revision = c.revision;
+            if (request.name.empty())
+                found.resources = Control::list(c, request.kind);
+            else if (auto stored = Control::find(c, { request.kind, request.name }))
+                found.resources.push_back(*stored);
+        });
+        if (!request.name.empty() && found.resources.empty()) {
+            auto error = Common::makeError(Reason::NotFound, "read",
+                std::string("there is no ") + Model::kindName(request.kind) + " " + request.name);
+            self->answer(reply, Control::ReadReply { error, {} });
+            return;
+        }
+        self->answer(reply, Control::ReadReply { found, {} });
+    });
+}
+
+// Any member may answer, since it tells only what is committed; who needs to be sure to be told holds a lease.
+void ControlRole::Private::serve(const Control::WatchRequest& request, const Peer::Reply& reply)
+{
+    auto changes = changesSince(request.from);
+    if (changes.revision > request.from) {
+        answer(reply, Control::WatchReply { changes, {} });
+        return;
+    }
+    uint64_t id = 0;
+    {
+        std::lock_guard lock(watchMutex);
+        id = nextWatcher++;
+        watchers.push_back({ id, request.from, reply });
+    }
+    auto self = shared_from_this();
+    use.timers.after(watchHold, [self, id] {
+        std::optional<Watcher> found;
+        {
+            std::lock_guard lock(self->watchMutex);
+            auto it = std::find_if(
+                self->watchers.begin(), self->watchers.end(), [&](const Watcher& w) { return w.id == id; });
+            if (it == self->watchers.end())
+                return;
+            found = std::move(*it);
+            self->watchers.erase(it);
+        }
+        self->answer(found->reply, Control::WatchReply { self->changesSince(found->from), {} });
+    });
+    // A change may have come between the look and the entry into the list.
+    if (changesSince(request.from).revision > request.from)
+        configurationChanged();
+}
+
+void ControlRole::Private::serve(const Control::StatusRequest& request, const Peer::Reply& reply)
+{
+    auto self = shared_from_this();
+    state->confirmConfiguration([self, request, reply](const Result<void>& confirmed) {
+        if (!confirmed) {
+            self->answer(reply, Control::StatusReply { confirmed.error(), self->hint() });
+            return;
+        }
+        Control::StatusFound found;
+        self->state->withConfiguration([&](const Control::Configuration& c) { found.revision = c.revision; });
+        auto asked = request.revision == Common::Revision() ? found.revision : request.revision;
+        std::lock_guard lock(self->leaseMutex);
+        if (!self->leases) {
+            self->answer(reply, Control::StatusReply { notLeading(), {} });
+            return;
+        }
+        if (asked > found.revision) {
+            auto error = Common::makeError(Reason::NotFound, "status", "the revision is not accepted yet");
+            self->answer(reply, Control::StatusReply { error, {} });
+            return;
+        }
+        found.status = Control::revisionStatus(*self->leases, asked, Clock::now());
+        self->answer(reply, Control::StatusReply { found, {} });
+    });
+}
+
+void ControlRole::Private::serve(const Control::ReleaseRequest& request, const Peer::Reply& reply)
+{
+    Control::ReleaseReply message;
+    {
+        std::lock_guard lock(leaseMutex);
+        if (leases)
+            Control::release(*leases, request.id, request.incarnation);
+        else
+            message.error = notLeading();
+    }
+    if (message.error)
+        message.leader = hint();
+    answer(reply, message);
+}
+
+void ControlRole::Private::sweepLater()
+{
+    std::weak_ptr<Private> weak = weak_from_this();
+    use.timers.after(sweepInterval, [weak] {
+        auto self = weak.lock();
+        if (!self)
+            return;
+        self->sweep();
+        self->expireClaims();
+        self->sweepLater();
+    });
+}
+
+std::set<OwnerKey> ControlRole::Private::runningOwners(LogShardId id) const
+{
+    std::set<OwnerKey> owners;
+    state->withClaims(id, [&](const Once::Claims& claims) {
+        for (auto& [owner, ids] : claims.runningByOwner) {
+            for (const Common::RequestId& request : ids) {
+                auto it = claims.records.find(request);
+                if (it != claims.records.end())
+                    owners.insert({ owner, it->second.by.incarnation });
+            }
+        }
+    });
+    return owners;
+}
+
+bool ControlRole::Private::isEnded(const OwnerKey& owner)
+{
+    std::lock_guard lock(leaseMutex);
+    if (!leases)
+        return false;
+    auto it = leases->leases.find(owner.first);
+    if (it == leases->leases.end())
+        return true;
+    const Control::Lease& lease = it->second;
+    return lease.instance.incarnation > owner.second || (lease.instance.incarnation == owner.second && lease.ended);
+}
+
+// Finds running claims whose owner holds no lease any more. This instance's copies of the claims may be a little
+// behind; the orphan command is decided by the log shard itself.
+void ControlRole::Private::sweep()
+{
+    {
+        std::lock_guard lock(leaseMutex);
+        auto now = Clock::now();
+        if (!leases)
+            return;
+        for (const Control::EndedLease& ended : Control::expired(*leases, now)) {
+            use.timeline.record(EventKind::LeaseLost, ended.id.value(), "not renewed");
+            LOG_WARNING(Part::Control, "The lease of " << ended.id << " has run out.");
+        }
+        // Whom an earlier leader gave a lease may not have come here yet.
+        if (now - leases->electedAt < leases->duration)
+            return;
+    }
+    for (uint32_t i = 1; i <= state->claimShards(); ++i) {
+        for (const OwnerKey& owner : runningOwners(LogShardId(i))) {
+            if (isEnded(owner))
+                orphan(LogShardId(i), owner);
+        }
+    }
+}
+
+void ControlRole::Private::orphan(LogShardId shard, const OwnerKey& owner)
+{
+    LOG_WARNING(Part::Once,
+        "Claims of " << owner.first << " in log shard " << shard
+                     << " have lost their owner. Their outcome is unknown.");
+    Control::ProposeRequest request { shard, Once::Orphan { owner.first, owner.second } };
+    use.control.call(shard, request, Clock::now() + orphanBound, [](const auto&) {});
+}
+
+// Moves log time on, so that old claims are forgotten.
+void ControlRole::Private::expireClaims()
+{
+    auto now = Clock::now();
+    if (now - lastExpiry < expiryInterval)
+        return;
+    lastExpiry = now;
+    Once::LogTime time(static_cast<uint64_t>(Clock::wallClock().value()));
+    for (uint32_t i = 1; i <= state->claimShards(); ++i) {
+        bool any = false;
+        state->withClaims(LogShardId(i), [&](const Once::Claims& claims) { any = !claims.records.empty(); });
+        if (any && state->leads(LogShardId(i)))
+            state->propose(LogShardId(i), Once::Expire { time }, [](const auto&) {});
+    }
+}
+
+ControlRole::ControlRole(std::shared_ptr<Private> p)
+    : m_private(std::move(p))
+{
+}
+
+ControlRole::~ControlRole() { stop(); }
+
+Result<std::unique_ptr<ControlRole>> ControlRole::open(ControlDependencies use)
+{
+    auto p = std::make_shared<Private>(use);
+    std::weak_ptr<Private> weak = p;
+    ReplicatedState::Hooks hooks;
+    hooks.configurationLeadership = [weak](bool leading, Common::Term term) {
+        if (auto self = weak.lock())
+            self->leadershipChanged(leading, term);
+    };
+    hooks.configurationChanged = [weak] {
+        auto self = weak.lock();
+        if (self && self->state)
+            self->configurationChanged();
+    };
+    BOOST_OUTCOME_TRY(state, ReplicatedState::open(use.settings, use.peers, use.metrics, std::move(hooks)));
+    p->state = std::move(state);
+    p->sweepLater();
+    return std::unique_ptr<ControlRole>(new ControlRole(p));
+}
+
+void ControlRole::consensus(const Common::InstanceId& from, std::string_view bytes)
+{
+    m_private->state->receive(from, bytes);
+}
+
+void ControlRole::handle(std::string_view bytes, const Peer::Reply& reply)
+{
+    auto request = Wire::decodeRequest(bytes);
+    if (!request) {
+        reply(request.error());
+        return;
+    }
+    std::visit([&](const auto& message) { m_private->serve(message, reply); }, request.value());
+}
+
+std::vector<Replica::Status> ControlRole::status() const { return m_private->state->status(); }
+
+bool ControlRole::storageFailed() const
+{
+    auto all = status();
+    return std::any_of(all.begin(), all.end(), [](const Replica::Status& s) { return s.storageFailed; });
+}
+
+void ControlRole::handOver() { m_private->state->handOver(); }
+
+void ControlRole::stop() { m_private->state->stop(); }
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Daemon/ControlRole.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Common/Timers.h"
+#include "Daemon/ReplicatedState.h"
+#include "Entry/ControlClient.h"
+#include "Observe/Timeline.h"
+#include "Peer/Server.h"
+
+#include <memory>
+
+namespace Daemon {
+
+struct ControlDependencies {
+    const Settings::Daemon& settings;
+    Peer::Client& peers;
+    Entry::ControlClient& control;
+    Common::Timers& timers;
+    Observe::Metrics& metrics;
+    Observe::Timeline& timeline;
+};
+
+// A control instance: answers the requests of Control/Messages.h from the replicated state, and keeps the leases while
+// it leads the configuration's log shard.
+class ControlRole {
+public:
+    static Common::Result<std::unique_ptr<ControlRole>> open(ControlDependencies);
+    ~ControlRole();
+
+    void consensus(const Common::InstanceId& from, std::string_view bytes);
+    // Bytes of the service Control.
+    void handle(std::string_view bytes, const Peer::Reply&);
+    // What operators see of the log shards.
+    std::vector<Replica::Status> status() const;
+    bool storageFailed() const;
+    void handOver();
+    void stop();
+
+private:
+    struct Private;
+    explicit ControlRole(std::shared_ptr<Private>);
+    std::shared_ptr<Private> m_private;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -0,0 +1,268 @@
+#include "Daemon/Daemon.h"
+
+#include "Daemon/ControlRole.h"
+#include "Daemon/EntryRole.h"
+#include "Daemon/Front.h"
+#include "Http/Server.h"
+#include "Observe/Log.h"
+#include "Peer/Server.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <ctime>
+
+using Common::Clock;
+using Common::Milliseconds;
+using Common::Reason;
+using Common::Result;
+using Observe::EventKind;
+using Observe::Part;
+
+namespace Daemon {
+
+namespace {
+
+    constexpr int timerShards = 2;
+    constexpr long signalWaitNanoseconds = 200'000'000;
+    constexpr Milliseconds workCheckInterval { 20 };
+    // Backend servers' connections linger that long after the last answer, so that cancels go out.
+    constexpr Milliseconds farewell { 50 };
+
+    sigset_t stopSignals()
+    {
+        sigset_t set;
+        sigemptyset(&set);
+        sigaddset(&set, SIGTERM);
+        sigaddset(&set, SIGINT);
+        return set;
+    }
+
+    // All that runs in one process, in the order in which it is made.
+    class Process {
+    public:
+        explicit Process(const Settings::Daemon&);
+        ~Process();
+
+        Result<void> start();
+        void waitForStop();
+        Result<void> stopGracefully();
+
+    private:
+        void servePeers();
+        Result<void> openHttp();
+        std::vector<Common::Address> otherProcesses() const;
+        static Entry::ControlClientOptions controlOptions(const Settings::Daemon&);
+        Peer::ClientOptions peerOptions();
+        void sleepFor(Milliseconds) const;
+        bool waitForWork();
+
+        const Settings::Daemon& m_settings;
+        Common::Incarnation m_incarnation;
+        Observe::Metrics m_metrics;
+        Observe::Timeline m_timeline;
+        Common::Timers m_timers;
+        Peer::Client m_peers;
+        Entry::ControlClient m_controlClient;
+        TimelineCollector m_collector;
+        std::unique_ptr<Peer::Server> m_peerServer;
+        std::unique_ptr<ControlRole> m_control;
+        std::unique_ptr<EntryRole> m_entry;
+        std::atomic<bool> m_draining { false };
+        std::unique_ptr<FrontDependencies> m_front;
+        std::unique_ptr<Http::Server> m_http;
+    };
+
+    Process::Process(const Settings::Daemon& settings)
+        : m_settings(settings)
+        , m_incarnation(static_cast<uint64_t>(Clock::wallClock().value()))
+        , m_timeline(settings.instance, m_incarnation, static_cast<size_t>(settings.timelineEvents))
+        , m_timers(timerShards)
+        , m_peers(peerOptions())
+        , m_controlClient(controlOptions(settings), m_peers, m_timers)
+        , m_collector(m_timeline, m_peers)
+    {
+    }
+
+    Process::~Process()
+    {
+        m_timers.stop();
+        if (m_http)
+            m_http->close();
+        if (m_peerServer)
+            m_peerServer->stop();
+        m_peers.stop();
+        if (m_control)
+            m_control->stop();
+    }
+
+    Entry::ControlClientOptions Process::controlOptions(const Settings::Daemon& settings)
+    {
+        Entry::ControlClientOptions options;
+        for (auto& member : settings.control.members)
+            options.members.push_back(member.address);
+        return options;
+    }
+
+    Peer::ClientOptions Process::peerOptions()
+    {
+        Peer::ClientOptions options;
+        options.self = m_settings.instance;
+        options.threads = m_settings.peer.threads;
+        options.logicalTime.stamp = [this] { return m_timeline.stamp().value(); };
+        options.logicalTime.observe = [this](uint64_t time) { m_timeline.observe(Observe::LogicalTime(time)); };
+        return options;
+    }
+
+    void Process::servePeers()
+    {
+        m_peerServer->setLogicalTimeHooks(peerOptions().logicalTime);
+        m_peerServer->handle(Peer::Service::Consensus,
+            [this](const Common::InstanceId& from, std::string_view bytes, const Peer::Reply& reply) {
+                if (m_control)
+                    m_control->consensus(from, bytes);
+                reply(std::string());
+            });
+        m_peerServer->handle(Peer::Service::Control,
+            [this](const Common::InstanceId&, std::string_view bytes, const Peer::Reply& reply) {
+                if (m_control)
+                    m_control->handle(bytes, reply);
+                else
+                    reply(Common::makeError(Reason::NotFound, "control", "this instance is not a control instance"));
+            });
+        m_peerServer->handle(
+            Peer::Service::Gossip, [this](const Common::InstanceId&, std::string_view bytes, const Peer::Reply& reply) {
+                if (m_entry)
+                    m_entry->gossip(bytes);
+                reply(std::string());
+            });
+        m_peerServer->handle(Peer::Service::Observe,
+            [this](const Common::InstanceId&, std::string_view bytes, const Peer::Reply& reply) {
+                m_collector.serve(bytes, reply);
+            });
+        m_peerServer->start();
+    }
+
+    std::vector<Common::Address> Process::otherProcesses() const
+    {
+        std::vector<Common::Address> addresses = m_entry ? m_entry->otherInstances() : std::vector<Common::Address> {};
+        for (auto& member : m_settings.control.members) {
+            bool isKnown = std::find(addresses.begin(), addresses.end(), member.address) != addresses.end();
+            if (member.instance != m_settings.instance && !isKnown)
+                addresses.push_back(member.address);
+        }
+        return addresses;
+    }
+
+    Result<void> Process::openHttp()
+    {
+        m_front.reset(new FrontDependencies { m_entry.get(), m_control.get(), m_controlClient, m_collector, m_metrics,
+            m_draining, [this] { return otherProcesses(); } });
+        Http::ServerOptions options { m_settings.http.listen, m_settings.http.maximumBody,
+            m_settings.http.bodyTimeout };
+        BOOST_OUTCOME_TRY(
+            server, Http::Server::open(options, [this](const Http::Request& request, const Http::Responder& done) {
+                answer(*m_front, request, done);
+            }));
+        m_http = std::move(server);
+        return Common::success();
+    }
+
+    Result<void> Process::start()
+    {
+        BOOST_OUTCOME_TRY(peerServer, Peer::Server::listen(m_settings.peer.listen, m_settings.peer.threads));
+        m_peerServer = std::move(peerServer);
+        if (m_settings.isControl) {
+            BOOST_OUTCOME_TRY(
+                control, ControlRole::open({ m_settings, m_peers, m_controlClient, m_timers, m_metrics, m_timeline }));
+            m_control = std::move(control);
+        }
+        if (m_settings.isEntry)
+            m_entry = std::make_unique<EntryRole>(EntryDependencies { m_settings, m_incarnation,
+                m_peerServer->address(), m_peers, m_controlClient, m_timers, m_metrics, m_timeline });
+        servePeers();
+        if (m_entry)
+            m_entry->start();
+        BOOST_OUTCOME_TRYV(openHttp());
+        m_timeline.record(EventKind::ProcessStarted, m_settings.instance.value());
+        LOG_INFO(Part::Daemon,
+            "Instance " << m_settings.instance << " runs. HTTP " << m_settings.http.listen << ", peers "
+                        << m_peerServer->address() << ".");
+        return Common::success();
+    }
+
+    void Process::waitForStop()
+    {
+        sigset_t set = stopSignals();
+        timespec wait { 0, signalWaitNanoseconds };
+        while (sigtimedwait(&set, nullptr, &wait) < 0) {
+            if (m_control && m_control->storageFailed()) {
+                LOG_ERROR(Part::Daemon, "Storage has failed. The process ends.");
+                return;
+            }
+        }
+    }
+
+    void Process::sleepFor(Milliseconds time) const
+    {
+        auto us = Clock::toChrono(time);
+        timespec wait { us.count() / 1'000'000, (us.count() % 1'000'000) * 1'000 };
+        nanosleep(&wait, nullptr);
+    }
+
+    // Waits for the last answer and the last record of an outcome. Returns whether all ended within the bound.
+    bool Process::waitForWork()
+    {
+        auto until = Clock::now() + m_settings.stop.finishBound;
+        size_t left = m_http->waitForAnswers(m_settings.stop.finishBound);
+        while (m_entry && m_entry->inFlight() && Clock::now() < until)
+            sleepFor(workCheckInterval);
+        left += m_entry ? m_entry->inFlight() : 0;
+        if (left)
+            LOG_ERROR(
+                Part::Daemon, "Cutting off " << left << " requests after " << m_settings.stop.finishBound << " ms.");
+        return !left;
+    }
+
+    Result<void> Process::stopGracefully()
+    {
+        if (m_control && m_control->storageFailed())
+            return Common::makeError(Reason::StorageFailed, "run", "storage has failed", m_settings.instance.value());
+        LOG_INFO(Part::Daemon, "Stopping. The balancer has " << m_settings.stop.balancerWait << " ms to notice.");
+        m_draining = true;
+        m_timeline.record(EventKind::ProcessDraining, m_settings.instance.value());
+        if (m_control)
+            m_control->handOver();
+        // Callers that the balancer still sends here are served meanwhile.
+        sleepFor(m_settings.stop.balancerWait);
+        if (m_entry)
+            m_entry->drain();
+        m_http->closeAfterAnswers();
+        bool whole = waitForWork();
+        if (m_entry)
+            m_entry->stop();
+        sleepFor(farewell);
+        m_timeline.record(EventKind::ProcessStopped, m_settings.instance.value());
+        LOG_INFO(Part::Daemon, "Stopped" << (whole ? "." : " with requests cut off."));
+        return Common::success();
+    }
+
+} // namespace
+
+Result<void> run(const Settings::Daemon& settings)
+{
+    sigset_t set = stopSignals();
+    // Blocked before the first thread starts, so that the signals come to waitForStop() alone.
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    Observe::LogLevel level = Observe::LogLevel::Info;
+    Observe::parseLogLevel(settings.log.level, level);
+    Observe::setUpLog(level, settings.log.file);
+    Http::setThreadCount(settings.http.threads);
+    Process process(settings);
+    BOOST_OUTCOME_TRYV(process.start());
+    process.waitForStop();
+    return process.stopGracefully();
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Daemon/EntryRole.cpp
@@ -0,0 +1,185 @@
+#include "Daemon/EntryRole.h"
+
+#include "Entry/ServerShares.h"
+#include "Observe/Log.h"
+
+#include <atomic>
+#include <condition_variable>
+
+using Common::Clock;
+using Common::Milliseconds;
+using Common::Reason;
+using Observe::Part;
+
+namespace Daemon {
+
+namespace {
+
+    constexpr Milliseconds housekeepingInterval { 100 };
+    constexpr Milliseconds releaseBound { 1'500 };
+
+    Membership::GossipSettings gossipSettings(const Settings::Entry& settings)
+    {
+        Membership::GossipSettings gossip;
+        gossip.pushInterval = settings.gossipInterval;
+        gossip.directory.suspectAfter = settings.announcementTimeout;
+        gossip.directory.removeAfter = settings.announcementTimeout * 3;
+        return gossip;
+    }
+
+    Membership::InstanceRecord selfRecord(const EntryDependencies& use)
+    {
+        Membership::InstanceRecord record;
+        record.id = use.settings.instance;
+        record.incarnation = use.incarnation;
+        record.address = use.peerAddress;
+        record.domain = use.settings.failureDomain;
+        return record;
+    }
+
+    Control::LiveInstance selfAsLive(const EntryDependencies& use)
+    {
+        return { use.settings.instance, use.incarnation, use.peerAddress, use.settings.failureDomain };
+    }
+
+} // namespace
+
+struct EntryRole::Private {
+    explicit Private(EntryDependencies d)
+        : use(std::move(d))
+        , membership(gossipSettings(use.settings.entry), selfRecord(use),
+              { use.timers, use.peers, servers, use.metrics, use.timeline })
+        , backend(use.timers, use.metrics)
+        , losses(std::make_shared<Entry::LossDetector>(backend, membership))
+        , lease({ selfAsLive(use), use.settings.control, configuration, use.control, membership, use.timers,
+              use.metrics, use.timeline })
+        , shares({ use.settings.instance, use.settings.entry.connectionSettle, configuration, servers, membership,
+                     backend },
+              Clock::now())
+        , queries({ use.settings.instance, use.settings.entry, configuration, servers, membership, *losses, backend,
+              use.timers, use.metrics, use.timeline })
+        , bookings({ use.settings.instance, use.incarnation, static_cast<uint32_t>(use.settings.control.claimShards),
+              configuration, servers, lease, use.control, backend, use.timers, use.metrics, use.timeline })
+    {
+    }
+
+    EntryDependencies use;
+    Entry::ConfigurationView configuration;
+    Entry::ServerTable servers;
+    Entry::MembershipService membership;
+    Backend::Client backend;
+    std::shared_ptr<Entry::LossDetector> losses;
+    Entry::LeaseKeeper lease;
+    Entry::ServerShares shares;
+    Entry::QueryEngine queries;
+    Entry::BookingEngine bookings;
+    std::atomic<bool> draining { false };
+    std::atomic<bool> stopped { false };
+
+    void keepHouse();
+};
+
+void EntryRole::Private::keepHouse()
+{
+    if (stopped)
+        return;
+    auto now = Clock::now();
+    shares.refresh(now);
+    backend.checkProgress(now);
+    use.timers.after(housekeepingInterval, [this] { keepHouse(); });
+}
+
+EntryRole::EntryRole(EntryDependencies use)
+    : m_private(std::make_unique<Private>(std::move(use)))
+{
+}
+
+EntryRole::~EntryRole() = default;
+
+void EntryRole::start()
+{
+    auto* p = m_private.get();
+    p->membership.onChange([p] { p->shares.refresh(Clock::now()); });
+    p->lease.onChange([p] { p->shares.refresh(Clock::now()); });
+    p->membership.start();
+    p->lease.start();
+    p->keepHouse();
+}
+
+void EntryRole::gossip(std::string_view bytes) { m_private->membership.receive(bytes); }
+
+std::optional<Common::Error> EntryRole::refusal() const
+{
+    const char* step = "admit";
+    const auto& self = m_private->use.settings.instance;
+    if (m_private->draining || m_private->configuration.isDraining(self))
+        return Common::makeError(Reason::Unavailable, step, "this instance is draining");
+    if (!m_private->lease.mayTakeWork())
+        return Common::makeError(Reason::Unavailable, step, "this instance holds no lease from control");
+    return std::nullopt;
+}
+
+void EntryRole::query(Entry::QueryRequest request, Entry::QueryEngine::Done done)
+{
+    m_private->queries.query(std::move(request), std::move(done));
+}
+
+void EntryRole::run(Entry::BookingRequest request, Entry::BookingEngine::Done done)
+{
+    m_private->bookings.run(std::move(request), std::move(done));
+}
+
+Membership::Verdict EntryRole::announce(const Membership::Announcement& announcement)
+{
+    return m_private->membership.announce(announcement);
+}
+
+Common::Revision EntryRole::revision() const { return m_private->configuration.revision(); }
+
+std::shared_ptr<const Membership::Directory> EntryRole::directory() const { return m_private->servers.directory(); }
+
+std::vector<Membership::InstanceRecord> EntryRole::instances() const
+{
+    std::vector<Membership::InstanceRecord> records { selfRecord(m_private->use) };
+    auto directory = m_private->servers.directory();
+    for (auto& [id, entry] : directory->instances) {
+        if (id != m_private->use.settings.instance)
+            records.push_back(entry.record);
+    }
+    return records;
+}
+
+std::vector<Common::Address> EntryRole::otherInstances() const
+{
+    std::vector<Common::Address> addresses;
+    auto directory = m_private->servers.directory();
+    for (auto& [id, entry] : directory->instances) {
+        if (id != m_private->use.settings.instance && entry.record.life != Membership::Life::Gone)
+            addresses.push_back(entry.record.address);
+    }
+    return addresses;
+}
+
+void EntryRole::drain() { m_private->draining = true; }
+
+size_t EntryRole::inFlight() const { return m_private->queries.inFlight() + m_private->bookings.inFlight(); }
+
+void EntryRole::stop()
+{
+    std::mutex mutex;
+    std::condition_variable released;
+    bool isReleased = false;
+    m_private->membership.leave();
+    m_private->lease.release(releaseBound, [&] {
+        std::lock_guard lock(mutex);
+        isReleased = true;
+        released.notify_one();
+    });
+    std::unique_lock lock(mutex);
+    // The callback refers to this frame, so it is waited for without a bound of its own: release() has one.
+    released.wait(lock, [&] { return isReleased; });
+    m_private->stopped = true;
+    m_private->membership.stop();
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Daemon/ReplicatedState.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Control/StateMachine.h"
+#include "Observe/Metrics.h"
+#include "Peer/Client.h"
+#include "Replica/LogShard.h"
+#include "Settings/Settings.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace Daemon {
+
+// This control instance's part in all log shards: each has its log and the state that the log drives, under its own
+// lock. Log shard 0 carries the configuration, the others claims.
+class ReplicatedState {
+public:
+    struct Hooks {
+        std::function<void(bool leading, Common::Term)> configurationLeadership;
+        std::function<void()> configurationChanged;
+    };
+
+    static Common::Result<std::unique_ptr<ReplicatedState>> open(
+        const Settings::Daemon&, Peer::Client&, Observe::Metrics&, Hooks);
+    ~ReplicatedState();
+
+    uint32_t claimShards() const;
+    // Bytes of the service Consensus from another member.
+    void receive(const Common::InstanceId& from, std::string_view bytes);
+
+    using ProposeDone = std::function<void(Common::Result<Control::CommandOutcome>)>;
+    // Errors as Replica::LogShard::propose, and InvalidInput for a shard that does not exist.
+    void propose(Common::LogShardId, const Control::Command&, ProposeDone done);
+    // done is called once a quorum has confirmed the lead of log shard 0 and its state is current here.
+    void confirmConfiguration(std::function<void(Common::Result<void>)> done);
+
+    // Calls fn with the state under its lock.
+    void withConfiguration(const std::function<void(const Control::Configuration&)>& fn) const;
+    void withClaims(Common::LogShardId, const std::function<void(const Once::Claims&)>& fn) const;
+
+    bool leads(Common::LogShardId) const;
+    std::optional<Common::Address> leaderOf(Common::LogShardId) const;
+    std::vector<Replica::Status> status() const;
+
+    // Gives up every lead, before a planned stop.
+    void handOver();
+    void stop();
+
+private:
+    struct Private;
+    explicit ReplicatedState(std::unique_ptr<Private>);
+    std::unique_ptr<Private> m_private;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Entry/BookingEngine.cpp
@@ -0,0 +1,282 @@
+#include "Entry/BookingEngine.h"
+
+#include "Common/Hash.h"
+#include "Common/ShardedMap.h"
+#include "Observe/Log.h"
+#include "Once/Claims.h"
+
+#include <atomic>
+
+using Common::Clock;
+using Common::Milliseconds;
+using Common::Reason;
+using Common::TimePoint;
+using Observe::EventKind;
+using Observe::Part;
+
+namespace Entry {
+
+namespace {
+
+    using BookingId = Common::AttemptId; // One attempt of this process, the same number as in its claim.
+
+    constexpr Milliseconds controlBound { 2'000 }; // Of one claim or record, before Once is told that it failed.
+    constexpr Milliseconds slotPause { 5 }; // Between two looks for a free slot.
+
+    struct Running {
+        Once::Booking booking;
+        BookingRequest request;
+        ResolvedRoute route;
+        BookingEngine::Done done;
+        TimePoint admitted;
+    };
+
+    Once::DispatchAnswered toEvent(const Backend::RunAnswer& answer)
+    {
+        if (answer.status >= 400)
+            return { Once::RefusedByBackend { answer.status, answer.contentType, answer.body, false } };
+        return { Once::Completed { answer.status, answer.contentType, answer.body, false } };
+    }
+
+    Limits::Completion completionOf(const Common::Result<Backend::RunAnswer>& answer)
+    {
+        if (answer)
+            return Limits::Completion::Ok;
+        if (answer.error().reason == Reason::Refused)
+            return Limits::Completion::Shed;
+        return answer.error().reason == Reason::DeadlineExceeded ? Limits::Completion::TimedOut
+                                                                 : Limits::Completion::Failed;
+    }
+
+} // namespace
+
+struct BookingEngine::Private : std::enable_shared_from_this<BookingEngine::Private> {
+    explicit Private(BookingDependencies d)
+        : use(std::move(d))
+    {
+    }
+
+    BookingDependencies use;
+    std::atomic<uint64_t> nextId { 1 };
+    Common::ShardedMap<BookingId, std::unique_ptr<Running>> bookings;
+
+    template <typename Function> void drive(BookingId, Function&&);
+    void step(BookingId, const Once::Event&);
+    void perform(BookingId, const Once::Action&);
+    void later(Milliseconds, std::function<void(Private&)>);
+    void answer(Running&, const Once::Answer&);
+    void sendClaim(BookingId);
+    void sendRecord(BookingId);
+    void propose(
+        const Common::RequestId&, Control::Command, std::function<void(Common::Result<Control::CommandOutcome>)>);
+    void dispatch(BookingId);
+    void dispatchTo(BookingId, const Membership::Candidate&, Backend::RunRequest, const Common::GroupName&);
+};
+
+template <typename Function> void BookingEngine::Private::drive(BookingId id, Function&& decide)
+{
+    Once::Next next { Once::Idle {}, {} };
+    Done done;
+    bool finished = false;
+    bookings.ifPresent(id, [&](std::unique_ptr<Running>& running) {
+        next = decide(*running, use.lease.mayTakeWork());
+        if (next.answer) {
+            answer(*running, *next.answer);
+            done = std::move(running->done);
+        }
+        finished = running->booking.stage == Once::Stage::Finished;
+    });
+    if (finished)
+        bookings.take(id);
+    if (done)
+        done(*next.answer);
+    if (!finished)
+        perform(id, next.action);
+}
+
+void BookingEngine::Private::step(BookingId id, const Once::Event& event)
+{
+    drive(id, [&](Running& running, bool mayTakeWork) {
+        return Once::step(running.booking, event, Clock::now(), mayTakeWork);
+    });
+}
+
+void BookingEngine::Private::later(Milliseconds delay, std::function<void(Private&)> function)
+{
+    std::weak_ptr<Private> weak = weak_from_this();
+    use.timers.after(delay, [weak, function = std::move(function)] {
+        if (auto self = weak.lock())
+            function(*self);
+    });
+}
+
+void BookingEngine::Private::perform(BookingId id, const Once::Action& action)
+{
+    if (auto claim = std::get_if<Once::SendClaim>(&action))
+        later(claim->delay, [id](Private& p) { p.sendClaim(id); });
+    else if (auto record = std::get_if<Once::SendRecord>(&action))
+        later(record->delay, [id](Private& p) { p.sendRecord(id); });
+    else if (std::holds_alternative<Once::Dispatch>(action))
+        dispatch(id);
+}
+
+void BookingEngine::Private::answer(Running& running, const Once::Answer& answer)
+{
+    use.metrics.count(Observe::Counter::Bookings, Once::answerCode(answer));
+    use.metrics.observe(Observe::Latency::Booking, Clock::now() - running.admitted, running.request.route.value());
+    bool isReplay = !running.booking.dispatches && std::holds_alternative<Once::Completed>(answer);
+    use.timeline.record(isReplay ? EventKind::RequestReplayed : EventKind::RequestFinished, running.request.id.value(),
+        Once::answerCode(answer));
+}
+
+void BookingEngine::Private::propose(const Common::RequestId& id, Control::Command command,
+    std::function<void(Common::Result<Control::CommandOutcome>)> done)
+{
+    auto shard = Once::logShardOf(id, use.claimShards);
+    use.control.call(shard, Control::ProposeRequest { shard, std::move(command) }, Clock::now() + controlBound,
+        [done = std::move(done)](const Common::Result<Control::Reply>& result) {
+            if (!result) {
+                done(result.error());
+                return;
+            }
+            auto reply = std::get_if<Control::ProposeReply>(&result.value());
+            if (!reply)
+                done(Common::makeError(Reason::Corrupt, "propose", "control sent an answer of another kind"));
+            else if (auto error = std::get_if<Common::Error>(&reply->result))
+                done(*error);
+            else
+                done(std::get<Control::CommandOutcome>(reply->result));
+        });
+}
+
+void BookingEngine::Private::sendClaim(BookingId id)
+{
+    std::optional<Once::Claim> claim;
+    bookings.ifPresent(id, [&](std::unique_ptr<Running>& running) { claim = running->booking.claim; });
+    if (!claim)
+        return;
+    auto self = shared_from_this();
+    propose(claim->id, *claim, [self, id, subject = claim->id](const Common::Result<Control::CommandOutcome>& result) {
+        if (!result) {
+            self->step(id, Once::ClaimFailed { result.error() });
+            return;
+        }
+        auto outcome = std::get_if<Once::ClaimOutcome>(&result.value());
+        if (!outcome) {
+            self->step(id,
+                Once::ClaimFailed { Common::makeError(Reason::Internal, "claim", "control did not take the claim") });
+            return;
+        }
+        if (std::holds_alternative<Once::Granted>(*outcome))
+            self->use.timeline.record(EventKind::RequestClaimed, subject.value());
+        self->step(id, Once::ClaimAnswered { *outcome });
+    });
+}
+
+void BookingEngine::Private::sendRecord(BookingId id)
+{
+    std::optional<Once::Outcome> outcome;
+    bookings.ifPresent(id, [&](std::unique_ptr<Running>& running) { outcome = running->booking.outcome; });
+    if (!outcome)
+        return;
+    auto self = shared_from_this();
+    propose(outcome->id, *outcome, [self, id](const Common::Result<Control::CommandOutcome>& result) {
+        if (!result) {
+            self->step(id, Once::RecordFailed { result.error() });
+            return;
+        }
+        if (auto recorded = std::get_if<Once::RecordResult>(&result.value()))
+            self->step(id, Once::RecordAnswered { *recorded });
+        else
+            self->step(
+                id, Once::RecordFailed { Common::makeError(Reason::Internal, "record", "control did not take it") });
+    });
+}
+
+// Waits here for a slot, not at the backend server. Nothing is sent before there is one.
+void BookingEngine::Private::dispatch(BookingId id)
+{
+    std::optional<Backend::RunRequest> request;
+    ResolvedRoute route;
+    bookings.ifPresent(id, [&](std::unique_ptr<Running>& running) {
+        request = Backend::RunRequest { running->request.id, running->request.body, running->request.contentType,
+            running->booking.deadline - Clock::now() };
+        route = running->route;
+    });
+    if (!request)
+        return;
+    const auto& group = route.group.name;
+    auto set = use.servers.candidates(group, Common::IndexVersion());
+    std::optional<size_t> server;
+    if (!set->all.empty() && request->timeLeft > Milliseconds(0) && use.lease.mayTakeWork())
+        server = use.servers.acquire(*set, set->all, {}, Clock::now());
+    if (server) {
+        dispatchTo(id, set->servers[*server], *std::move(request), group);
+        return;
+    }
+    if (request->timeLeft > slotPause && use.lease.mayTakeWork() && !set->all.empty()) {
+        later(slotPause, [id](Private& p) { p.dispatch(id); });
+        return;
+    }
+    // ConnectionFailed tells Once that nothing was sent.
+    std::string why = set->all.empty() ? "the group has no backend server" : "no slot became free in time";
+    step(id, Once::DispatchFailed { Common::makeError(Reason::ConnectionFailed, "dispatch", why, group.value()) });
+}
+
+void BookingEngine::Private::dispatchTo(
+    BookingId id, const Membership::Candidate& server, Backend::RunRequest request, const Common::GroupName& group)
+{
+    use.timeline.record(EventKind::RequestDispatched, request.id.value(), "to " + server.server.value());
+    auto self = shared_from_this();
+    auto sentAt = Clock::now();
+    use.backend.run({ server.server, server.address, group }, std::move(request),
+        [self, id, sentAt, name = server.server](const Common::Result<Backend::RunAnswer>& result) {
+            auto now = Clock::now();
+            self->use.servers.release(name, completionOf(result), now - sentAt, now);
+            if (result)
+                self->step(id, toEvent(result.value()));
+            else if (result.error().reason == Reason::Overloaded)
+                self->later(slotPause, [id](Private& p) { p.dispatch(id); });
+            else
+                self->step(id, Once::DispatchFailed { result.error() });
+        });
+}
+
+BookingEngine::BookingEngine(BookingDependencies use)
+    : m_private(std::make_shared<Private>(std::move(use)))
+{
+}
+
+BookingEngine::~BookingEngine() = default;
+
+void BookingEngine::run(BookingRequest request, Done done)
+{
+    auto self = m_private;
+    auto route = self->use.configuration.resolve(request.route);
+    if (!route || route.value().route.kind != Model::RouteKind::RunOnce) {
+        auto error = route ? Common::makeError(Reason::InvalidInput, "admit-booking",
+                         "route " + request.route.value() + " is for lookups: send to /v1/query")
+                           : route.error();
+        done(Once::NotRunRefusal { error });
+        return;
+    }
+    auto now = Clock::now();
+    BookingId id(self->nextId++);
+    auto running = std::make_unique<Running>();
+    running->route = std::move(route).value();
+    running->admitted = now;
+    running->done = std::move(done);
+    running->booking.claim = { request.id, request.route, Common::Fingerprint(Common::hash64(request.body)),
+        { self->use.self, self->use.incarnation, id } };
+    running->booking.deadline = now + running->route.route.deadline;
+    running->request = std::move(request);
+    self->bookings.insert(id, std::move(running));
+    self->drive(id, [](Running& r, bool mayTakeWork) { return Once::start(r.booking, Clock::now(), mayTakeWork); });
+    self->bookings.ifPresent(id, [&](std::unique_ptr<Running>& r) {
+        self->later(r->booking.deadline - Clock::now(), [id](Private& p) { p.step(id, Once::DeadlinePassed {}); });
+    });
+}
+
+size_t BookingEngine::inFlight() const { return m_private->bookings.size(); }
+
+} // namespace Entry
--- /dev/null
+++ b/Source/Core/Entry/LossDetector.cpp
@@ -0,0 +1,44 @@
+#include "Entry/LossDetector.h"
+
+#include "Observe/Log.h"
+
+using Observe::Part;
+
+namespace Entry {
+
+LossDetector::LossDetector(Backend::Client& backend, MembershipService& membership)
+    : m_backend(backend)
+    , m_membership(membership)
+{
+}
+
+void LossDetector::connectionLost(const Backend::Target& target, Common::Incarnation incarnation,
+    Common::Fingerprint fingerprint, std::function<void()> done)
+{
+    bool isFirst = m_pending.withValue(target.server, [&](Pending& pending) {
+        pending.fingerprints.push_back(fingerprint);
+        pending.waiting.push_back(std::move(done));
+        return pending.waiting.size() == 1;
+    });
+    if (!isFirst)
+        return;
+    auto self = shared_from_this();
+    m_backend.probe(
+        target, [self, server = target.server, incarnation](bool alive) { self->probed(server, incarnation, alive); });
+}
+
+void LossDetector::probed(const Common::BackendServerId& server, Common::Incarnation incarnation, bool alive)
+{
+    auto pending = m_pending.take(server);
+    if (!pending)
+        return;
+    if (!alive) {
+        LOG_WARNING(Part::Membership,
+            "Server " << server << " is lost with " << pending->fingerprints.size() << " requests in flight.");
+        m_membership.reportLoss({ server, incarnation }, pending->fingerprints);
+    }
+    for (auto& done : pending->waiting)
+        done();
+}
+
+} // namespace Entry
--- /dev/null
+++ b/Source/Core/Entry/MembershipService.cpp
@@ -0,0 +1,254 @@
+#include "Entry/MembershipService.h"
+
+#include "Common/Random.h"
+#include "Observe/Log.h"
+#include "Wire/MembershipCodec.h"
+
+#include <algorithm>
+#include <mutex>
+#include <random>
+
+using Common::Milliseconds;
+using Membership::Change;
+using Observe::EventKind;
+using Observe::Part;
+
+namespace Entry {
+
+namespace {
+
+    constexpr Milliseconds roundInterval { 100 };
+    constexpr Milliseconds callTimeout { 1'000 };
+
+    EventKind eventOf(const Membership::ServerRecord& record)
+    {
+        if (record.life == Membership::Life::Gone)
+            return EventKind::ServerRemoved;
+        if (record.life == Membership::Life::Suspect)
+            return EventKind::ServerSuspected;
+        if (record.announcement.state == Membership::ServerState::Leaving)
+            return EventKind::ServerLeaving;
+        return EventKind::ServerChanged;
+    }
+
+    EventKind eventOf(const Membership::InstanceRecord& record)
+    {
+        if (record.life == Membership::Life::Gone)
+            return EventKind::InstanceRemoved;
+        if (record.life == Membership::Life::Suspect)
+            return EventKind::InstanceSuspected;
+        return record.state == Membership::InstanceState::Leaving ? EventKind::InstanceLeaving
+                                                                  : EventKind::InstanceJoined;
+    }
+
+    EventKind eventOf(const Membership::FingerprintRecord& record)
+    {
+        if (record.losses.empty())
+            return EventKind::FingerprintReleased;
+        return record.losses.size() > 1 ? EventKind::FingerprintQuarantined : EventKind::FingerprintSuspected;
+    }
+
+    std::string subjectOf(const Membership::ServerRecord& record) { return record.announcement.server.value(); }
+
+    std::string subjectOf(const Membership::InstanceRecord& record) { return record.id.value(); }
+
+    std::string subjectOf(const Membership::FingerprintRecord& record)
+    {
+        return std::to_string(record.fingerprint.value());
+    }
+
+} // namespace
+
+struct MembershipService::Private : std::enable_shared_from_this<MembershipService::Private> {
+    Private(MembershipDependencies d)
+        : use(d)
+    {
+    }
+
+    MembershipDependencies use;
+    std::function<void()> changed;
+    mutable std::mutex mutex; // Guards what follows.
+    Membership::GossipState state;
+    Common::Random random { std::random_device {}() };
+    bool stopped { false };
+
+    // A repeated round schedules the next one.
+    void scheduleRound(Milliseconds delay, bool repeat);
+    void round(bool repeat);
+    void send(const std::vector<Membership::Outgoing>&);
+    void publish(const std::vector<Change>&);
+};
+
+void MembershipService::Private::scheduleRound(Milliseconds delay, bool repeat)
+{
+    std::weak_ptr<Private> weak = weak_from_this();
+    use.timers.after(delay, [weak, repeat] {
+        if (auto self = weak.lock())
+            self->round(repeat);
+    });
+}
+
+void MembershipService::Private::round(bool repeat)
+{
+    Membership::GossipPlan plan;
+    {
+        std::lock_guard lock(mutex);
+        if (stopped)
+            return;
+        plan = Membership::nextGossip(state, Common::Clock::now(), random);
+    }
+    send(plan.messages);
+    publish(plan.changes);
+    if (repeat)
+        scheduleRound(roundInterval, true);
+}
+
+void MembershipService::Private::send(const std::vector<Membership::Outgoing>& messages)
+{
+    for (const Membership::Outgoing& out : messages) {
+        std::string bytes = Wire::encodeGossip({ out.message, use.timeline.stamp() });
+        use.metrics.count(Observe::Counter::GossipBytesSent, {}, bytes.size());
+        use.peers.call(out.address, Peer::Service::Gossip, std::move(bytes), callTimeout, [](const auto&) {});
+    }
+}
+
+void MembershipService::Private::publish(const std::vector<Change>& changes)
+{
+    if (changes.empty())
+        return;
+    for (const Change& change : changes) {
+        std::visit([&](const auto& record) { use.timeline.record(eventOf(record), subjectOf(record)); }, change.record);
+    }
+    {
+        // Published under the lock, so that an older directory never replaces a newer one.
+        std::lock_guard lock(mutex);
+        use.servers.publish(std::make_shared<const Membership::Directory>(state.directory));
+    }
+    if (changed)
+        changed();
+}
+
+MembershipService::MembershipService(
+    Membership::GossipSettings settings, Membership::InstanceRecord self, MembershipDependencies use)
+    : m_private(std::make_shared<Private>(use))
+{
+    m_private->state = Membership::makeGossipState(settings, std::move(self), {});
+}
+
+MembershipService::~MembershipService() { stop(); }
+
+void MembershipService::onChange(std::function<void()> function) { m_private->changed = std::move(function); }
+
+void MembershipService::start() { m_private->scheduleRound(Milliseconds(0), true); }
+
+void MembershipService::stop()
+{
+    std::lock_guard lock(m_private->mutex);
+    m_private->stopped = true;
+}
+
+Membership::Verdict MembershipService::announce(const Membership::Announcement& announcement)
+{
+    Membership::AnnounceOutcome outcome;
+    {
+        std::lock_guard lock(m_private->mutex);
+        outcome = Membership::receiveAnnouncement(m_private->state, announcement, Common::Clock::now());
+    }
+    if (outcome.change) {
+        m_private->publish({ *outcome.change });
+        m_private->scheduleRound(Milliseconds(0), false);
+    }
+    return outcome.verdict;
+}
+
+void MembershipService::receive(std::string_view bytes)
+{
+    auto envelope = Wire::decodeGossip(bytes);
+    if (!envelope) {
+        LOG_WARNING(Part::Membership, "A gossip message is dropped: " << envelope.error() << ".");
+        return;
+    }
+    m_private->use.metrics.count(Observe::Counter::GossipBytesReceived, {}, bytes.size());
+    m_private->use.timeline.observe(envelope.value().time);
+    Membership::GossipReceipt receipt;
+    {
+        std::lock_guard lock(m_private->mutex);
+        if (m_private->stopped)
+            return;
+        receipt = Membership::receiveGossip(m_private->state, envelope.value().message, Common::Clock::now());
+    }
+    m_private->send(receipt.replies);
+    m_private->publish(receipt.changes);
+}
+
+void MembershipService::learnInstance(const Membership::InstanceRecord& record)
+{
+    std::optional<Change> change;
+    {
+        std::lock_guard lock(m_private->mutex);
+        change = Membership::learn(m_private->state, record, Common::Clock::now());
+    }
+    if (change)
+        m_private->publish({ *change });
+}
+
+void MembershipService::leave()
+{
+    Change change;
+    {
+        std::lock_guard lock(m_private->mutex);
+        change = Membership::leave(m_private->state, Common::Clock::now());
+    }
+    m_private->publish({ change });
+    m_private->scheduleRound(Milliseconds(0), false);
+}
+
+std::vector<Common::InstanceId> MembershipService::liveInstances() const
+{
+    std::vector<Common::InstanceId> ids;
+    std::lock_guard lock(m_private->mutex);
+    ids.push_back(m_private->state.self.id);
+    for (auto& [id, entry] : m_private->state.directory.instances) {
+        bool isUp = entry.record.life != Membership::Life::Gone && entry.record.state == Membership::InstanceState::Up;
+        if (isUp && id != m_private->state.self.id)
+            ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+bool MembershipService::isQuarantined(Common::Fingerprint fingerprint) const
+{
+    std::lock_guard lock(m_private->mutex);
+    return Membership::isQuarantined(m_private->state.quarantine, fingerprint, Common::Clock::now());
+}
+
+bool MembershipService::mayRetry(Common::Fingerprint fingerprint) const
+{
+    std::lock_guard lock(m_private->mutex);
+    return Membership::mayRetry(m_private->state.quarantine, fingerprint, Common::Clock::now());
+}
+
+void MembershipService::reportLoss(const Membership::Loss& loss, const std::vector<Common::Fingerprint>& fingerprints)
+{
+    std::vector<Change> changes;
+    {
+        std::lock_guard lock(m_private->mutex);
+        changes = Membership::reportLoss(m_private->state, loss, fingerprints, Common::Clock::now());
+    }
+    m_private->publish(changes);
+    m_private->scheduleRound(Milliseconds(0), false);
+}
+
+void MembershipService::reportCompletion(Common::Fingerprint fingerprint)
+{
+    std::optional<Change> change;
+    {
+        std::lock_guard lock(m_private->mutex);
+        change = Membership::reportCompletion(m_private->state, fingerprint, Common::Clock::now());
+    }
+    if (change)
+        m_private->publish({ *change });
+}
+
+} // namespace Entry
--- /dev/null
+++ b/Source/Core/Entry/ServerShares.cpp
@@ -0,0 +1,69 @@
+#include "Entry/ServerShares.h"
+
+#include <algorithm>
+
+using Common::TimePoint;
+
+namespace Entry {
+
+ServerShares::ServerShares(ShareDependencies use, TimePoint startedAt)
+    : m_use(std::move(use))
+    , m_startedAt(startedAt)
+{
+}
+
+bool ServerShares::isSettled(TimePoint now) const { return now - m_startedAt >= m_use.settleTime; }
+
+void ServerShares::refresh(TimePoint now)
+{
+    auto directory = m_use.servers.directory();
+    auto instances = m_use.membership.liveInstances();
+    auto self = std::find(instances.begin(), instances.end(), m_use.self);
+    auto index = static_cast<size_t>(self - instances.begin());
+    std::lock_guard lock(m_mutex);
+    for (auto& [id, entry] : directory->servers) {
+        if (entry.record.life != Membership::Life::Gone)
+            refreshServer(entry, instances.size(), index, now);
+    }
+    forgetGone(*directory);
+}
+
+void ServerShares::refreshServer(const Membership::ServerEntry& entry, size_t instances, size_t index, TimePoint now)
+{
+    const auto& announcement = entry.record.announcement;
+    auto group = m_use.configuration.group(announcement.group);
+    if (!group)
+        return;
+    auto share = Limits::connectionShare(group->connectionLimit, instances, index);
+    auto it = m_budgets.find(announcement.server);
+    if (it == m_budgets.end()) {
+        it = m_budgets.emplace(announcement.server, Limits::ConnectionBudget { m_use.settleTime, {} }).first;
+        // All instances that have settled give a new server the same shares at once.
+        Limits::setShare(it->second, share, isSettled(now) ? now - m_use.settleTime : now);
+    }
+    Limits::setShare(it->second, share, now);
+    auto allowed = Limits::allowed(it->second, now);
+    auto slots = Limits::slotShare(group->slots, instances, index);
+    Backend::Target target { announcement.server, announcement.address, announcement.group };
+    m_use.servers.configure(announcement.server, slots, now);
+    m_use.backend.setConnectionShare(target, allowed);
+    bool isLeaving = announcement.state == Membership::ServerState::Leaving;
+    if (!isLeaving)
+        m_use.backend.warmUp(target, Common::Connections(std::min(allowed.value(), slots.ceiling.value())));
+}
+
+void ServerShares::forgetGone(const Membership::Directory& directory)
+{
+    for (auto it = m_budgets.begin(); it != m_budgets.end();) {
+        auto entry = directory.servers.find(it->first);
+        if (entry != directory.servers.end() && entry->second.record.life != Membership::Life::Gone) {
+            ++it;
+            continue;
+        }
+        m_use.backend.forget(it->first);
+        m_use.servers.forget(it->first);
+        it = m_budgets.erase(it);
+    }
+}
+
+} // namespace Entry
--- /dev/null
+++ b/Source/Core/Entry/ServerTable.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Common/Random.h"
+#include "Common/ShardedMap.h"
+#include "Limits/ServerLoad.h"
+#include "Membership/Directory.h"
+#include "Routing/Candidate.h"
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Entry {
+
+// The backend servers of one group that hold one index version (or of a group without an index), at one moment.
+struct CandidateSet {
+    std::vector<Membership::Candidate> servers;
+    std::unordered_map<Common::ShardId, std::vector<size_t>> byShard; // Indexes into servers.
+    std::vector<size_t> all;
+
+    const std::vector<size_t>& of(std::optional<Common::ShardId>) const;
+};
+
+// What this instance knows of backend servers: who is there, from membership, and the load of each as observed here.
+// Loads are in shards with a lock each.
+class ServerTable {
+public:
+    // The newest directory; candidate sets made before stay as they are.
+    void publish(std::shared_ptr<const Membership::Directory>);
+    std::shared_ptr<const Membership::Directory> directory() const;
+    // version 0: the servers of a group without an index.
+    std::shared_ptr<const CandidateSet> candidates(const Common::GroupName&, Common::IndexVersion);
+
+    void configure(const Common::BackendServerId&, const Limits::SlotShare&, Common::TimePoint now);
+    void forget(const Common::BackendServerId&);
+
+    // Takes a slot at the best of the servers given; nothing if none has room.
+    std::optional<size_t> acquire(
+        const CandidateSet&, const std::vector<size_t>& among, const Routing::Avoid&, Common::TimePoint now);
+    void release(const Common::BackendServerId&, Limits::Completion, Common::Milliseconds took, Common::TimePoint now);
+    bool hasRoom(const CandidateSet&, const std::vector<size_t>& among, Common::TimePoint now);
+    // Sum of the limits of the servers given.
+    double slots(const CandidateSet&, const std::vector<size_t>& among);
+
+private:
+    std::vector<Routing::Candidate> look(const CandidateSet&, const std::vector<size_t>& among, Common::TimePoint now);
+
+    Common::ShardedMap<Common::BackendServerId, Limits::ServerLoad> m_loads;
+    mutable std::mutex m_mutex; // Guards what follows.
+    std::shared_ptr<const Membership::Directory> m_directory { std::make_shared<Membership::Directory>() };
+    std::unordered_map<std::string, std::shared_ptr<const CandidateSet>> m_sets;
+};
+
+} // namespace Entry
--- /dev/null
+++ b/Source/Core/Json/Reader.cpp
@@ -0,0 +1,195 @@
+#include "Json/Reader.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Json {
+
+namespace {
+
+    const Value nothing = Value::object();
+    constexpr size_t longestQuote = 60;
+
+    std::string foundText(const Value& value)
+    {
+        std::string text = value.serialize();
+        if (text.size() > longestQuote)
+            text = text.substr(0, longestQuote) + "...";
+        return text;
+    }
+
+} // namespace
+
+Reader::Reader(const Value& value, std::string path, Problem& problem)
+    : m_value(&value)
+    , m_path(std::move(path))
+    , m_problem(&problem)
+{
+}
+
+const Value* Reader::find(const std::string& field)
+{
+    m_known.push_back(field);
+    if (!m_value->is_object())
+        return nullptr;
+    const auto& object = m_value->as_object();
+    auto it = object.find(field);
+    return it == object.end() || it->second.is_null() ? nullptr : &it->second;
+}
+
+void Reader::note(const std::string& field, const std::string& found, const std::string& expected)
+{
+    if (!m_problem->text.empty())
+        return;
+    std::string name = m_path.empty() ? field : m_path + "." + field;
+    m_problem->text = "field " + name + " is " + found + ", expected " + expected;
+}
+
+bool Reader::has(const std::string& field) { return find(field); }
+
+std::string Reader::text(const std::string& field)
+{
+    if (!has(field)) {
+        note(field, "absent", "a text");
+        return {};
+    }
+    return text(field, std::string());
+}
+
+std::string Reader::text(const std::string& field, const std::string& fallback)
+{
+    const Value* value = find(field);
+    if (!value)
+        return fallback;
+    if (value->is_string())
+        return value->as_string();
+    note(field, foundText(*value), "a text");
+    return fallback;
+}
+
+double Reader::number(const std::string& field)
+{
+    if (!has(field))
+        note(field, "absent", "a number");
+    return number(field, 0);
+}
+
+double Reader::number(const std::string& field, double fallback)
+{
+    const Value* value = find(field);
+    if (!value)
+        return fallback;
+    if (value->is_number())
+        return value->as_double();
+    note(field, foundText(*value), "a number");
+    return fallback;
+}
+
+uint64_t Reader::toWhole(const Value& value, const std::string& field, uint64_t limit)
+{
+    if (value.is_number() && value.as_number().is_uint64() && value.as_number().to_uint64() <= limit)
+        return value.as_number().to_uint64();
+    note(field, foundText(value), "a whole number from 0 to " + std::to_string(limit));
+    return 0;
+}
+
+uint64_t Reader::whole(const std::string& field, uint64_t limit)
+{
+    const Value* value = find(field);
+    if (value)
+        return toWhole(*value, field, limit);
+    note(field, "absent", "a whole number");
+    return 0;
+}
+
+uint64_t Reader::whole(const std::string& field, uint64_t fallback, uint64_t limit)
+{
+    const Value* value = find(field);
+    return value ? toWhole(*value, field, limit) : fallback;
+}
+
+bool Reader::flag(const std::string& field, bool fallback)
+{
+    const Value* value = find(field);
+    if (!value)
+        return fallback;
+    if (value->is_boolean())
+        return value->as_bool();
+    note(field, foundText(*value), "true or false");
+    return fallback;
+}
+
+Reader Reader::object(const std::string& field)
+{
+    const Value* value = find(field);
+    if (value && !value->is_object())
+        note(field, foundText(*value), "an object");
+    return { value && value->is_object() ? *value : nothing, m_path.empty() ? field : m_path + "." + field,
+        *m_problem };
+}
+
+std::vector<Reader> Reader::objects(const std::string& field)
+{
+    std::vector<Reader> readers;
+    const Value* value = find(field);
+    if (!value)
+        return readers;
+    if (!value->is_array()) {
+        note(field, foundText(*value), "a list");
+        return readers;
+    }
+    size_t i = 0;
+    for (const Value& item : value->as_array()) {
+        std::string name = field + "[" + std::to_string(i++) + "]";
+        if (!item.is_object())
+            note(name, foundText(item), "an object");
+        readers.emplace_back(item, m_path.empty() ? name : m_path + "." + name, *m_problem);
+    }
+    return readers;
+}
+
+std::vector<uint64_t> Reader::wholes(const std::string& field, uint64_t limit)
+{
+    std::vector<uint64_t> values;
+    const Value* value = find(field);
+    if (!value)
+        return values;
+    if (!value->is_array()) {
+        note(field, foundText(*value), "a list of whole numbers");
+        return values;
+    }
+    for (const Value& item : value->as_array())
+        values.push_back(toWhole(item, field, limit));
+    return values;
+}
+
+void Reader::close()
+{
+    if (!m_value->is_object())
+        return;
+    for (const auto& [name, value] : m_value->as_object()) {
+        if (std::find(m_known.begin(), m_known.end(), name) == m_known.end())
+            note(name, "not a known field", "one that docs/OPERATING.md lists");
+    }
+}
+
+Common::Result<Value> parseObject(const std::string& text, Common::Reason reason, const std::string& step)
+{
+    try {
+        Value value = Value::parse(text);
+        if (value.is_object())
+            return value;
+        return Common::makeError(reason, step, "the body is " + foundText(value) + ", expected a JSON object");
+    } catch (const std::exception& e) {
+        return Common::makeError(reason, step, std::string("the body is not JSON: ") + e.what());
+    }
+}
+
+Common::Result<void> check(const Problem& problem, Common::Reason reason, const std::string& step)
+{
+    if (problem.text.empty())
+        return Common::success();
+    return Common::makeError(reason, step, problem.text);
+}
+
+} // namespace Json
--- /dev/null
+++ b/Source/Core/Json/Reader.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Common/Error.h"
+
+#include <cpprest/json.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+// Checked reading of JSON objects. Only the codecs of HTTP messages include this.
+namespace Json {
+
+using Value = web::json::value;
+
+// What was found to be wrong first; empty if nothing was.
+struct Problem {
+    std::string text;
+};
+
+// Reads the fields of one object. Readers of its parts share its Problem, and the value must outlive them all.
+class Reader {
+public:
+    Reader(const Value&, std::string path, Problem&);
+
+    bool has(const std::string& field);
+    std::string text(const std::string& field);
+    std::string text(const std::string& field, const std::string& fallback);
+    double number(const std::string& field);
+    double number(const std::string& field, double fallback);
+    uint64_t whole(const std::string& field, uint64_t limit = UINT64_MAX);
+    uint64_t whole(const std::string& field, uint64_t fallback, uint64_t limit);
+    bool flag(const std::string& field, bool fallback);
+    Reader object(const std::string& field);
+    std::vector<Reader> objects(const std::string& field);
+    std::vector<uint64_t> wholes(const std::string& field, uint64_t limit);
+    // Notes fields that nobody asked for.
+    void close();
+    void note(const std::string& field, const std::string& found, const std::string& expected);
+
+private:
+    const Value* find(const std::string& field);
+    uint64_t toWhole(const Value&, const std::string& field, uint64_t limit);
+
+    const Value* m_value;
+    std::string m_path;
+    Problem* m_problem;
+    std::vector<std::string> m_known;
+};
+
+// Parses an object; errors have the reason and step given.
+Common::Result<Value> parseObject(const std::string& text, Common::Reason, const std::string& step);
+// An error if a problem was noted.
+Common::Result<void> check(const Problem&, Common::Reason, const std::string& step);
+
+} // namespace Json
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -112,6 +112,7 @@
     {
         entry.gossipInterval = readTime(section, "gossip_interval_ms", entry.gossipInterval, 10);
         entry.announcementTimeout = readTime(section, "announcement_timeout_ms", entry.announcementTimeout, 100);
+        entry.connectionSettle = readTime(section, "connection_settle_ms", entry.connectionSettle, 0);
         entry.attempts = readCount(section, "attempts", entry.attempts, 1, 10);
         entry.returnMargin = readTime(section, "return_margin_ms", entry.returnMargin, 0);
         section.close();
@@ -127,9 +128,9 @@
     void readLog(Section section, Log& log)
     {
         log.level = section.text("level", log.level);
-        static const std::vector<std::string> levels { "debug", "info", "warn", "error" };
+        static const std::vector<std::string> levels { "debug", "info", "warning", "error" };
         if (std::find(levels.begin(), levels.end(), log.level) == levels.end())
-            section.note("level", "'" + log.level + "'", "debug, info, warn or error");
+            section.note("level", "'" + log.level + "'", "debug, info, warning or error");
         log.file = section.text("file", log.file);
         section.close();
     }
