--- /dev/null
+++ b/Source/Core/Consensus/Commit.cpp
@@ -0,0 +1,124 @@
+#include "Consensus/Commit.h"
+
+#include "Common/Assert.h"
+#include "Consensus/Membership.h"
+#include "Consensus/Reads.h"
+#include "Consensus/Replication.h"
+
+#include <algorithm>
+
+namespace Consensus {
+
+using Common::LogIndex;
+
+namespace {
+
+    // The highest index that a quorum of voters holds durably.
+    LogIndex quorumMatch(const State& state)
+    {
+        std::vector<LogIndex> matches;
+        for (const Member& member : membership(state).members) {
+            if (!member.voter)
+                continue;
+            if (member.id == state.options.self) {
+                matches.push_back(state.persisted);
+                continue;
+            }
+            auto it = state.leading.progress.find(member.id);
+            matches.push_back(it == state.leading.progress.end() ? LogIndex(0) : it->second.match);
+        }
+        if (matches.empty())
+            return LogIndex(0);
+        std::sort(matches.begin(), matches.end(), std::greater<>());
+        return matches[quorum(membership(state)) - 1];
+    }
+
+    void forgetMembershipsBelow(State& state, LogIndex index)
+    {
+        while (state.memberships.size() > 1 && state.memberships[1].first <= index)
+            state.memberships.erase(state.memberships.begin());
+    }
+
+} // namespace
+
+void advanceCommit(Context& c)
+{
+    State& state = c.state;
+    LogIndex index = quorumMatch(state);
+    // An entry of an older term is committed only together with one of this term: counting alone does not do.
+    if (index <= state.commit || termAt(state.log, index) != state.hard.term)
+        return;
+    commitUpTo(c, index);
+    sendCommitToAll(c);
+    releaseWaitingReads(c);
+}
+
+void commitUpTo(Context& c, LogIndex index)
+{
+    State& state = c.state;
+    if (index <= state.commit)
+        return;
+    CORIANDERLOCK_INVARIANT(index <= lastIndex(state.log), "only entries of the log are committed");
+    state.commit = index;
+}
+
+void notePersisted(Context& c, WriteNumber number)
+{
+    State& state = c.state;
+    state.persistedWrite = std::max(state.persistedWrite, number);
+    while (!state.pendingWrites.empty() && state.pendingWrites.front().number <= number) {
+        state.persisted = std::max(state.persisted, state.pendingWrites.front().lastIndex);
+        state.pendingWrites.pop_front();
+    }
+    CORIANDERLOCK_INVARIANT(state.persisted <= lastIndex(state.log), "what is durable is in the log");
+}
+
+void deliver(Context& c)
+{
+    State& state = c.state;
+    LogIndex limit = std::min(state.commit, state.persisted);
+    if (state.snapshot && state.delivered < state.snapshot->meta.index) {
+        if (limit < state.snapshot->meta.index)
+            return;
+        c.effects.restore = state.snapshot;
+        state.delivered = state.snapshot->meta.index;
+    }
+    while (state.delivered < limit) {
+        state.delivered += LogIndex(1);
+        c.effects.deliver.push_back(entryAt(state.log, state.delivered));
+    }
+}
+
+void keepSnapshot(Context& c, const SnapshotTaken& taken)
+{
+    State& state = c.state;
+    CORIANDERLOCK_INVARIANT(taken.index <= state.delivered, "a snapshot holds applied entries only");
+    if (state.snapshot && taken.index <= state.snapshot->meta.index)
+        return;
+    SnapshotMeta meta { taken.index, termAt(state.log, taken.index), membershipAt(state, taken.index) };
+    state.snapshot = std::make_shared<const Snapshot>(Snapshot { std::move(meta), taken.data });
+    writeOf(c).snapshot = state.snapshot;
+    forgetMembershipsBelow(state, taken.index);
+    uint64_t kept = std::min(state.options.keptEntries, taken.index.value());
+    cutUpTo(state.log, taken.index - LogIndex(kept));
+}
+
+void installSnapshot(Context& c, const SnapshotRef& snapshot)
+{
+    State& state = c.state;
+    const SnapshotMeta& meta = snapshot->meta;
+    if (meta.index <= state.commit)
+        return;
+    if (!holds(state.log, meta.index, meta.term)) {
+        if (lastIndex(state.log) > state.commit)
+            truncateLog(c, state.commit + LogIndex(1));
+        reset(state.log, meta.index, meta.term);
+        state.memberships = { { meta.index, meta.membership } };
+    }
+    state.snapshot = snapshot;
+    writeOf(c).snapshot = snapshot;
+    forgetMembershipsBelow(state, meta.index);
+    commitUpTo(c, meta.index);
+}
+
+} // namespace Consensus
--- /dev/null
+++ b/Source/Core/Consensus/Context.cpp
@@ -0,0 +1,96 @@
+#include "Consensus/Context.h"
+
+#include "Common/Assert.h"
+#include "Consensus/Membership.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Consensus {
+
+using Common::LogIndex;
+
+Message makeMessage(const State& state, const MemberId& to, MessageBody body)
+{
+    return { state.options.self, to, membership(state).group, state.hard.term, std::move(body) };
+}
+
+void send(Context& c, const MemberId& to, MessageBody body)
+{
+    c.effects.messages.push_back(makeMessage(c.state, to, std::move(body)));
+}
+
+void sendAfterWrites(Context& c, const MemberId& to, MessageBody body)
+{
+    c.effects.messagesAfterWrites.push_back(makeMessage(c.state, to, std::move(body)));
+}
+
+void sendAfterHardState(Context& c, const MemberId& to, MessageBody body)
+{
+    if (c.state.hardWrite > c.state.persistedWrite)
+        sendAfterWrites(c, to, std::move(body));
+    else
+        send(c, to, std::move(body));
+}
+
+Write& writeOf(Context& c)
+{
+    if (!c.effects.write) {
+        c.state.lastWrite += WriteNumber(1);
+        c.effects.write.emplace();
+        c.effects.write->number = c.state.lastWrite;
+    }
+    return *c.effects.write;
+}
+
+void setHardState(Context& c, Common::Term term, std::optional<MemberId> vote)
+{
+    HardState hard { term, std::move(vote) };
+    CORIANDERLOCK_INVARIANT(hard.term >= c.state.hard.term, "the term never goes back");
+    CORIANDERLOCK_INVARIANT(
+        hard.term > c.state.hard.term || !c.state.hard.vote || hard.vote == c.state.hard.vote, "one vote a term");
+    if (hard == c.state.hard)
+        return;
+    c.state.hard = hard;
+    writeOf(c).hard = std::move(hard);
+    c.state.hardWrite = c.state.lastWrite;
+}
+
+void appendEntry(Context& c, EntryRef entry)
+{
+    if (entry->kind == EntryKind::Membership)
+        c.state.memberships.emplace_back(entry->index, entry->membership);
+    writeOf(c).entries.push_back(entry);
+    append(c.state.log, std::move(entry));
+}
+
+void truncateLog(Context& c, LogIndex index)
+{
+    State& state = c.state;
+    CORIANDERLOCK_INVARIANT(index > state.commit, "committed entries are never truncated");
+    CORIANDERLOCK_INVARIANT(state.role != Role::Leader, "a leader never truncates its log");
+    truncateFrom(state.log, index);
+    while (state.memberships.size() > 1 && state.memberships.back().first >= index)
+        state.memberships.pop_back();
+    Write& write = writeOf(c);
+    write.truncateFrom = index;
+    LogIndex last = index - LogIndex(1);
+    state.persisted = std::min(state.persisted, last);
+    for (PendingWrite& it : state.pendingWrites)
+        it.lastIndex = std::min(it.lastIndex, last);
+}
+
+void finish(Context& c)
+{
+    State& state = c.state;
+    if (c.effects.write)
+        state.pendingWrites.push_back({ c.effects.write->number, lastIndex(state.log) });
+    if (!state.pendingWrites.empty())
+        return;
+    auto& waiting = c.effects.messagesAfterWrites;
+    std::move(waiting.begin(), waiting.end(), std::back_inserter(c.effects.messages));
+    waiting.clear();
+}
+
+} // namespace Consensus
--- /dev/null
+++ b/Source/Core/Consensus/Election.cpp
@@ -0,0 +1,187 @@
+#include "Consensus/Election.h"
+
+#include "Common/Assert.h"
+#include "Consensus/Membership.h"
+#include "Consensus/MembershipChange.h"
+#include "Consensus/Reads.h"
+#include "Consensus/Replication.h"
+
+#include <utility>
+
+namespace Consensus {
+
+using Common::LogIndex;
+using Common::Term;
+
+namespace {
+
+    constexpr Term nextTerm { 1 };
+
+    bool isUpToDate(const State& state, const VoteRequest& request)
+    {
+        Term own = lastTerm(state.log);
+        if (request.lastTerm != own)
+            return request.lastTerm > own;
+        return request.lastIndex >= lastIndex(state.log);
+    }
+
+    VoteRequest makeVoteRequest(const State& state, bool pre, bool transfer)
+    {
+        return { pre, transfer, lastIndex(state.log), lastTerm(state.log) };
+    }
+
+    bool hasQuorumOfVotes(const State& state)
+    {
+        return quorumOf(membership(state), [&](const MemberId& id) { return state.candidate.votes.contains(id); });
+    }
+
+    template <typename Function> void forEachOtherVoter(const State& state, Function&& fn)
+    {
+        for (const Member& member : membership(state).members) {
+            if (member.voter && member.id != state.options.self)
+                fn(member.id);
+        }
+    }
+
+    void becomeLeader(Context& c)
+    {
+        State& state = c.state;
+        CORIANDERLOCK_INVARIANT(state.hardWrite <= state.persistedWrite, "the own vote is durable");
+        CORIANDERLOCK_INVARIANT(!state.leader, "one leader a term");
+        state.role = Role::Leader;
+        state.leader = state.options.self;
+        state.leading = {};
+        state.leading.heartbeatDue = c.now + state.options.heartbeat;
+        syncProgress(c);
+        state.leading.firstIndexOfTerm = lastIndex(state.log) + LogIndex(1);
+        appendAsLeader(c, { .kind = EntryKind::NoOp });
+        sendEntriesToAll(c);
+    }
+
+    void handlePreVote(Context& c, const Message& message, const VoteRequest& request)
+    {
+        if (isLeading(c.state))
+            considerLearner(c, message.from);
+        bool granted = !leaderActive(c) && message.term > c.state.hard.term && isUpToDate(c.state, request);
+        Message reply = makeMessage(c.state, message.from, VoteReply { true, granted });
+        if (granted)
+            reply.term = message.term;
+        c.effects.messages.push_back(std::move(reply));
+    }
+
+} // namespace
+
+void becomeFollower(Context& c, Term term, std::optional<MemberId> leader)
+{
+    State& state = c.state;
+    if (isLeading(state))
+        failReads(c);
+    if (term > state.hard.term) {
+        setHardState(c, term, std::nullopt);
+        state.leader.reset();
+    }
+    if (state.role != Role::Follower) {
+        state.role = Role::Follower;
+        state.leading = {};
+        state.leader.reset();
+        resetElectionTimer(c);
+    }
+    if (leader)
+        state.leader = std::move(leader);
+}
+
+bool leaderActive(const Context& c)
+{
+    const State& state = c.state;
+    if (isLeading(state))
+        return true;
+    return state.leader && state.leaderHeardAt && c.now - *state.leaderHeardAt < state.options.electionTimeout;
+}
+
+void resetElectionTimer(Context& c)
+{
+    c.state.electionDue = c.now + c.state.options.electionTimeout * (1 + c.state.random.unit());
+}
+
+void startPreVote(Context& c)
+{
+    State& state = c.state;
+    state.role = Role::PreCandidate;
+    state.leader.reset();
+    state.candidate = { { state.options.self }, {} };
+    resetElectionTimer(c);
+    if (hasQuorumOfVotes(state)) {
+        startElection(c, false);
+        return;
+    }
+    forEachOtherVoter(state, [&](const MemberId& id) {
+        Message message = makeMessage(state, id, makeVoteRequest(state, true, false));
+        message.term += nextTerm;
+        c.effects.messages.push_back(std::move(message));
+    });
+}
+
+void startElection(Context& c, bool transfer)
+{
+    State& state = c.state;
+    CORIANDERLOCK_INVARIANT(isSelfVoter(state), "only a voter campaigns");
+    state.role = Role::Candidate;
+    state.leader.reset();
+    setHardState(c, state.hard.term + nextTerm, state.options.self);
+    state.candidate = { {}, state.lastWrite };
+    resetElectionTimer(c);
+    forEachOtherVoter(
+        state, [&](const MemberId& id) { sendAfterWrites(c, id, makeVoteRequest(state, false, transfer)); });
+}
+
+void countOwnVote(Context& c)
+{
+    State& state = c.state;
+    if (state.role != Role::Candidate || state.persistedWrite < state.candidate.ownVoteWrite)
+        return;
+    state.candidate.votes.insert(state.options.self);
+    if (hasQuorumOfVotes(state))
+        becomeLeader(c);
+}
+
+void handleVoteRequest(Context& c, const Message& message, const VoteRequest& request)
+{
+    State& state = c.state;
+    if (request.pre) {
+        handlePreVote(c, message, request);
+        return;
+    }
+    bool free = !state.hard.vote || *state.hard.vote == message.from;
+    bool granted = message.term == state.hard.term && free && !state.leader && isUpToDate(state, request);
+    if (!granted) {
+        sendAfterHardState(c, message.from, VoteReply { false, false });
+        return;
+    }
+    CORIANDERLOCK_INVARIANT(message.to == state.options.self, "a vote is given under the own identity only");
+    setHardState(c, state.hard.term, message.from);
+    resetElectionTimer(c);
+    sendAfterWrites(c, message.from, VoteReply { false, true });
+}
+
+void handleVoteReply(Context& c, const Message& message, const VoteReply& reply)
+{
+    State& state = c.state;
+    if (!reply.granted)
+        return;
+    if (reply.pre) {
+        if (state.role != Role::PreCandidate || message.term != state.hard.term + nextTerm)
+            return;
+        state.candidate.votes.insert(message.from);
+        if (hasQuorumOfVotes(state))
+            startElection(c, false);
+        return;
+    }
+    if (state.role != Role::Candidate || message.term != state.hard.term)
+        return;
+    state.candidate.votes.insert(message.from);
+    // The own vote is durable, since the request that is answered here was held back until then.
+    if (hasQuorumOfVotes(state) && state.candidate.votes.contains(state.options.self))
+        becomeLeader(c);
+}
+
+} // namespace Consensus
--- /dev/null
+++ b/Source/Core/Consensus/MembershipChange.cpp
@@ -0,0 +1,86 @@
+#include "Consensus/MembershipChange.h"
+
+#include "Consensus/Membership.h"
+#include "Consensus/Replication.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Consensus {
+
+namespace {
+
+    // One change at a time, and none before an entry of this term is committed: majorities of two memberships that
+    // are not neighbours need not meet.
+    bool changeAllowed(const State& state)
+    {
+        return state.commit >= state.leading.firstIndexOfTerm && membershipIndex(state) <= state.commit
+            && !state.leading.transfer;
+    }
+
+    void propose(Context& c, Membership next)
+    {
+        appendAsLeader(c, { .kind = EntryKind::Membership, .membership = std::move(next) });
+        syncProgress(c);
+        sendEntriesToAll(c);
+    }
+
+    bool isKnownInstance(const State& state, const Common::InstanceId& instance)
+    {
+        const auto& voters = state.options.initialVoters;
+        return std::find(voters.begin(), voters.end(), instance) != voters.end()
+            || findVoterOf(membership(state), instance) || findLearnerOf(membership(state), instance);
+    }
+
+    // Whether it reached what was committed one heartbeat ago.
+    bool caughtUp(const Context& c, const MemberId& id)
+    {
+        auto it = c.state.leading.progress.find(id);
+        return it != c.state.leading.progress.end() && isActive(c, id) && it->second.match >= it->second.catchUpTarget;
+    }
+
+    // Returns true if it proposed a change.
+    bool advanceLearner(Context& c, const MemberId& learner)
+    {
+        const Membership& current = membership(c.state);
+        const Member* voter = findVoterOf(current, learner.instance);
+        if (voter && isActive(c, voter->id)) {
+            // A late announcement brought this learner in; the instance has its vote under another identity.
+            if (isActive(c, learner))
+                return false;
+            propose(c, without(current, learner));
+            return true;
+        }
+        if (!caughtUp(c, learner))
+            return false;
+        propose(c, voter ? without(current, voter->id) : withPromoted(current, learner));
+        return true;
+    }
+
+} // namespace
+
+void considerLearner(Context& c, const MemberId& id)
+{
+    const Membership& current = membership(c.state);
+    if (!changeAllowed(c.state) || find(current, id) || !isKnownInstance(c.state, id.instance))
+        return;
+    const Member* voter = findVoterOf(current, id.instance);
+    if (voter && isActive(c, voter->id))
+        return;
+    propose(c, withLearner(current, id));
+}
+
+void continueMembershipChange(Context& c)
+{
+    if (changeAllowed(c.state)) {
+        std::vector<Member> members = membership(c.state).members;
+        for (const Member& member : members) {
+            if (!member.voter && advanceLearner(c, member.id))
+                break;
+        }
+    }
+    for (auto& [id, progress] : c.state.leading.progress)
+        progress.catchUpTarget = c.state.commit;
+}
+
+} // namespace Consensus
--- /dev/null
+++ b/Source/Core/Consensus/MembershipChange.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "Consensus/Context.h"
+
+namespace Consensus {
+
+// Adds a member of a known instance as learner, if no change is under way. Called on the leader.
+void considerLearner(Context&, const MemberId&);
+// Takes the next step for a learner that has caught up: first its instance's lost identity leaves, then it gets the
+// vote. Called on the leader at each heartbeat.
+void continueMembershipChange(Context&);
+
+} // namespace Consensus
--- /dev/null
+++ b/Source/Core/Consensus/State.cpp
@@ -0,0 +1,64 @@
+#include "Consensus/State.h"
+
+#include "Common/Assert.h"
+#include "Consensus/Membership.h"
+
+namespace Consensus {
+
+using Common::LogIndex;
+using Common::TimePoint;
+
+State makeState(Options options, Recovered recovered, uint64_t seed, TimePoint now)
+{
+    State state;
+    state.options = std::move(options);
+    state.random = Common::Random(seed);
+    state.hard = recovered.hard;
+    state.snapshot = std::move(recovered.snapshot);
+    state.memberships.emplace_back(LogIndex(0), Membership {});
+    if (state.snapshot) {
+        const SnapshotMeta& meta = state.snapshot->meta;
+        reset(state.log, meta.index, meta.term);
+        state.memberships = { { meta.index, meta.membership } };
+        state.commit = meta.index;
+        state.delivered = meta.index;
+    }
+    for (EntryRef& entry : recovered.entries) {
+        if (entry->index <= state.log.base)
+            continue;
+        if (entry->kind == EntryKind::Membership)
+            state.memberships.emplace_back(entry->index, entry->membership);
+        append(state.log, std::move(entry));
+    }
+    state.persisted = lastIndex(state.log);
+    // A member that just started lets a running leader make itself heard first.
+    state.electionDue = now + state.options.electionTimeout * (1 + state.random.unit());
+    state.announceDue = now;
+    return state;
+}
+
+const Membership& membership(const State& state) { return state.memberships.back().second; }
+
+LogIndex membershipIndex(const State& state) { return state.memberships.back().first; }
+
+const Membership& membershipAt(const State& state, LogIndex index)
+{
+    for (auto it = state.memberships.rbegin(); it != state.memberships.rend(); ++it) {
+        if (it->first <= index)
+            return it->second;
+    }
+    Common::invariantFailed("membershipAt", "the membership of a kept index is known", __FILE__, __LINE__);
+}
+
+bool isSelfVoter(const State& state) { return isVoter(membership(state), state.options.self); }
+
+bool isLeading(const State& state) { return state.role == Role::Leader; }
+
+TimePoint nextTick(const State& state)
+{
+    if (isLeading(state))
+        return state.leading.heartbeatDue;
+    return isSelfVoter(state) ? state.electionDue : state.announceDue;
+}
+
+} // namespace Consensus
--- /dev/null
+++ b/Source/Core/Consensus/Step.cpp
@@ -0,0 +1,182 @@
+#include "Consensus/Step.h"
+
+#include "Common/Assert.h"
+#include "Consensus/Commit.h"
+#include "Consensus/Context.h"
+#include "Consensus/Election.h"
+#include "Consensus/Founding.h"
+#include "Consensus/Membership.h"
+#include "Consensus/MembershipChange.h"
+#include "Consensus/Reads.h"
+#include "Consensus/Replication.h"
+#include "Consensus/Transfer.h"
+
+namespace Consensus {
+
+using Common::LogIndex;
+
+namespace {
+
+    bool isAnnouncement(const Message& message)
+    {
+        return std::holds_alternative<Announce>(message.body) || std::holds_alternative<AnnounceReply>(message.body);
+    }
+
+    bool isFromLeader(const Message& message)
+    {
+        return std::holds_alternative<AppendRequest>(message.body)
+            || std::holds_alternative<SnapshotRequest>(message.body);
+    }
+
+    // Drops what was meant for another data folder or comes from another group.
+    bool isForUs(const State& state, const Message& message)
+    {
+        if (message.to.instance != state.options.self.instance || message.from == state.options.self)
+            return false;
+        if (std::holds_alternative<Announce>(message.body))
+            return true;
+        if (message.to.storage != state.options.self.storage)
+            return false;
+        GroupId own = membership(state).group;
+        return isAnnouncement(message) || own == GroupId(0) || message.group == GroupId(0) || message.group == own;
+    }
+
+    // Follows a higher term. Returns false if the message is to be dropped.
+    bool followTerm(Context& c, const Message& message)
+    {
+        if (message.term <= c.state.hard.term)
+            return true;
+        if (const auto* request = std::get_if<VoteRequest>(&message.body)) {
+            if (request->pre)
+                return true;
+            // A member that hears its leader helps nobody to depose it, unless the leader itself asked for that.
+            if (!request->transfer && leaderActive(c))
+                return false;
+        }
+        const auto* reply = std::get_if<VoteReply>(&message.body);
+        if (reply && reply->pre && reply->granted)
+            return true;
+        becomeFollower(c, message.term, std::nullopt);
+        return true;
+    }
+
+    // Tells the sender of an old term the current one.
+    void answerOldTerm(Context& c, const Message& message)
+    {
+        if (const auto* request = std::get_if<VoteRequest>(&message.body))
+            sendAfterHardState(c, message.from, VoteReply { request->pre, false });
+        else if (isFromLeader(message))
+            sendAfterHardState(c, message.from, AppendReply {});
+    }
+
+    struct BodyHandler {
+        Context& c;
+        const Message& message;
+
+        void operator()(const VoteRequest& body) const { handleVoteRequest(c, message, body); }
+        void operator()(const VoteReply& body) const { handleVoteReply(c, message, body); }
+        void operator()(const AppendRequest& body) const { handleAppendRequest(c, message, body); }
+        void operator()(const AppendReply& body) const { handleAppendReply(c, message, body); }
+        void operator()(const SnapshotRequest& body) const { handleSnapshotRequest(c, message, body); }
+        void operator()(const TimeoutNow&) const { handleTimeoutNow(c, message); }
+        void operator()(const Announce&) const { handleAnnounce(c, message); }
+        void operator()(const AnnounceReply& body) const { handleAnnounceReply(c, message, body); }
+    };
+
+    void receive(Context& c, const Message& message)
+    {
+        if (!isForUs(c.state, message))
+            return;
+        if (!isAnnouncement(message)) {
+            if (!followTerm(c, message))
+                return;
+            if (message.term < c.state.hard.term) {
+                answerOldTerm(c, message);
+                return;
+            }
+        }
+        std::visit(BodyHandler { c, message }, message.body);
+    }
+
+    void checkQuorum(Context& c)
+    {
+        if (isLeading(c.state) && !quorumActive(c))
+            becomeFollower(c, c.state.hard.term, std::nullopt);
+    }
+
+    void tickLeader(Context& c)
+    {
+        State& state = c.state;
+        if (c.now < state.leading.heartbeatDue)
+            return;
+        state.leading.heartbeatDue = c.now + state.options.heartbeat;
+        expireTransfer(c);
+        continueMembershipChange(c);
+        sendHeartbeatToAll(c);
+        continueTransfer(c);
+    }
+
+    void tick(Context& c)
+    {
+        State& state = c.state;
+        if (isLeading(state))
+            tickLeader(c);
+        else if (isSelfVoter(state) && c.now >= state.electionDue)
+            startPreVote(c);
+        else if (!isSelfVoter(state) && c.now >= state.announceDue)
+            announce(c);
+    }
+
+    struct EventHandler {
+        Context& c;
+
+        void operator()(const Tick&) const { tick(c); }
+        void operator()(const Receive& event) const { receive(c, event.message); }
+        void operator()(const Propose& event) const { handlePropose(c, event); }
+        void operator()(const ConfirmRead& event) const { handleConfirmRead(c, event.id); }
+        void operator()(const SnapshotTaken& event) const { keepSnapshot(c, event); }
+        void operator()(const TransferLeadership&) const { startTransfer(c); }
+        void operator()(const Persisted& event) const
+        {
+            notePersisted(c, event.number);
+            countOwnVote(c);
+            if (isLeading(c.state)) {
+                advanceCommit(c);
+                confirmReads(c);
+            }
+        }
+        void operator()(const StorageFailed&) const
+        {
+            becomeFollower(c, c.state.hard.term, std::nullopt);
+            c.state.storageFailed = true;
+        }
+    };
+
+    void refuse(const Event& event, Effects& effects)
+    {
+        if (const auto* read = std::get_if<ConfirmRead>(&event))
+            effects.failedReads.push_back(read->id);
+    }
+
+} // namespace
+
+Effects step(State& state, const Event& event, Common::TimePoint now)
+{
+    Effects effects;
+    if (state.storageFailed) {
+        refuse(event, effects);
+        return effects;
+    }
+    LogIndex commitBefore = state.commit;
+    LogIndex deliveredBefore = state.delivered;
+    Context c { state, effects, now };
+    checkQuorum(c);
+    std::visit(EventHandler { c }, event);
+    deliver(c);
+    finish(c);
+    CORIANDERLOCK_INVARIANT(state.commit >= commitBefore, "the commit index never goes back");
+    CORIANDERLOCK_INVARIANT(state.delivered >= deliveredBefore, "the applied index never goes back");
+    return effects;
+}
+
+} // namespace Consensus
--- /dev/null
+++ b/Source/Core/Consensus/Transfer.cpp
@@ -0,0 +1,56 @@
+#include "Consensus/Transfer.h"
+
+#include "Consensus/Election.h"
+#include "Consensus/Membership.h"
+#include "Consensus/Replication.h"
+
+namespace Consensus {
+
+void startTransfer(Context& c)
+{
+    State& state = c.state;
+    if (!isLeading(state) || state.leading.transfer)
+        return;
+    const MemberId* target = nullptr;
+    Common::LogIndex best;
+    for (const auto& [id, progress] : state.leading.progress) {
+        if (!isVoter(membership(state), id) || !isActive(c, id) || (target && progress.match <= best))
+            continue;
+        target = &id;
+        best = progress.match;
+    }
+    if (!target)
+        return;
+    state.leading.transfer = PendingTransfer { *target, c.now + state.options.electionTimeout };
+    continueTransfer(c);
+}
+
+void continueTransfer(Context& c)
+{
+    State& state = c.state;
+    if (!isLeading(state) || !state.leading.transfer)
+        return;
+    const MemberId& target = state.leading.transfer->target;
+    auto it = state.leading.progress.find(target);
+    // With nothing left to commit, no proposer is left in doubt.
+    if (state.commit < lastIndex(state.log))
+        return;
+    if (it != state.leading.progress.end() && it->second.match == lastIndex(state.log))
+        send(c, target, TimeoutNow {});
+}
+
+void expireTransfer(Context& c)
+{
+    std::optional<PendingTransfer>& transfer = c.state.leading.transfer;
+    if (transfer && c.now >= transfer->until)
+        transfer.reset();
+}
+
+void handleTimeoutNow(Context& c, const Message& message)
+{
+    State& state = c.state;
+    if (state.role == Role::Follower && state.leader == message.from && isSelfVoter(state))
+        startElection(c, true);
+}
+
+} // namespace Consensus
--- /dev/null
+++ b/Source/Core/Replica/LogShard.cpp
@@ -0,0 +1,498 @@
+#include "Replica/LogShard.h"
+
+#include "Common/Hash.h"
+#include "Consensus/Step.h"
+#include "Replica/Records.h"
+#include "Replica/Waiters.h"
+#include "Storage/Store.h"
+#include "Wire/ConsensusCodec.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace Replica {
+
+using Common::Clock;
+using Common::LogIndex;
+using Common::Milliseconds;
+using Common::Result;
+using Common::Term;
+using Common::TimePoint;
+
+namespace {
+
+    // What is left to do once the lock is released.
+    struct Outbox {
+        std::vector<Consensus::Message> messages;
+        Calls calls;
+    };
+
+    struct WriteJob {
+        std::optional<Consensus::Write> write;
+        std::vector<Consensus::Message> messagesAfter;
+    };
+
+    struct ApplyJob {
+        Consensus::SnapshotRef restore; // Comes before the entries.
+        std::vector<Consensus::EntryRef> entries;
+    };
+
+    struct LeadershipChange {
+        bool leading { false };
+        Term term;
+    };
+
+    // Done by the shard's worker, in the order in which the log asked for it.
+    struct Jobs {
+        std::vector<WriteJob> writes;
+        std::vector<ApplyJob> applies;
+        std::vector<LeadershipChange> leadershipChanges;
+
+        bool empty() const { return writes.empty() && applies.empty() && leadershipChanges.empty(); }
+    };
+
+    Storage::FolderIdentity makeIdentity()
+    {
+        std::random_device device;
+        uint64_t n = 0;
+        while (!n)
+            n = (uint64_t { device() } << 32) | device();
+        return Storage::FolderIdentity(n);
+    }
+
+    // Members with equal seeds still time their elections differently.
+    uint64_t timerSeed(const Options& options)
+    {
+        return Common::hash64(options.self.value(), options.seed + options.shard.value());
+    }
+
+    Role roleOf(const Consensus::State& state)
+    {
+        if (!isSelfVoter(state))
+            return Role::Learner;
+        switch (state.role) {
+        case Consensus::Role::Follower:
+            return Role::Follower;
+        case Consensus::Role::PreCandidate:
+        case Consensus::Role::Candidate:
+            return Role::Candidate;
+        case Consensus::Role::Leader:
+            return Role::Leader;
+        }
+        return Role::Follower;
+    }
+
+} // namespace
+
+class LogShard::Private {
+public:
+    Private(Options options, Hooks hooks, std::unique_ptr<Storage::Store> store, Consensus::State state)
+        : m_options(std::move(options))
+        , m_hooks(std::move(hooks))
+        , m_store(std::move(store))
+        , m_state(std::move(state))
+        , m_applied(m_state.delivered)
+        , m_snapshotIndex(m_state.delivered)
+    {
+    }
+
+    void start()
+    {
+        m_worker = std::thread([this] { work(); });
+        m_timer = std::thread([this] { keepTime(); });
+    }
+
+    void receive(const Common::InstanceId& from, std::string_view bytes)
+    {
+        Result<Consensus::Message> message = Wire::decodeConsensusMessage(bytes);
+        if (!message || message.value().from.instance != from)
+            return;
+        Outbox outbox;
+        {
+            std::lock_guard lock(m_mutex);
+            if (m_stopping)
+                return;
+            run(Consensus::Receive { std::move(message.value()) }, outbox);
+        }
+        post(std::move(outbox));
+    }
+
+    void propose(std::string command, ProposeDone done)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            if (!m_stopping && isLeading(m_state)) {
+                m_waiters.queuedProposals.push_back({ std::move(command), std::move(done) });
+                m_workerWake.notify_one();
+                return;
+            }
+        }
+        done(notLeading());
+    }
+
+    void confirmRead(ReadDone done)
+    {
+        Outbox outbox;
+        {
+            std::lock_guard lock(m_mutex);
+            if (m_stopping || !isLeading(m_state)) {
+                outbox.calls.push_back([done = std::move(done)] { done(notLeading()); });
+            } else {
+                m_waiters.queuedReads.push_back(std::move(done));
+                startReadRound(outbox);
+            }
+        }
+        post(std::move(outbox));
+    }
+
+    Status status() const
+    {
+        std::lock_guard lock(m_mutex);
+        Status status;
+        status.role = roleOf(m_state);
+        status.term = m_state.hard.term;
+        if (m_state.leader)
+            status.leader = m_state.leader->instance;
+        status.commit = m_state.commit;
+        status.applied = m_applied;
+        status.lastIndex = lastIndex(m_state.log);
+        status.snapshotIndex = m_state.snapshot ? m_state.snapshot->meta.index : LogIndex(0);
+        for (const Consensus::Member& member : membership(m_state).members)
+            (member.voter ? status.voters : status.learners).push_back(member.id.instance);
+        status.storageFailed = m_state.storageFailed;
+        return status;
+    }
+
+    void handOver()
+    {
+        Outbox outbox;
+        {
+            std::lock_guard lock(m_mutex);
+            if (m_stopping || !isLeading(m_state))
+                return;
+            run(Consensus::TransferLeadership {}, outbox);
+        }
+        post(std::move(outbox));
+        std::unique_lock lock(m_mutex);
+        m_leadGone.wait_for(
+            lock, Clock::toChrono(m_options.electionTimeout), [this] { return m_stopping || !isLeading(m_state); });
+    }
+
+    void stop()
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_stopping = true;
+        }
+        m_workerWake.notify_all();
+        m_timerWake.notify_all();
+        m_leadGone.notify_all();
+        if (m_worker.joinable())
+            m_worker.join();
+        if (m_timer.joinable())
+            m_timer.join();
+        Outbox outbox;
+        {
+            std::lock_guard lock(m_mutex);
+            failAll(outbox.calls);
+        }
+        post(std::move(outbox));
+    }
+
+private:
+    // The functions from here to the next comment are called with the lock held.
+
+    void run(const Consensus::Event& event, Outbox& outbox)
+    {
+        bool wasLeading = isLeading(m_state);
+        Consensus::Effects effects = step(m_state, event, Clock::now());
+        noteLeadership(wasLeading, outbox);
+        absorb(effects, outbox);
+        if (nextTick(m_state) < m_timerDue)
+            m_timerWake.notify_one();
+        if (!m_jobs.empty())
+            m_workerWake.notify_one();
+    }
+
+    void absorb(Consensus::Effects& effects, Outbox& outbox)
+    {
+        std::move(effects.messages.begin(), effects.messages.end(), std::back_inserter(outbox.messages));
+        if (effects.write || !effects.messagesAfterWrites.empty())
+            m_jobs.writes.push_back({ std::move(effects.write), std::move(effects.messagesAfterWrites) });
+        if (effects.restore || !effects.deliver.empty())
+            m_jobs.applies.push_back({ std::move(effects.restore), std::move(effects.deliver) });
+        for (const auto& [id, index] : effects.confirmedReads)
+            Replica::confirmRead(m_waiters, id, index);
+        for (Consensus::ReadId id : effects.failedReads)
+            failRead(m_waiters, id, outbox.calls);
+        finishReadsUpTo(m_waiters, m_applied, outbox.calls);
+        startReadRound(outbox);
+        m_accepted = effects.accepted;
+    }
+
+    void noteLeadership(bool wasLeading, Outbox& outbox)
+    {
+        bool leading = isLeading(m_state);
+        if (leading == wasLeading)
+            return;
+        m_jobs.leadershipChanges.push_back({ leading, m_state.hard.term });
+        if (leading)
+            return;
+        failProposalsAbove(m_waiters, m_state.delivered, outbox.calls);
+        failQueuedProposals(m_waiters, outbox.calls);
+        failReads(m_waiters, outbox.calls);
+        m_leadGone.notify_all();
+    }
+
+    // All reads that arrive during a round share the next one.
+    void startReadRound(Outbox& outbox)
+    {
+        if (m_waiters.queuedReads.empty() || !m_waiters.reads.empty())
+            return;
+        Consensus::ReadId id(++m_lastReadId);
+        m_waiters.reads[id] = std::move(m_waiters.queuedReads);
+        m_waiters.queuedReads.clear();
+        run(Consensus::ConfirmRead { id }, outbox);
+    }
+
+    void submitQueued(Outbox& outbox)
+    {
+        if (m_waiters.queuedProposals.empty())
+            return;
+        std::vector<QueuedProposal> queued = std::move(m_waiters.queuedProposals);
+        m_waiters.queuedProposals.clear();
+        Consensus::Propose propose;
+        for (QueuedProposal& it : queued)
+            propose.commands.push_back(std::move(it.command));
+        m_accepted.reset();
+        run(propose, outbox);
+        std::optional<LogIndex> index = m_accepted;
+        for (QueuedProposal& it : queued) {
+            if (!index) {
+                outbox.calls.push_back([done = std::move(it.done)] { done(notLeading()); });
+                continue;
+            }
+            m_waiters.proposals[*index] = { m_state.hard.term, std::move(it.done) };
+            *index += LogIndex(1);
+        }
+    }
+
+    void failAll(Calls& calls)
+    {
+        failProposalsAbove(m_waiters, LogIndex(0), calls);
+        failQueuedProposals(m_waiters, calls);
+        failReads(m_waiters, calls);
+    }
+
+    bool hasWork() const { return !m_jobs.empty() || !m_waiters.queuedProposals.empty(); }
+
+    // The functions from here on are called without the lock.
+
+    void post(Outbox outbox)
+    {
+        for (const Consensus::Message& message : outbox.messages)
+            m_hooks.send(message.to.instance, Wire::encode(message));
+        for (const auto& call : outbox.calls)
+            call();
+    }
+
+    void runAndPost(const Consensus::Event& event)
+    {
+        Outbox outbox;
+        {
+            std::lock_guard lock(m_mutex);
+            run(event, outbox);
+        }
+        post(std::move(outbox));
+    }
+
+    void work()
+    {
+        while (true) {
+            Outbox outbox;
+            Jobs jobs;
+            {
+                std::unique_lock lock(m_mutex);
+                m_workerWake.wait(lock, [this] { return m_stopping || hasWork(); });
+                if (m_stopping)
+                    return;
+                submitQueued(outbox);
+                std::swap(jobs, m_jobs);
+            }
+            post(std::move(outbox));
+            for (const LeadershipChange& it : jobs.leadershipChanges) {
+                if (m_hooks.leadershipChanged)
+                    m_hooks.leadershipChanged(it.leading, it.term);
+            }
+            if (!writeAll(jobs.writes) || !applyAll(jobs.applies))
+                fail();
+        }
+    }
+
+    // One sync for all that was asked for while the last one ran.
+    bool writeAll(const std::vector<WriteJob>& jobs)
+    {
+        std::vector<Storage::Batch> batches;
+        Consensus::WriteNumber last;
+        for (const WriteJob& job : jobs) {
+            if (!job.write)
+                continue;
+            batches.push_back(toBatch(*job.write));
+            last = job.write->number;
+        }
+        if (!batches.empty() && !m_store->write(batches))
+            return false;
+        Outbox outbox;
+        for (const WriteJob& job : jobs)
+            outbox.messages.insert(outbox.messages.end(), job.messagesAfter.begin(), job.messagesAfter.end());
+        post(std::move(outbox));
+        if (!batches.empty())
+            runAndPost(Consensus::Persisted { last });
+        return true;
+    }
+
+    bool applyAll(const std::vector<ApplyJob>& jobs)
+    {
+        for (const ApplyJob& job : jobs) {
+            if (job.restore) {
+                if (!m_hooks.restore(job.restore->data))
+                    return false;
+                m_snapshotIndex = job.restore->meta.index;
+                noteApplied(m_snapshotIndex, {});
+            }
+            if (!job.entries.empty())
+                applyEntries(job.entries);
+        }
+        return true;
+    }
+
+    void applyEntries(const std::vector<Consensus::EntryRef>& entries)
+    {
+        std::vector<std::pair<Consensus::EntryRef, std::string>> results;
+        for (const Consensus::EntryRef& entry : entries) {
+            if (entry->kind == Consensus::EntryKind::Command)
+                results.emplace_back(entry, m_hooks.apply(entry->index, entry->command));
+        }
+        LogIndex applied = entries.back()->index;
+        noteApplied(applied, std::move(results));
+        if ((applied - m_snapshotIndex).value() < m_options.snapshotEvery)
+            return;
+        m_snapshotIndex = applied;
+        runAndPost(Consensus::SnapshotTaken { applied, m_hooks.snapshot() });
+    }
+
+    void noteApplied(LogIndex applied, std::vector<std::pair<Consensus::EntryRef, std::string>> results)
+    {
+        Outbox outbox;
+        {
+            std::lock_guard lock(m_mutex);
+            m_applied = applied;
+            for (auto& [entry, result] : results)
+                finishProposal(m_waiters, *entry, std::move(result), outbox.calls);
+            finishReadsUpTo(m_waiters, applied, outbox.calls);
+        }
+        post(std::move(outbox));
+    }
+
+    // A write or restore failed: nothing may be promised from here on.
+    void fail()
+    {
+        Outbox outbox;
+        {
+            std::lock_guard lock(m_mutex);
+            run(Consensus::StorageFailed {}, outbox);
+            failAll(outbox.calls);
+            m_jobs = {};
+        }
+        post(std::move(outbox));
+    }
+
+    void keepTime()
+    {
+        std::unique_lock lock(m_mutex);
+        while (!m_stopping) {
+            TimePoint now = Clock::now();
+            m_timerDue = nextTick(m_state);
+            if (m_state.storageFailed) {
+                m_timerWake.wait(lock);
+                continue;
+            }
+            if (m_timerDue > now) {
+                m_timerWake.wait_for(lock, Clock::toChrono(m_timerDue - now) + std::chrono::microseconds(1));
+                continue;
+            }
+            Outbox outbox;
+            run(Consensus::Tick {}, outbox);
+            lock.unlock();
+            post(std::move(outbox));
+            lock.lock();
+        }
+    }
+
+    const Options m_options;
+    const Hooks m_hooks;
+    std::unique_ptr<Storage::Store> m_store; // The worker's.
+    mutable std::mutex m_mutex; // Guards all below, unless it says otherwise.
+    std::condition_variable m_workerWake;
+    std::condition_variable m_timerWake;
+    std::condition_variable m_leadGone;
+    Consensus::State m_state;
+    Jobs m_jobs;
+    Waiters m_waiters;
+    std::optional<LogIndex> m_accepted; // Of the latest step.
+    uint64_t m_lastReadId { 0 };
+    LogIndex m_applied;
+    TimePoint m_timerDue;
+    bool m_stopping { false };
+    LogIndex m_snapshotIndex; // The worker's.
+    std::thread m_worker;
+    std::thread m_timer;
+};
+
+LogShard::LogShard(std::unique_ptr<Private> p)
+    : m_private(std::move(p))
+{
+}
+
+LogShard::~LogShard() { stop(); }
+
+Result<std::unique_ptr<LogShard>> LogShard::open(Options options, Hooks hooks)
+{
+    if (options.voters.empty())
+        return Common::makeError(Common::Reason::InvalidInput, "open-log-shard", "voters: expected at least one");
+    BOOST_OUTCOME_TRY(store, Storage::Store::open(Storage::systemFiles(), options.folder, makeIdentity()));
+    BOOST_OUTCOME_TRY(recovered, toRecovered(store->takeContent()));
+    if (recovered.snapshot) {
+        BOOST_OUTCOME_TRY(hooks.restore(recovered.snapshot->data));
+    }
+    Consensus::Options consensus;
+    consensus.self = { options.self, Consensus::StorageId(store->identity().value()) };
+    consensus.initialVoters = options.voters;
+    consensus.electionTimeout = options.electionTimeout;
+    consensus.heartbeat = options.heartbeat;
+    Consensus::State state = makeState(std::move(consensus), std::move(recovered), timerSeed(options), Clock::now());
+    auto p = std::make_unique<Private>(std::move(options), std::move(hooks), std::move(store), std::move(state));
+    p->start();
+    return std::unique_ptr<LogShard>(new LogShard(std::move(p)));
+}
+
+void LogShard::receive(const Common::InstanceId& from, std::string_view bytes) { m_private->receive(from, bytes); }
+
+void LogShard::propose(std::string command, ProposeDone done)
+{
+    m_private->propose(std::move(command), std::move(done));
+}
+
+void LogShard::confirmRead(ReadDone done) { m_private->confirmRead(std::move(done)); }
+
+Status LogShard::status() const { return m_private->status(); }
+
+void LogShard::handOver() { m_private->handOver(); }
+
+void LogShard::stop() { m_private->stop(); }
+
+} // namespace Replica
--- /dev/null
+++ b/Source/Core/Storage/Store.cpp
@@ -0,0 +1,163 @@
+#include "Storage/Store.h"
+
+#include "Storage/Segment.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Storage {
+
+using Common::LogIndex;
+using Common::Result;
+
+class Store::Private {
+public:
+    Private(Files files, std::string folder, StoreOptions options, Recovery recovery)
+        : m_files(std::move(files))
+        , m_folder(std::move(folder))
+        , m_options(options)
+        , m_recovery(std::move(recovery))
+        , m_hard(m_recovery.content.hard)
+    {
+    }
+
+    ~Private() { m_files.close(m_recovery.file); }
+
+    FolderIdentity identity() const { return m_recovery.content.identity; }
+
+    Content takeContent()
+    {
+        Content content = std::move(m_recovery.content);
+        m_recovery.content = {};
+        m_recovery.content.identity = content.identity;
+        return content;
+    }
+
+    Result<void> write(const std::vector<Batch>& batches)
+    {
+        if (m_failed)
+            return Common::makeError(Common::Reason::StorageFailed, "write-log", "an earlier write failed", m_folder);
+        Result<void> done = writeAll(batches);
+        m_failed = !done;
+        return done;
+    }
+
+private:
+    Result<void> writeAll(const std::vector<Batch>& batches)
+    {
+        for (const Batch& batch : batches) {
+            putStart(batch);
+            if (batch.snapshot) {
+                BOOST_OUTCOME_TRY(writeSnapshotAndCut(*batch.snapshot));
+            }
+            for (const LogEntry& entry : batch.entries) {
+                putRecord(m_payload, { RecordKind::Entry, entry.index, entry.bytes });
+                m_recovery.segments.back().highest = std::max(m_recovery.segments.back().highest, entry.index);
+            }
+        }
+        BOOST_OUTCOME_TRY(flush());
+        if (m_recovery.fileSize > m_options.segmentSize)
+            return startSegment();
+        return Common::success();
+    }
+
+    void putStart(const Batch& batch)
+    {
+        if (batch.hard) {
+            m_hard = *batch.hard;
+            putRecord(m_payload, { RecordKind::HardState, LogIndex(0), m_hard });
+        }
+        if (batch.truncateFrom)
+            putRecord(m_payload, { RecordKind::Truncate, *batch.truncateFrom, {} });
+    }
+
+    Result<void> flush()
+    {
+        if (m_payload.empty())
+            return Common::success();
+        std::string block = encodeBlock(identity(), m_recovery.nextSequence, m_payload);
+        m_payload.clear();
+        BOOST_OUTCOME_TRY(m_files.append(m_recovery.file, block));
+        BOOST_OUTCOME_TRY(m_files.sync(m_recovery.file));
+        ++m_recovery.nextSequence;
+        m_recovery.fileSize += block.size();
+        return Common::success();
+    }
+
+    // The truncation is durable before the snapshot: entries that contradict it must not follow it after a crash.
+    Result<void> writeSnapshotAndCut(const Snapshot& snapshot)
+    {
+        BOOST_OUTCOME_TRY(flush());
+        BOOST_OUTCOME_TRY(writeSnapshot(m_files, m_folder, identity(), snapshot));
+        BOOST_OUTCOME_TRY(startSegment());
+        BOOST_OUTCOME_TRY(removeSegments(snapshot.index));
+        return removeSnapshotsBelow(snapshot.index);
+    }
+
+    Result<void> startSegment()
+    {
+        uint64_t number = m_recovery.segments.back().number + 1;
+        BOOST_OUTCOME_TRY(file,
+            createSegment(m_files, m_folder, identity(), number, m_recovery.nextSequence, m_hard, m_recovery.fileSize));
+        m_files.close(m_recovery.file);
+        m_recovery.file = file;
+        ++m_recovery.nextSequence;
+        m_recovery.segments.push_back({ number, {} });
+        return Common::success();
+    }
+
+    Result<void> removeSegments(LogIndex upTo)
+    {
+        std::vector<SegmentInfo>& segments = m_recovery.segments;
+        while (segments.size() > 1 && segments.front().highest <= upTo) {
+            BOOST_OUTCOME_TRY(m_files.remove(m_folder + "/" + segmentName(segments.front().number)));
+            // Synced one by one, so that a crash leaves no gap in the numbers.
+            BOOST_OUTCOME_TRY(m_files.syncFolder(m_folder));
+            segments.erase(segments.begin());
+        }
+        return Common::success();
+    }
+
+    Result<void> removeSnapshotsBelow(LogIndex index)
+    {
+        BOOST_OUTCOME_TRY(names, m_files.list(m_folder));
+        for (const std::string& name : names) {
+            auto found = parseSnapshotName(name);
+            if (found && *found < index) {
+                BOOST_OUTCOME_TRY(m_files.remove(m_folder + "/" + name));
+            }
+        }
+        return Common::success();
+    }
+
+    Files m_files;
+    std::string m_folder;
+    StoreOptions m_options;
+    Recovery m_recovery;
+    std::string m_hard; // The latest, to open each segment with.
+    std::string m_payload; // Records of the block that comes next.
+    bool m_failed { false };
+};
+
+Store::Store(std::unique_ptr<Private> p)
+    : m_private(std::move(p))
+{
+}
+
+Store::~Store() = default;
+
+Result<std::unique_ptr<Store>> Store::open(
+    Files files, const std::string& folder, FolderIdentity newIdentity, StoreOptions options)
+{
+    BOOST_OUTCOME_TRY(recovery, recover(files, folder, newIdentity));
+    auto p = std::make_unique<Private>(std::move(files), folder, options, std::move(recovery));
+    return std::unique_ptr<Store>(new Store(std::move(p)));
+}
+
+FolderIdentity Store::identity() const { return m_private->identity(); }
+
+Content Store::takeContent() { return m_private->takeContent(); }
+
+Result<void> Store::write(const std::vector<Batch>& batches) { return m_private->write(batches); }
+
+} // namespace Storage
