--- /dev/null
+++ b/Source/Core/Control/Change.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Common/Ids.h"
+#include "Model/Resources.h"
+
+#include <optional>
+#include <variant>
+
+namespace Control {
+
+enum class Action {
+    Create,
+    Replace,
+    Delete,
+};
+
+// What an operator wants changed. madeFrom is the version of the resource that the change was made from, 0 for a
+// create.
+struct Change {
+    Common::ChangeId id;
+    Action action { Action::Create };
+    Model::ResourceKey key;
+    std::optional<Model::Resource> resource; // Nothing for a delete.
+    Common::Revision madeFrom;
+
+    friend bool operator==(const Change&, const Change&) = default;
+};
+
+// A resource with its version: the revision at which it was last changed, and the change that did it.
+struct StoredResource {
+    Model::Resource resource;
+    Common::Revision version;
+    Common::ChangeId changedBy;
+
+    friend bool operator==(const StoredResource&, const StoredResource&) = default;
+};
+
+struct Accepted {
+    Common::Revision revision; // Also the new version of the resource.
+
+    friend bool operator==(const Accepted&, const Accepted&) = default;
+};
+
+// Nothing was changed. For a lost race the winner is shown: its change id, and the resource unless it was deleted.
+struct Rejected {
+    Common::Error error;
+    std::optional<StoredResource> winner;
+    std::optional<Common::ChangeId> winnerChange;
+};
+
+using ChangeOutcome = std::variant<Accepted, Rejected>;
+
+// "create", "replace", "delete".
+const char* actionName(Action);
+
+// The same for equal changes on every machine.
+Common::Fingerprint fingerprintOf(const Change&);
+
+} // namespace Control
--- /dev/null
+++ b/Source/Core/Control/Command.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "Control/Change.h"
+#include "Once/Commands.h"
+
+#include <variant>
+
+namespace Control {
+
+// What the replicated logs carry. A Change goes to log shard 0, the others to the log shards of claims.
+using Command = std::variant<Change, Once::Claim, Once::Outcome, Once::Orphan, Once::Expire>;
+
+// Orphan and Expire.
+struct Acknowledged {
+    friend bool operator==(const Acknowledged&, const Acknowledged&) = default;
+};
+
+// The answer to a command, in the order of Command. A command on the wrong log shard or that can't be read gives an
+// error.
+using CommandOutcome = std::variant<ChangeOutcome, Once::ClaimOutcome, Once::RecordResult, Acknowledged, Common::Error>;
+
+} // namespace Control
--- /dev/null
+++ b/Source/Core/Control/Leases.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Error.h"
+#include "Common/Ids.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Control {
+
+inline constexpr Common::Milliseconds leaseTime { 4'000 };
+inline constexpr Common::Milliseconds leaseRenewalInterval { 1'000 };
+
+// One of our processes, as others reach it.
+struct LiveInstance {
+    Common::InstanceId id;
+    Common::Incarnation incarnation;
+    Common::Address address;
+    Common::FailureDomain domain;
+
+    friend bool operator==(const LiveInstance&, const LiveInstance&) = default;
+};
+
+// An instance that holds, held or gave back a lease.
+struct Lease {
+    LiveInstance instance;
+    Common::Revision applied;
+    Common::TimePoint expiresAt;
+    bool ended { false }; // Released or expired: this incarnation gets no lease again.
+    uint64_t changedAt { 0 }; // The list number at which it joined, moved or ended.
+};
+
+// A place in the list of live instances. Numbers of different terms can't be compared.
+struct LiveListNumber {
+    Common::Term term;
+    uint64_t number { 0 };
+
+    friend bool operator==(const LiveListNumber&, const LiveListNumber&) = default;
+};
+
+// Volatile state of the leader of log shard 0: who may take work, and what each has applied.
+//
+// A new leader does not know whom its predecessor gave leases. Whoever has not renewed with the new leader within one
+// lease time after its election holds no lease any more, so until then nothing is said to be in force. This needs the
+// caller to grant a renewal only when a quorum has confirmed it as leader after the renewal came in: such a grant
+// was asked for before the next leader's election, and holders count from their asking.
+struct LeaseTable {
+    LeaseTable(Common::Term, Common::TimePoint electedAt, Common::Milliseconds = leaseTime);
+
+    Common::Milliseconds duration;
+    Common::TimePoint electedAt;
+    LiveListNumber listNumber;
+    uint64_t forgottenAt { 0 }; // Ends up to this list number are no longer listed one by one.
+    std::map<Common::InstanceId, Lease> leases;
+};
+
+// Asks for a lease, and says which revision the instance has applied.
+struct Renewal {
+    LiveInstance instance;
+    Common::Revision applied;
+};
+
+struct LeaseGranted {
+    Common::Milliseconds duration; // From when the instance sent the renewal.
+    std::optional<Common::Incarnation> replaced; // An earlier incarnation that ended by this: its claims are orphans.
+};
+
+// Refuses (reason Conflict) an incarnation older than a known one, and one whose lease was released or expired: the
+// instance must take a higher incarnation.
+Common::Result<LeaseGranted> renew(LeaseTable&, const Renewal&, Common::TimePoint now);
+
+// A planned stop: the instance takes no more work. Returns false if this incarnation held no lease.
+bool release(LeaseTable&, const Common::InstanceId&, Common::Incarnation);
+
+struct EndedLease {
+    Common::InstanceId id;
+    Common::Incarnation incarnation;
+
+    friend bool operator==(const EndedLease&, const EndedLease&) = default;
+};
+
+// Ends the leases that ran out and names them, each once: their claims are orphans. Leases that ended long ago are
+// forgotten.
+std::vector<EndedLease> expired(LeaseTable&, Common::TimePoint now);
+
+enum class RevisionState {
+    Applying,
+    InForce,
+};
+
+struct RevisionStatus {
+    RevisionState state { RevisionState::Applying };
+    std::vector<Common::InstanceId> missing; // Lease holders that have not said that they applied it.
+    bool newLeader { false }; // Elected less than a lease time ago: there may be holders that it does not know.
+
+    friend bool operator==(const RevisionStatus&, const RevisionStatus&) = default;
+};
+
+RevisionStatus revisionStatus(const LeaseTable&, Common::Revision, Common::TimePoint now);
+
+// Who joined and left since a number.
+struct LiveChanges {
+    bool whole { false }; // `joined` is all there are.
+    LiveListNumber number;
+    std::vector<LiveInstance> joined;
+    std::vector<Common::InstanceId> left;
+
+    friend bool operator==(const LiveChanges&, const LiveChanges&) = default;
+};
+
+LiveChanges liveSince(const LeaseTable&, const LiveListNumber&);
+
+} // namespace Control
