Declare Observe, Membership and the membership codec

Others code against these interfaces: log macros by part, metrics by typed name, the time line with Lamport time, the directory as a join over records, gossip, quarantine and connection progress as free functions over plain structs. Declarations only; no CMake target builds them yet.

--- /dev/null
+++ b/Source/Core/Membership/Directory.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "Membership/Records.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Membership {
+
+struct DirectorySettings {
+    Common::Milliseconds suspectAfter { 6'000 }; // Without a renewal.
+    Common::Milliseconds removeAfter { 15'000 }; // Without a renewal.
+    Common::Milliseconds advertiseTombstones { 60'000 }; // Then they are kept, but no longer told to others.
+    Common::Milliseconds keepTombstones { 600'000 }; // Bounds how late an old announcement can still be recognised.
+};
+
+struct ServerEntry {
+    ServerRecord record;
+    uint64_t heardSequence { 0 }; // The highest that any announcement or renewal brought here.
+    Common::TimePoint renewed; // When this instance last heard of the server by renewal or change.
+    Common::TimePoint changed;
+};
+
+struct InstanceEntry {
+    InstanceRecord record;
+    Common::TimePoint changed;
+};
+
+// What one instance knows of backend servers and of its fellow instances. Merging is a join: order and repetition of
+// records do not matter.
+struct Directory {
+    std::unordered_map<Common::BackendServerId, ServerEntry> servers;
+    std::unordered_map<Common::InstanceId, InstanceEntry> instances;
+    uint64_t generation { 0 }; // Rises with each change, so that what was computed from it can be kept until then.
+};
+
+// Whether a wins over b, which is about the same server or instance.
+bool supersedes(const ServerRecord& a, const ServerRecord& b);
+bool supersedes(const InstanceRecord& a, const InstanceRecord& b);
+
+// Takes the record in if it supersedes what is known.
+std::optional<Change> merge(Directory&, const ServerRecord&, Common::TimePoint now);
+std::optional<Change> merge(Directory&, const InstanceRecord&, Common::TimePoint now);
+
+enum class Verdict {
+    Accepted,
+    Stale, // Older than what is known; nothing changed.
+    RaiseIncarnation, // Its incarnation was removed: the server has to announce itself with a higher one.
+};
+
+struct AnnounceOutcome {
+    Verdict verdict { Verdict::Accepted };
+    std::optional<Change> change; // Absent if the announcement only renews.
+    // Set if another instance vouches for the server: it has to hear of the renewal.
+    std::optional<Common::InstanceId> renewAt;
+};
+
+// Takes in an announcement that self heard from the server.
+AnnounceOutcome announce(Directory&, const Announcement&, const Common::InstanceId& self, Common::TimePoint now);
+
+// The mere fact that the server is still there, passed on to the owner by the instance that heard it.
+struct Renewal {
+    Common::BackendServerId server;
+    Common::Incarnation incarnation;
+    uint64_t sequence { 0 };
+
+    friend bool operator==(const Renewal&, const Renewal&) = default;
+};
+
+std::optional<Change> renew(Directory&, const Renewal&, const Common::InstanceId& self, Common::TimePoint now);
+
+// Suspects and removes servers that self vouches for, or that nobody vouches for any more, after renewals stopped;
+// forgets old tombstones. An isolated instance must not judge others: it passes mayRemove = false.
+std::vector<Change> expire(
+    Directory&, const DirectorySettings&, const Common::InstanceId& self, bool mayRemove, Common::TimePoint now);
+
+struct Candidate {
+    Common::BackendServerId server;
+    Common::Incarnation incarnation;
+    Common::Address address;
+    Common::FailureDomain domain;
+    ServerState state { ServerState::Ready };
+    bool isSuspect { false };
+    std::vector<Common::ShardId> shards; // Of the version that was asked for, sorted.
+
+    friend bool operator==(const Candidate&, const Candidate&) = default;
+};
+
+// The servers of the group that hold shards of the version, by id, without those that are leaving or gone.
+// Looks at the whole directory: keep the result until the generation changes.
+std::vector<Candidate> candidates(const Directory&, const Common::GroupName&, Common::IndexVersion);
+// The same for a group without an index: all that are neither leaving nor gone.
+std::vector<Candidate> candidates(const Directory&, const Common::GroupName&);
+
+} // namespace Membership
--- /dev/null
+++ b/Source/Core/Membership/Quarantine.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Membership/Records.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Membership {
+
+struct QuarantineSettings {
+    size_t lossesToQuarantine { 2 }; // On different backend servers.
+    Common::Milliseconds suspectFor { 300'000 };
+    Common::Milliseconds quarantineFor { 300'000 };
+    Common::Milliseconds keepExpired { 60'000 }; // So that a peer that expires it later can't bring it back.
+    size_t maximumEntries { 4'096 }; // The one that expires first makes room.
+};
+
+struct FingerprintEntry {
+    FingerprintRecord record;
+    Common::TimePoint expires;
+};
+
+// Requests that were in flight on backend servers when these were lost.
+//
+// One loss makes a fingerprint suspect: it is not retried or hedged. Losses on two different servers quarantine it for
+// a bounded time. A normal completion releases it, and starts its count from zero. If one of the fingerprints in flight
+// at a loss was suspect already because of another server, the loss counts against the suspects alone: so a bystander
+// is quarantined only if it was in flight at both losses, and then for no longer than the bounded time.
+struct QuarantineState {
+    QuarantineSettings settings;
+    std::unordered_map<Common::Fingerprint, FingerprintEntry> entries;
+};
+
+// Each returns the changes that others have to hear of.
+std::vector<Change> recordLoss(
+    QuarantineState&, const Loss&, const std::vector<Common::Fingerprint>& inFlight, Common::TimePoint now);
+std::optional<Change> recordCompletion(QuarantineState&, Common::Fingerprint, Common::TimePoint now);
+std::optional<Change> merge(QuarantineState&, const FingerprintRecord&, Common::TimePoint now);
+void expire(QuarantineState&, Common::TimePoint now);
+
+bool isSuspect(const QuarantineState&, Common::Fingerprint, Common::TimePoint now);
+bool isQuarantined(const QuarantineState&, Common::Fingerprint, Common::TimePoint now);
+// Whether the request may go to a second backend server, as a retry or as a hedge.
+bool mayRetry(const QuarantineState&, Common::Fingerprint, Common::TimePoint now);
+
+} // namespace Membership
--- /dev/null
+++ b/Source/Core/Observe/MetricNames.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstddef>
+
+namespace Observe {
+
+// Each metric's exported name, help text and label are in MetricNames.cpp; the comment here names the label.
+
+enum class Counter {
+    Queries, // outcome
+    Bookings, // outcome
+    FirstSends, // group
+    Retries, // group
+    Hedges, // group
+    Cancellations, // group
+    LateAnswers, // group
+    Refusals, // reason
+    ConnectionsReplaced, // server
+    Quarantines,
+    GossipBytesSent,
+    GossipBytesReceived,
+    GossipMessages, // direction
+    Count,
+};
+
+enum class Gauge {
+    RevisionInForce,
+    RevisionApplied,
+    Connections, // server
+    InFlight, // server
+    QueriesInFlight, // route
+    Claims, // state
+    Leader, // log shard; 1 while this process leads it
+    ServersKnown, // state
+    InstancesKnown, // state
+    Draining,
+    Count,
+};
+
+// Histograms in milliseconds.
+enum class Latency {
+    Query, // route
+    Booking, // route
+    SubRequest, // group
+    Connect, // group
+    Commit, // log shard
+    Sync,
+    AcceptedToInForce,
+    Count,
+};
+
+// Histograms of shares between 0 and 1.
+enum class Share {
+    Coverage, // route
+    Count,
+};
+
+struct MetricText {
+    const char* name;
+    const char* help;
+    const char* label; // "" if the metric has none.
+};
+
+const MetricText& textOf(Counter);
+const MetricText& textOf(Gauge);
+const MetricText& textOf(Latency);
+const MetricText& textOf(Share);
+
+} // namespace Observe
