Build Observe: logs by part, metrics, and the time line

Every part needs to say what it does before it is written, and log4cxx and prometheus-cpp are heavy, so both stay in the sources. Time line events are in shards by subject, and requests have a ring of their own, so that a flood of queries does not push out the events about revisions and leases.

The linter asks for parentheses round the log macro's message, which is a chain of << and no value; that one line is marked with its reason.

--- a/Source/Core/Observe/Log.h
+++ b/Source/Core/Observe/Log.h
@@ -51,11 +51,12 @@
 } // namespace Observe
 
 // The message is streamed only if its level is logged: LOG_INFO(Part::Gather, "Route " << name << " is unknown.").
+// It has no parentheses of its own, since it is a chain of << and not a value.
 #define CORIANDERLOCK_LOG(part, level, message)                                                                        \
     do {                                                                                                               \
         if (::Observe::isLogged(level)) {                                                                              \
             std::ostringstream corianderlockLogLine;                                                                   \
-            corianderlockLogLine << message;                                                                           \
+            corianderlockLogLine << message; /* NOLINT(bugprone-macro-parentheses) */                                  \
             ::Observe::writeLog(part, level, corianderlockLogLine.str());                                              \
         }                                                                                                              \
     } while (false)
--- /dev/null
+++ b/Source/Core/Observe/MetricNames.cpp
@@ -0,0 +1,59 @@
+#include "Observe/MetricNames.h"
+
+#include <array>
+
+namespace Observe {
+
+namespace {
+
+    constexpr std::array<MetricText, static_cast<size_t>(Counter::Count)> counters { {
+        { "corianderlock_queries_total", "Queries that ended, by outcome.", "outcome" },
+        { "corianderlock_bookings_total", "Requests that run at most once, by outcome.", "outcome" },
+        { "corianderlock_first_sends_total", "Sub-requests sent for the first time.", "group" },
+        { "corianderlock_retries_total", "Sub-requests sent again after an error.", "group" },
+        { "corianderlock_hedges_total", "Sub-requests sent to a second replica before the first answered.", "group" },
+        { "corianderlock_cancellations_total", "Sub-requests cancelled.", "group" },
+        { "corianderlock_late_answers_total", "Answers that came when nobody waited for them.", "group" },
+        { "corianderlock_refusals_total", "Requests refused as not run, by reason.", "reason" },
+        { "corianderlock_connections_replaced_total", "Connections replaced because one went silent.", "server" },
+        { "corianderlock_quarantines_total", "Fingerprints that came under quarantine.", "" },
+        { "corianderlock_gossip_sent_bytes_total", "Bytes of gossip sent.", "" },
+        { "corianderlock_gossip_received_bytes_total", "Bytes of gossip received.", "" },
+        { "corianderlock_gossip_messages_total", "Gossip messages, sent and received.", "direction" },
+    } };
+
+    constexpr std::array<MetricText, static_cast<size_t>(Gauge::Count)> gauges { {
+        { "corianderlock_revision_in_force", "Revision that every instance with a lease has applied.", "" },
+        { "corianderlock_revision_applied", "Revision that this process has applied.", "" },
+        { "corianderlock_connections", "Open connections to a backend server.", "server" },
+        { "corianderlock_in_flight", "Sub-requests in flight on a backend server.", "server" },
+        { "corianderlock_queries_in_flight", "Queries in flight.", "route" },
+        { "corianderlock_claims", "Claims of requests that run at most once.", "state" },
+        { "corianderlock_leader", "1 while this process leads the log shard.", "log_shard" },
+        { "corianderlock_servers_known", "Backend servers in the directory.", "state" },
+        { "corianderlock_instances_known", "Instances in the directory.", "state" },
+        { "corianderlock_draining", "1 while this process takes no new work.", "" },
+    } };
+
+    constexpr std::array<MetricText, static_cast<size_t>(Latency::Count)> latencies { {
+        { "corianderlock_query_milliseconds", "Time from a query's arrival to its answer.", "route" },
+        { "corianderlock_booking_milliseconds", "Time from a run-once request's arrival to its answer.", "route" },
+        { "corianderlock_sub_request_milliseconds", "Time from a sub-request's sending to its answer.", "group" },
+        { "corianderlock_connect_milliseconds", "Time to open a connection to a backend server.", "group" },
+        { "corianderlock_commit_milliseconds", "Time from a proposal to its commit.", "log_shard" },
+        { "corianderlock_sync_milliseconds", "Time to sync the log to disk.", "" },
+        { "corianderlock_accepted_to_in_force_milliseconds", "Time from a change's acceptance until in force.", "" },
+    } };
+
+    constexpr std::array<MetricText, static_cast<size_t>(Share::Count)> shares { {
+        { "corianderlock_coverage_ratio", "Share of the key space that an answer covers.", "route" },
+    } };
+
+} // namespace
+
+const MetricText& textOf(Counter counter) { return counters[static_cast<size_t>(counter)]; }
+const MetricText& textOf(Gauge gauge) { return gauges[static_cast<size_t>(gauge)]; }
+const MetricText& textOf(Latency latency) { return latencies[static_cast<size_t>(latency)]; }
+const MetricText& textOf(Share share) { return shares[static_cast<size_t>(share)]; }
+
+} // namespace Observe
--- a/Source/Core/Observe/Timeline.h
+++ b/Source/Core/Observe/Timeline.h
@@ -70,7 +70,8 @@
     friend bool operator==(const TimelineEvent&, const TimelineEvent&) = default;
 };
 
-// The latest events of one process, bounded, in shards by subject with a lock each.
+// The latest events of one process, in shards by subject with a lock each. Bounded: half of the capacity is for events
+// about requests, half for all others.
 class Timeline {
 public:
     static constexpr size_t defaultCapacity = 65'536;
