--- a/Source/Core/Api/MembershipJson.h
+++ b/Source/Core/Api/MembershipJson.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Error.h"
 #include "Membership/Directory.h"
 #include "Model/Resources.h"
 
--- a/Source/Core/CommandLine/Commands.cpp
+++ b/Source/Core/CommandLine/Commands.cpp
@@ -6,6 +6,7 @@
 #include "CommandLine/ResourceFile.h"
 #include "Daemon/Daemon.h"
 #include "Settings/Settings.h"
+#include "Settings/YamlReader.h"
 
 #include <ctime>
 #include <fstream>
--- a/Source/Core/Daemon/ReplicatedState.cpp
+++ b/Source/Core/Daemon/ReplicatedState.cpp
@@ -184,8 +184,10 @@
     for (auto& member : settings.control.members)
         p->members[member.instance] = member.address;
     std::unique_ptr<ReplicatedState> state(new ReplicatedState(std::move(p)));
-    for (int i = 0; i <= settings.control.claimShards; ++i)
-        BOOST_OUTCOME_TRYV(state->m_private->openShard(LogShardId(static_cast<uint32_t>(i))));
+    for (int i = 0; i <= settings.control.claimShards; ++i) {
+        auto id = static_cast<uint32_t>(i);
+        BOOST_OUTCOME_TRYV(state->m_private->openShard(LogShardId(id)));
+    }
     return state;
 }
 
@@ -205,12 +207,13 @@
 {
     Shard* shard = m_private->find(id);
     if (!shard) {
-        done(Common::makeError(Reason::InvalidInput, "propose", "there is no log shard " + std::to_string(id.value())));
+        done(Common::failure(Common::makeError(
+            Reason::InvalidInput, "propose", "there is no log shard " + std::to_string(id.value()))));
         return;
     }
     shard->log->propose(Wire::encode(command), [done = std::move(done)](const Result<std::string>& result) {
         if (!result) {
-            done(result.error());
+            done(Common::failure(result.error()));
             return;
         }
         done(Wire::decodeCommandOutcome(result.value()));
--- a/Source/Core/Entry/BookingEngine.cpp
+++ b/Source/Core/Entry/BookingEngine.cpp
@@ -136,16 +136,17 @@
     use.control.call(shard, Control::ProposeRequest { shard, std::move(command) }, Clock::now() + controlBound,
         [done = std::move(done)](const Common::Result<Control::Reply>& result) {
             if (!result) {
-                done(result.error());
+                done(Common::failure(result.error()));
                 return;
             }
             auto reply = std::get_if<Control::ProposeReply>(&result.value());
             if (!reply)
-                done(Common::makeError(Reason::Corrupt, "propose", "control sent an answer of another kind"));
+                done(Common::failure(
+                    Common::makeError(Reason::Corrupt, "propose", "control sent an answer of another kind")));
             else if (auto error = std::get_if<Common::Error>(&reply->result))
-                done(*error);
+                done(Common::failure(*error));
             else
-                done(std::get<Control::CommandOutcome>(reply->result));
+                done(Common::success(std::get<Control::CommandOutcome>(reply->result)));
         });
 }
 
--- a/Source/Core/Entry/ServerShares.h
+++ b/Source/Core/Entry/ServerShares.h
@@ -4,7 +4,7 @@
 #include "Entry/ConfigurationView.h"
 #include "Entry/MembershipService.h"
 #include "Entry/ServerTable.h"
-#include "Limits/Connections.h"
+#include "Limits/ConnectionBudget.h"
 
 #include <mutex>
 #include <unordered_map>
--- a/Source/Core/Entry/ServerTable.h
+++ b/Source/Core/Entry/ServerTable.h
@@ -4,7 +4,7 @@
 #include "Common/ShardedMap.h"
 #include "Limits/ServerLoad.h"
 #include "Membership/Directory.h"
-#include "Routing/Candidate.h"
+#include "Routing/Candidates.h"
 
 #include <memory>
 #include <mutex>
