--- a/Source/Core/Daemon/ReplicatedState.cpp
+++ b/Source/Core/Daemon/ReplicatedState.cpp
@@ -98,7 +98,7 @@
     Control::CommandOutcome outcome;
     {
         std::lock_guard lock(shard.mutex);
-        outcome = Control::apply(shard.state, command.value());
+        outcome = Control::applyCommand(shard.state, command.value());
     }
     if (shard.id == Control::configurationShard && hooks.configurationChanged)
         hooks.configurationChanged();
