Decide claims of requests that may not be repeated

A resend through another entry instance must never run a booking twice, and 'not run' must be true. Once holds one log shard's claims as a plain struct with free functions, and one booking's life on an entry instance as a state machine; both know no socket, clock or encoding.

Only a granted claim is dispatched; NotRun alone releases it, and bars the attempt so that a claim that comes late is granted to nobody. Settled records are kept for the retention; after it a UUID of version 7 is refused by its own time and any other id by a tombstone of 8 bytes.

--- a/Source/Core/Once/Booking.h
+++ b/Source/Core/Once/Booking.h
@@ -27,7 +27,10 @@
     Claim claim;
     Common::TimePoint deadline; // Of the caller: an answer is given by then.
     Stage stage { Stage::Claiming };
+    bool mayBeResend { true }; // False only if the caller said that it never sent this id before.
     bool granted { false };
+    bool claimInDoubt { false }; // A claim was sent and its answer was lost.
+    bool mayHaveRun { false }; // A dispatch is out, or one ended without proof that it did not run.
     bool answered { false };
     int dispatches { 0 };
     std::optional<Outcome> outcome; // While Recording.
@@ -76,9 +79,11 @@
     std::optional<Answer> answer;
 };
 
-// The first step. Without a lease nothing is claimed: refused as not run.
-Next start(Booking&, Common::TimePoint now, bool mayTakeWork);
-// Takes one event. Late and repeated events are harmless. The booking may be dropped once it is Finished.
+// The first step. Without a lease nothing is claimed: a first send is refused as not run; of a resend that would be a
+// guess, since an earlier send may have run through another instance, so its outcome is unknown.
+Next start(Booking&, bool mayTakeWork);
+// Takes one event. Late and repeated events are harmless. The booking may be dropped once it is Finished: until then a
+// record may still be under way after the answer was given.
 Next step(Booking&, const Event&, Common::TimePoint now, bool mayTakeWork);
 
 // Whether the error of a dispatch proves that no backend server ran the request.
--- a/Source/Core/Once/Claims.h
+++ b/Source/Core/Once/Claims.h
@@ -15,10 +15,10 @@
 // A record takes at most recordBytes + the longest id, route and content type + maximumBodyBytes; a forgotten id
 // takes tombstoneBytes, or nothing if it is a UUID of version 7 (see idTime).
 struct Settings {
-    uint64_t retentionMs { 24 * 3'600 * 1'000 }; // How long a settled record is kept whole.
+    uint64_t retentionMs { 86'400'000 }; // How long a settled record is kept whole.
     uint64_t maximumRecords { 200'000 };
     uint64_t maximumTombstones { 8'000'000 };
-    uint64_t maximumBodyBytes { 16 * 1'024 };
+    uint64_t maximumBodyBytes { 16'384 };
 
     friend bool operator==(const Settings&, const Settings&) = default;
 };
@@ -74,6 +74,9 @@
 void apply(Claims&, const Orphan&);
 void apply(Claims&, const Expire&);
 
+// Each owner with running claims, with the highest incarnation of them.
+std::vector<Orphan> runningOwners(const Claims&);
+
 // Makes the derived members again after the others were filled from a snapshot.
 void rebuildIndexes(Claims&);
 
--- /dev/null
+++ b/Source/UnitTests/Once/BookingTest.cpp
@@ -0,0 +1,390 @@
+#include "Once/Booking.h"
+
+#include "Common/Random.h"
+#include "Once/Claims.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+using namespace Once;
+using Common::Milliseconds;
+using Common::Reason;
+using Common::TimePoint;
+
+namespace {
+
+constexpr Milliseconds callerDeadline { 400 };
+const TimePoint early { Milliseconds(1) };
+const TimePoint late { Milliseconds(1'000) };
+
+// Entry instances, one log and one backend server in virtual time. Messages are lost, late and doubled; entries crash
+// and lose their leases at any moment. The backend server counts its runs.
+class World {
+public:
+    explicit World(uint64_t seed)
+        : m_random(seed)
+        , m_entries(entryCount)
+    {
+        m_claims.settings.retentionMs = 5'000;
+    }
+
+    void run()
+    {
+        for (int i = 0; i < requestCount; ++i)
+            sendRequest(i);
+        for (int i = 0; i < requestCount; i += 10)
+            at(Milliseconds(i * requestInterval), [this] { disturb(); });
+        while (!m_events.empty()) {
+            auto [time, order, run] = m_events.top();
+            m_events.pop();
+            m_now = time;
+            run();
+        }
+        for (const auto& [id, n] : m_runs)
+            EXPECT_LE(n, 1) << id;
+        EXPECT_EQ(m_running, 0) << "bookings that never ended";
+    }
+
+    std::map<std::string, int> answers;
+    uint64_t dispatches { 0 };
+    uint64_t runs { 0 };
+
+private:
+    static constexpr int entryCount = 4;
+    static constexpr int requestCount = 300;
+    static constexpr double requestInterval = 20;
+
+    struct Entry {
+        uint64_t incarnation { 1 };
+        uint64_t leaseEnds { 0 }; // Counts lost leases.
+        bool hasLease { true };
+    };
+
+    struct Running {
+        size_t entry { 0 };
+        uint64_t incarnation { 1 };
+        bool isAlive { true };
+        bool ranBefore { false }; // The request had run when this send of it came in.
+        bool saidNotRun { false };
+        int answerCount { 0 };
+        Booking booking;
+    };
+    using RunningPointer = std::shared_ptr<Running>;
+
+    struct Planned {
+        TimePoint time;
+        uint64_t order;
+        std::function<void()> run;
+
+        bool operator<(const Planned& other) const { return std::tie(time, order) > std::tie(other.time, other.order); }
+    };
+
+    void at(Milliseconds delay, std::function<void()> run)
+    {
+        m_events.push({ m_now + delay, ++m_order, std::move(run) });
+    }
+
+    Milliseconds hop() { return Milliseconds(m_random.chance(0.05) ? m_random.unit() * 600 : m_random.unit() * 8); }
+
+    // Each request is sent up to four times, through any entry.
+    void sendRequest(int i)
+    {
+        Common::RequestId id("request-" + std::to_string(i));
+        uint64_t sends = 1 + m_random.below(4);
+        for (uint64_t n = 0; n < sends; ++n) {
+            double resendAfter = m_random.chance(0.1) ? 6'000 : 800;
+            at(Milliseconds(i * requestInterval + m_random.unit() * resendAfter), [this, id] { receive(id); });
+        }
+    }
+
+    void receive(const Common::RequestId& id)
+    {
+        size_t n = m_random.below(entryCount);
+        auto it = std::make_shared<Running>();
+        it->entry = n;
+        it->incarnation = m_entries[n].incarnation;
+        it->ranBefore = m_runs[id.value()] > 0;
+        it->booking.claim = { id, Common::RouteName("book"), Common::Fingerprint(1),
+            { Common::InstanceId("entry-" + std::to_string(n)), Common::Incarnation(it->incarnation),
+                Common::AttemptId(++m_attempts) } };
+        it->booking.deadline = m_now + callerDeadline;
+        ++m_running;
+        m_bookings[n].push_back(it);
+        at(callerDeadline, [this, it] { take(it, DeadlinePassed {}); });
+        follow(it, start(it->booking, mayTakeWork(*it)));
+    }
+
+    bool mayTakeWork(const Running& it) const { return m_entries[it.entry].hasLease; }
+
+    void take(const RunningPointer& it, const Event& event)
+    {
+        if (it->isAlive)
+            follow(it, step(it->booking, event, m_now, mayTakeWork(*it)));
+    }
+
+    void follow(const RunningPointer& it, const Next& next)
+    {
+        if (next.answer)
+            check(*it, *next.answer);
+        if (std::holds_alternative<Dispatch>(next.action))
+            dispatch(it);
+        else if (const auto* claim = std::get_if<SendClaim>(&next.action))
+            propose(
+                it, claim->delay, [this, it] { return ClaimAnswered { apply(m_claims, it->booking.claim) }; },
+                ClaimFailed { Common::makeError(Reason::ConnectionLost, "propose", "no answer") });
+        else if (const auto* record = std::get_if<SendRecord>(&next.action))
+            propose(
+                it, record->delay,
+                [this, outcome = *it->booking.outcome] { return RecordAnswered { apply(m_claims, outcome) }; },
+                RecordFailed { Common::makeError(Reason::ConnectionLost, "propose", "no answer") });
+        if (it->isAlive && it->booking.stage == Stage::Finished)
+            end(*it);
+    }
+
+    void end(Running& it)
+    {
+        it.isAlive = false;
+        --m_running;
+        EXPECT_EQ(it.answerCount, 1);
+    }
+
+    // A command that may be lost, applied twice, or applied after its sender gave up on it.
+    void propose(
+        const RunningPointer& it, Milliseconds delay, const std::function<Event()>& applyIt, const Event& failed)
+    {
+        Milliseconds there = delay + hop();
+        Milliseconds back = there + hop();
+        bool isLost = m_random.chance(0.08);
+        bool isAnswerLost = m_random.chance(0.08);
+        at(there, [this, it, isLost, isAnswerLost, back = back - there, applyIt] {
+            if (isLost)
+                return;
+            Event answer = applyIt();
+            if (!isAnswerLost)
+                at(back, [this, it, answer] { take(it, answer); });
+        });
+        if (m_random.chance(0.05))
+            at(there + hop(), [applyIt] { applyIt(); });
+        if (isLost || isAnswerLost)
+            at(Milliseconds(m_random.unit() * 60) + delay, [this, it, failed] { take(it, failed); });
+    }
+
+    void dispatch(const RunningPointer& it)
+    {
+        ++dispatches;
+        double dice = m_random.unit();
+        if (dice < 0.15)
+            return fail(it, m_random.chance(0.5) ? Reason::ConnectionFailed : Reason::Refused, hop());
+        if (dice < 0.2)
+            return at(hop(), [this, it] { take(it, DispatchAnswered { RefusedByBackend { 409, "", "taken" } }); });
+        if (dice < 0.25)
+            return fail(it, Reason::ConnectionLost, hop());
+        bool isAnswerLost = m_random.chance(0.15);
+        // The server may run it long after the entry gave up.
+        at(hop(), [this, it, isAnswerLost] {
+            EXPECT_FALSE(it->saidNotRun) << it->booking.claim.id << " ran after it was said not to have run";
+            Completed answer = runOnBackend(it->booking.claim.id.value());
+            if (!isAnswerLost)
+                at(hop(), [this, it, answer] { take(it, DispatchAnswered { answer }); });
+        });
+        if (isAnswerLost)
+            fail(it, m_random.chance(0.5) ? Reason::ConnectionLost : Reason::DeadlineExceeded, hop());
+    }
+
+    Completed runOnBackend(const std::string& id)
+    {
+        ++runs;
+        int n = ++m_runs[id];
+        return { 200, "text/plain", id + " run " + std::to_string(n), false };
+    }
+
+    void fail(const RunningPointer& it, Reason reason, Milliseconds delay)
+    {
+        auto error = Common::makeError(reason, "dispatch", "failed");
+        at(delay, [this, it, error] { take(it, DispatchFailed { error }); });
+    }
+
+    void check(Running& it, const Answer& answer)
+    {
+        ++it.answerCount;
+        ++answers[answerCode(answer)];
+        const std::string& id = it.booking.claim.id.value();
+        EXPECT_LE(m_now, it.booking.deadline) << id;
+        it.saidNotRun = std::holds_alternative<NotRunRefusal>(answer);
+        EXPECT_FALSE(it.saidNotRun && it.ranBefore) << id << " was said not to have run";
+        if (const auto* completed = std::get_if<Completed>(&answer)) {
+            EXPECT_EQ(m_runs[id], 1) << id;
+            EXPECT_EQ(completed->body, id + " run 1");
+        }
+        if (errorOf(answer))
+            return;
+        auto [first, isNew] = m_final.try_emplace(id, answer);
+        EXPECT_EQ(answerCode(first->second), answerCode(answer)) << id << " got two outcomes";
+    }
+
+    void disturb()
+    {
+        m_logTime = LogTime(1'700'000'000'000 + static_cast<uint64_t>(m_now.sinceStart().value()));
+        apply(m_claims, Expire { m_logTime });
+        size_t n = m_random.below(entryCount);
+        if (m_random.chance(0.3))
+            crash(n);
+        else if (m_random.chance(0.3))
+            loseLease(n);
+    }
+
+    void crash(size_t n)
+    {
+        Common::Incarnation ended(m_entries[n].incarnation++);
+        m_entries[n].hasLease = true;
+        for (const RunningPointer& it : m_bookings[n]) {
+            if (std::exchange(it->isAlive, false))
+                --m_running;
+        }
+        m_bookings[n].clear();
+        orphan(n, ended);
+    }
+
+    // The instance goes on with what is in flight, and takes work again as a new incarnation.
+    void loseLease(size_t n)
+    {
+        m_entries[n].hasLease = false;
+        orphan(n, Common::Incarnation(m_entries[n].incarnation));
+        at(Milliseconds(m_random.unit() * 300), [this, n] {
+            m_entries[n].hasLease = true;
+            ++m_entries[n].incarnation;
+        });
+    }
+
+    void orphan(size_t n, Common::Incarnation ended)
+    {
+        Orphan command { Common::InstanceId("entry-" + std::to_string(n)), ended };
+        at(hop(), [this, command] { apply(m_claims, command); });
+    }
+
+    Common::Random m_random;
+    std::vector<Entry> m_entries;
+    Claims m_claims;
+    LogTime m_logTime;
+    TimePoint m_now;
+    std::map<size_t, std::vector<RunningPointer>> m_bookings;
+    uint64_t m_order { 0 };
+    uint64_t m_attempts { 0 };
+    int m_running { 0 };
+    std::priority_queue<Planned> m_events;
+    std::map<std::string, int> m_runs;
+    std::map<std::string, Answer> m_final;
+};
+
+} // namespace
+
+TEST(Booking, RunsAtMostOnceAndRefusesTruly)
+{
+    std::map<std::string, int> answers;
+    uint64_t dispatches = 0;
+    uint64_t runs = 0;
+    for (uint64_t seed = 1; seed <= 60 && !HasFailure(); ++seed) {
+        SCOPED_TRACE(seed);
+        World world(seed);
+        world.run();
+        for (const auto& [code, n] : world.answers)
+            answers[code] += n;
+        dispatches += world.dispatches;
+        runs += world.runs;
+    }
+    for (const auto& [code, n] : answers)
+        std::cout << code << " " << n << "\n";
+    std::cout << "dispatches " << dispatches << ", runs " << runs << "\n";
+    for (const char* code : { "completed", "refused-by-backend", "not-run", "outcome-unknown" })
+        EXPECT_GT(answers[code], 100) << code;
+}
+
+namespace {
+
+Booking newBooking()
+{
+    Booking booking;
+    booking.claim = { Common::RequestId("id"), Common::RouteName("book"), Common::Fingerprint(1),
+        { Common::InstanceId("a"), Common::Incarnation(1), Common::AttemptId(1) } };
+    booking.deadline = TimePoint(Milliseconds(100));
+    return booking;
+}
+
+Booking dispatchedBooking()
+{
+    Booking booking = newBooking();
+    step(booking, ClaimAnswered { Granted {} }, early, true);
+    return booking;
+}
+
+Event dispatchFailed(Reason reason) { return DispatchFailed { Common::makeError(reason, "dispatch", "failed") }; }
+
+template <typename Kind> bool records(const Next& next, const Booking& booking)
+{
+    return std::holds_alternative<SendRecord>(next.action) && std::holds_alternative<Kind>(booking.outcome->kind);
+}
+
+} // namespace
+
+TEST(Booking, WithoutALeaseOnlyAFirstSendIsSaidNotToHaveRun)
+{
+    Booking resend = newBooking();
+    EXPECT_STREQ(answerCode(*start(resend, false).answer), "outcome-unknown");
+    Booking first = newBooking();
+    first.mayBeResend = false;
+    EXPECT_STREQ(answerCode(*start(first, false).answer), "not-run");
+}
+
+TEST(Booking, AClaimGrantedAfterTheLeaseIsReleasedWithoutADispatch)
+{
+    Booking booking = newBooking();
+    Next next = step(booking, ClaimAnswered { Granted {} }, early, false);
+    EXPECT_TRUE(records<NotRun>(next, booking));
+    next = step(booking, RecordAnswered { RecordResult::Recorded }, early, false);
+    EXPECT_EQ(statusOf(*next.answer), 503);
+    EXPECT_EQ(retryAfterOf(*next.answer), retryNotRunAfter);
+}
+
+TEST(Booking, OnlyProofOfNotRunningLeadsToAnotherDispatch)
+{
+    for (Reason reason : { Reason::ConnectionFailed, Reason::Refused }) {
+        Booking booking = dispatchedBooking();
+        EXPECT_TRUE(std::holds_alternative<Dispatch>(step(booking, dispatchFailed(reason), early, true).action));
+        EXPECT_TRUE(records<NotRun>(step(booking, dispatchFailed(reason), late, true), booking));
+    }
+    for (Reason reason : { Reason::ConnectionLost, Reason::DeadlineExceeded, Reason::Cancelled, Reason::Internal }) {
+        Booking booking = dispatchedBooking();
+        EXPECT_TRUE(records<Unknown>(step(booking, dispatchFailed(reason), early, true), booking));
+    }
+}
+
+TEST(Booking, ALateOutcomeIsRecordedAfterTheCallerWasToldUnknown)
+{
+    Booking booking = dispatchedBooking();
+    Next next = step(booking, DeadlinePassed {}, late, true);
+    EXPECT_EQ(statusOf(*next.answer), 504);
+    next = step(booking, DispatchAnswered { Completed { 200, "", "slot 7" } }, late, true);
+    EXPECT_FALSE(next.answer);
+    EXPECT_TRUE(records<Completed>(next, booking));
+}
+
+TEST(Booking, AnUnansweredClaimIsBarredBeforeNotRunIsSaid)
+{
+    Booking booking = newBooking();
+    Event lost = ClaimFailed { Common::makeError(Reason::ConnectionLost, "propose", "no answer") };
+    EXPECT_TRUE(std::holds_alternative<SendClaim>(step(booking, lost, early, true).action));
+    Next next = step(booking, lost, late, true);
+    EXPECT_TRUE(records<NotRun>(next, booking));
+    EXPECT_FALSE(next.answer);
+    Booking other = booking;
+    EXPECT_STREQ(answerCode(*step(booking, RecordAnswered { RecordResult::Recorded }, late, true).answer), "not-run");
+    EXPECT_STREQ(
+        answerCode(*step(other, RecordAnswered { RecordResult::Stale }, late, true).answer), "outcome-unknown");
+}
