Decide changes of the configuration, leases and what is in force

Operators race one another under equal versions and resend changes. Followers move on by deltas or a whole copy, and their revision never goes back.

The lease table says whether a revision is in force and who is missing; a new leader says nothing is for one lease time.

--- a/Source/Core/Control/Command.h
+++ b/Source/Core/Control/Command.h
@@ -15,8 +15,13 @@
     friend bool operator==(const Acknowledged&, const Acknowledged&) = default;
 };
 
-// The answer to a command, in the order of Command. A command on the wrong log shard or that can't be read gives an
-// error.
-using CommandOutcome = std::variant<ChangeOutcome, Once::ClaimOutcome, Once::RecordResult, Acknowledged, Common::Error>;
+// The command can't be read or belongs to another log shard. Nothing was changed.
+struct CommandRefused {
+    Common::Error error;
+};
+
+// The answer to a command, in the order of Command.
+using CommandOutcome
+    = std::variant<ChangeOutcome, Once::ClaimOutcome, Once::RecordResult, Acknowledged, CommandRefused>;
 
 } // namespace Control
--- /dev/null
+++ b/Source/Core/Control/Follower.cpp
@@ -0,0 +1,44 @@
+#include "Control/Follower.h"
+
+#include "Common/Assert.h"
+
+namespace Control {
+
+namespace {
+
+    void advance(Follower& follower, Common::Revision revision)
+    {
+        CORIANDERLOCK_INVARIANT(revision >= follower.revision, "an applied revision never goes back");
+        follower.revision = revision;
+    }
+
+    void applyDelta(Follower& follower, const Delta& delta)
+    {
+        CORIANDERLOCK_INVARIANT(
+            !delta.stored || delta.stored->version == delta.revision, "a delta carries the version that it made");
+        if (delta.stored)
+            follower.resources[delta.key] = *delta.stored;
+        else
+            follower.resources.erase(delta.key);
+    }
+
+} // namespace
+
+FollowResult follow(Follower& follower, const Changes& changes)
+{
+    if (changes.revision < follower.revision)
+        return FollowResult::Ignored;
+    if (!changes.whole && changes.from > follower.revision)
+        return FollowResult::Gap;
+    if (changes.whole)
+        follower.resources.clear();
+    for (const Delta& delta : changes.deltas) {
+        // Deltas from before the follower's place come when two answers cross.
+        if (changes.whole || delta.revision > follower.revision)
+            applyDelta(follower, delta);
+    }
+    advance(follower, changes.revision);
+    return FollowResult::Applied;
+}
+
+} // namespace Control
--- /dev/null
+++ b/Source/Core/Control/Leases.cpp
@@ -0,0 +1,143 @@
+#include "Control/Leases.h"
+
+#include <algorithm>
+#include <string>
+
+using Common::Milliseconds;
+using Common::TimePoint;
+
+namespace Control {
+
+namespace {
+
+    // An ended lease is kept this many lease times, so that a late renewal of it is known for what it is.
+    constexpr double endedLeaseTimes = 15;
+
+    uint64_t nextNumber(LeaseTable& table) { return ++table.listNumber.number; }
+
+    void end(LeaseTable& table, Lease& lease)
+    {
+        lease.ended = true;
+        lease.changedAt = nextNumber(table);
+    }
+
+    bool holds(const Lease& lease, TimePoint now) { return !lease.ended && now < lease.expiresAt; }
+
+    bool isNewLeader(const LeaseTable& table, TimePoint now) { return now < table.electedAt + table.duration; }
+
+    Common::Error refuse(const Renewal& renewal, const std::string& why)
+    {
+        return Common::makeError(Common::Reason::Conflict, "renew",
+            "incarnation " + std::to_string(renewal.instance.incarnation.value()) + " " + why,
+            renewal.instance.id.value());
+    }
+
+    void forgetOld(LeaseTable& table, TimePoint now)
+    {
+        Milliseconds keep = table.duration * endedLeaseTimes;
+        std::erase_if(table.leases, [&](const auto& pair) {
+            const Lease& lease = pair.second;
+            if (!lease.ended || lease.expiresAt + keep > now)
+                return false;
+            table.forgottenAt = std::max(table.forgottenAt, lease.changedAt);
+            return true;
+        });
+    }
+
+} // namespace
+
+LeaseTable::LeaseTable(Common::Term term, TimePoint electionTime, Milliseconds leaseDuration)
+    : duration(leaseDuration)
+    , electedAt(electionTime)
+    , listNumber { term, 0 }
+{
+}
+
+Common::Result<LeaseGranted> renew(LeaseTable& table, const Renewal& renewal, TimePoint now)
+{
+    LeaseGranted granted { table.duration, std::nullopt };
+    TimePoint until = now + table.duration;
+    auto [it, isNew] = table.leases.try_emplace(renewal.instance.id);
+    Lease& lease = it->second;
+    Common::Incarnation known = lease.instance.incarnation;
+    if (!isNew && renewal.instance.incarnation < known)
+        return refuse(renewal, "is older than " + std::to_string(known.value()));
+    bool isSame = !isNew && renewal.instance.incarnation == known;
+    // Its claims are orphans already, or will be as soon as expired() is asked.
+    if (isSame && !holds(lease, now))
+        return refuse(renewal, "has ended, take a higher one");
+    if (!isNew && !isSame)
+        granted.replaced = known;
+    bool hasMoved = lease.instance != renewal.instance;
+    lease.instance = renewal.instance;
+    lease.applied = isSame ? std::max(lease.applied, renewal.applied) : renewal.applied;
+    lease.expiresAt = isSame ? std::max(lease.expiresAt, until) : until;
+    lease.ended = false;
+    if (isNew || hasMoved)
+        lease.changedAt = nextNumber(table);
+    return granted;
+}
+
+bool release(LeaseTable& table, const Common::InstanceId& id, Common::Incarnation incarnation)
+{
+    auto it = table.leases.find(id);
+    if (it == table.leases.end() || it->second.instance.incarnation != incarnation || it->second.ended)
+        return false;
+    end(table, it->second);
+    return true;
+}
+
+std::vector<EndedLease> expired(LeaseTable& table, TimePoint now)
+{
+    std::vector<EndedLease> ended;
+    for (auto& [id, lease] : table.leases) {
+        if (lease.ended || now < lease.expiresAt)
+            continue;
+        end(table, lease);
+        ended.push_back({ id, lease.instance.incarnation });
+    }
+    forgetOld(table, now);
+    return ended;
+}
+
+bool hasNoLease(const LeaseTable& table, const Common::InstanceId& id, Common::Incarnation incarnation, TimePoint now)
+{
+    if (isNewLeader(table, now))
+        return false;
+    auto it = table.leases.find(id);
+    if (it == table.leases.end() || it->second.instance.incarnation != incarnation)
+        return true;
+    return !holds(it->second, now);
+}
+
+RevisionStatus revisionStatus(const LeaseTable& table, Common::Revision revision, TimePoint now)
+{
+    RevisionStatus status;
+    status.newLeader = isNewLeader(table, now);
+    for (const auto& [id, lease] : table.leases) {
+        if (holds(lease, now) && lease.applied < revision)
+            status.missing.push_back(id);
+    }
+    bool isInForce = status.missing.empty() && !status.newLeader;
+    status.state = isInForce ? RevisionState::InForce : RevisionState::Applying;
+    return status;
+}
+
+LiveChanges liveSince(const LeaseTable& table, const LiveListNumber& since)
+{
+    LiveChanges changes;
+    changes.number = table.listNumber;
+    bool isComparable = since.term == table.listNumber.term && since.number <= table.listNumber.number;
+    changes.whole = !isComparable || since.number < table.forgottenAt;
+    for (const auto& [id, lease] : table.leases) {
+        if (!changes.whole && lease.changedAt <= since.number)
+            continue;
+        if (!lease.ended)
+            changes.joined.push_back(lease.instance);
+        else if (!changes.whole)
+            changes.left.push_back(id);
+    }
+    return changes;
+}
+
+} // namespace Control
--- a/Source/Core/Control/Leases.h
+++ b/Source/Core/Control/Leases.h
@@ -72,7 +72,8 @@
 // instance must take a higher incarnation.
 Common::Result<LeaseGranted> renew(LeaseTable&, const Renewal&, Common::TimePoint now);
 
-// A planned stop: the instance takes no more work. Returns false if this incarnation held no lease.
+// A planned stop: the instance takes no more work. Returns false if this incarnation held no lease. As for an expired
+// lease, claims that it left running are orphans.
 bool release(LeaseTable&, const Common::InstanceId&, Common::Incarnation);
 
 struct EndedLease {
@@ -86,6 +87,10 @@
 // forgotten.
 std::vector<EndedLease> expired(LeaseTable&, Common::TimePoint now);
 
+// Whether this incarnation surely holds no lease. A new leader can't tell, and says no, until it is a lease time old;
+// then claims that still run for such an owner are orphans, also if its lease ended while there was no leader.
+bool hasNoLease(const LeaseTable&, const Common::InstanceId&, Common::Incarnation, Common::TimePoint now);
+
 enum class RevisionState {
     Applying,
     InForce,
--- /dev/null
+++ b/Source/Core/Control/StateMachine.cpp
@@ -0,0 +1,65 @@
+#include "Control/StateMachine.h"
+
+namespace Control {
+
+namespace {
+
+    CommandRefused wrongShard()
+    {
+        return { Common::makeError(Common::Reason::InvalidInput, "apply", "the command belongs to another log shard") };
+    }
+
+    struct ClaimsVisitor {
+        Once::Claims& claims;
+
+        CommandOutcome operator()(const Change&) const { return wrongShard(); }
+        CommandOutcome operator()(const Once::Claim& claim) const { return Once::apply(claims, claim); }
+        CommandOutcome operator()(const Once::Outcome& outcome) const { return Once::apply(claims, outcome); }
+        CommandOutcome operator()(const Once::Orphan& orphan) const
+        {
+            Once::apply(claims, orphan);
+            return Acknowledged {};
+        }
+        CommandOutcome operator()(const Once::Expire& expire) const
+        {
+            Once::apply(claims, expire);
+            return Acknowledged {};
+        }
+    };
+
+} // namespace
+
+ShardState makeShardState(Common::LogShardId shard, const ConfigurationLimits& limits, const Once::Settings& settings)
+{
+    if (shard == configurationShard) {
+        Configuration configuration;
+        configuration.limits = limits;
+        return configuration;
+    }
+    Once::Claims claims;
+    claims.settings = settings;
+    return claims;
+}
+
+CommandOutcome applyCommand(ShardState& state, const Command& command)
+{
+    if (auto* claims = std::get_if<Once::Claims>(&state))
+        return std::visit(ClaimsVisitor { *claims }, command);
+    const auto* change = std::get_if<Change>(&command);
+    if (!change)
+        return wrongShard();
+    return applyChange(std::get<Configuration>(state), *change);
+}
+
+std::optional<Common::LogShardId> shardOf(const Command& command, uint32_t logShards)
+{
+    if (std::holds_alternative<Change>(command))
+        return configurationShard;
+    if (const auto* claim = std::get_if<Once::Claim>(&command))
+        return Once::logShardOf(claim->id, logShards);
+    if (const auto* outcome = std::get_if<Once::Outcome>(&command))
+        return Once::logShardOf(outcome->id, logShards);
+    return std::nullopt;
+}
+
+} // namespace Control
--- /dev/null
+++ b/Source/UnitTests/Control/LeasesTest.cpp
@@ -0,0 +1,125 @@
+#include "Control/Leases.h"
+
+#include "Common/Random.h"
+#include "Control/HeldLease.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <utility>
+
+using namespace Control;
+using Common::Milliseconds;
+using Common::Revision;
+using Common::TimePoint;
+
+namespace {
+
+TimePoint at(double ms) { return TimePoint(Milliseconds(ms)); }
+
+Renewal renewalOf(const char* id, uint64_t applied, uint64_t incarnation = 1)
+{
+    return { { Common::InstanceId(id), Common::Incarnation(incarnation), Common::Address("10.0.0.1:1"),
+                 Common::FailureDomain("patan") },
+        Revision(applied) };
+}
+
+const Common::InstanceId a("a");
+const Common::InstanceId b("b");
+
+LeaseTable oldTable() { return { Common::Term(3), at(-10'000) }; }
+
+} // namespace
+
+TEST(Leases, InForceOnceEachHolderAppliedIt)
+{
+    LeaseTable table = oldTable();
+    ASSERT_TRUE(renew(table, renewalOf("a", 7), at(0)));
+    ASSERT_TRUE(renew(table, renewalOf("b", 6), at(500)));
+    RevisionStatus status = revisionStatus(table, Revision(7), at(600));
+    EXPECT_EQ(status.state, RevisionState::Applying);
+    EXPECT_EQ(status.missing, std::vector { b });
+    ASSERT_TRUE(renew(table, renewalOf("b", 7), at(1'000)));
+    ASSERT_TRUE(renew(table, renewalOf("b", 6), at(1'001))) << "a renewal that was overtaken";
+    EXPECT_EQ(revisionStatus(table, Revision(7), at(1'100)).state, RevisionState::InForce);
+    EXPECT_EQ(revisionStatus(table, Revision(8), at(4'100)).missing, std::vector { b });
+}
+
+TEST(Leases, ANewLeaderSaysNothingIsInForceForALeaseTime)
+{
+    LeaseTable table(Common::Term(3), at(0));
+    ASSERT_TRUE(renew(table, renewalOf("a", 7), at(3'000)));
+    RevisionStatus status = revisionStatus(table, Revision(7), at(3'999));
+    EXPECT_EQ(status.state, RevisionState::Applying);
+    EXPECT_TRUE(status.missing.empty());
+    EXPECT_TRUE(status.newLeader);
+    EXPECT_FALSE(hasNoLease(table, b, Common::Incarnation(1), at(3'999)));
+    EXPECT_EQ(revisionStatus(table, Revision(7), at(4'000)).state, RevisionState::InForce);
+    EXPECT_TRUE(hasNoLease(table, b, Common::Incarnation(1), at(4'000)));
+    EXPECT_FALSE(hasNoLease(table, a, Common::Incarnation(1), at(4'000)));
+}
+
+TEST(Leases, AnEndedIncarnationNeverComesBack)
+{
+    LeaseTable table = oldTable();
+    ASSERT_TRUE(renew(table, renewalOf("a", 1, 2), at(0)));
+    EXPECT_FALSE(renew(table, renewalOf("a", 1, 1), at(1)));
+    EXPECT_TRUE(release(table, a, Common::Incarnation(2)));
+    EXPECT_FALSE(release(table, a, Common::Incarnation(2)));
+    EXPECT_FALSE(renew(table, renewalOf("a", 1, 2), at(2)));
+    EXPECT_EQ(renew(table, renewalOf("a", 1, 3), at(3)).value().replaced, Common::Incarnation(2));
+    EXPECT_TRUE(expired(table, at(4'002)).empty());
+    EXPECT_EQ(expired(table, at(4'003)), std::vector<EndedLease>({ { a, Common::Incarnation(3) } }));
+    EXPECT_TRUE(expired(table, at(4'004)).empty());
+    EXPECT_FALSE(renew(table, renewalOf("a", 1, 3), at(4'005)));
+}
+
+TEST(Leases, OnlyChangesOfTheLiveListTravel)
+{
+    LeaseTable table = oldTable();
+    ASSERT_TRUE(renew(table, renewalOf("a", 1), at(0)));
+    LiveChanges all = liveSince(table, {});
+    EXPECT_TRUE(all.whole);
+    EXPECT_EQ(all.joined.size(), 1u);
+    ASSERT_TRUE(renew(table, renewalOf("a", 2), at(1'000)));
+    EXPECT_TRUE(liveSince(table, all.number).joined.empty());
+    ASSERT_TRUE(renew(table, renewalOf("b", 1), at(1'000)));
+    release(table, a, Common::Incarnation(1));
+    LiveChanges some = liveSince(table, all.number);
+    EXPECT_FALSE(some.whole);
+    EXPECT_EQ(some.joined, std::vector { renewalOf("b", 1).instance });
+    EXPECT_EQ(some.left, std::vector { a });
+    expired(table, at(1'000'000));
+    EXPECT_TRUE(liveSince(table, all.number).whole) << "what was forgotten can't be listed";
+    EXPECT_TRUE(liveSince(table, { Common::Term(2), some.number.number }).whole);
+}
+
+// Holders with clocks that run up to 2 % too slow or fast, and messages that are late, lost or out of order.
+TEST(Leases, AHolderStopsBeforeTheLeaderThinksSo)
+{
+    uint64_t held = 0;
+    for (uint64_t seed = 1; seed <= 200; ++seed) {
+        Common::Random random(seed);
+        LeaseTable table = oldTable();
+        HeldLease holder;
+        double speed = 0.98 + random.unit() * 0.04;
+        auto local = [&](double now) { return at(now * speed); };
+        std::multimap<double, std::pair<double, Milliseconds>> answers;
+        for (double now = 0; now < 60'000; now += 10) {
+            if (random.chance(0.01)) {
+                auto granted = renew(table, renewalOf("a", 1), at(now + random.unit() * 1'000));
+                if (granted && random.chance(0.8))
+                    answers.emplace(now + random.unit() * 3'000, std::pair(now, granted.value().duration));
+            }
+            for (; !answers.empty() && answers.begin()->first <= now; answers.erase(answers.begin()))
+                holdLease(holder, local(answers.begin()->second.first), answers.begin()->second.second);
+            if (!mayTakeWork(holder, local(now)))
+                continue;
+            ++held;
+            ASSERT_GT(table.leases.at(a).expiresAt, at(now)) << seed;
+        }
+        dropLease(holder);
+        EXPECT_FALSE(mayTakeWork(holder, at(0)));
+    }
+    EXPECT_GT(held, 100'000u);
+}
