--- /dev/null
+++ b/Source/Core/Wire/CommandParts.cpp
@@ -0,0 +1,82 @@
+#include "Wire/CommandParts.h"
+
+#include "Wire/Fields.h"
+#include "Wire/FlatMessage.h"
+#include "Wire/OnceParts.h"
+#include "Wire/ResourceParts.h"
+
+namespace Wire {
+
+namespace {
+
+    struct CommandWriter {
+        ControlSchema::Command::Builder& out;
+
+        void operator()(const Control::Change& change) const { write(out.initChange(), change); }
+        void operator()(const Once::Claim& claim) const { write(out.initClaim(), claim); }
+        void operator()(const Once::Outcome& outcome) const { write(out.initOutcome(), outcome); }
+        void operator()(const Once::Orphan& orphan) const { write(out.initOrphan(), orphan); }
+        void operator()(const Once::Expire& expire) const { out.setExpire(expire.now.value()); }
+    };
+
+    struct CommandOutcomeWriter {
+        ControlSchema::CommandOutcome::Builder& out;
+
+        void operator()(const Control::ChangeOutcome& outcome) const { write(out.initChange(), outcome); }
+        void operator()(const Once::ClaimOutcome& outcome) const { write(out.initClaim(), outcome); }
+        void operator()(const Once::RecordResult& result) const { out.setRecord(toNumber(result)); }
+        void operator()(const Control::Acknowledged&) const { out.setAcknowledged(); }
+        void operator()(const Control::CommandRefused& refused) const { write(out.initRefused(), refused.error); }
+    };
+
+} // namespace
+
+void write(ControlSchema::Command::Builder out, const Control::Command& command)
+{
+    out.setFormatVersion(formatVersion);
+    std::visit(CommandWriter { out }, command);
+}
+
+Control::Command read(ControlSchema::Command::Reader in)
+{
+    checkFormatVersion(in.getFormatVersion());
+    switch (in.which()) {
+    case ControlSchema::Command::CHANGE:
+        return read(in.getChange());
+    case ControlSchema::Command::CLAIM:
+        return read(in.getClaim());
+    case ControlSchema::Command::OUTCOME:
+        return read(in.getOutcome());
+    case ControlSchema::Command::ORPHAN:
+        return read(in.getOrphan());
+    case ControlSchema::Command::EXPIRE:
+        return Once::Expire { Once::LogTime(in.getExpire()) };
+    }
+    failDecode("unknown kind of command");
+}
+
+void write(ControlSchema::CommandOutcome::Builder out, const Control::CommandOutcome& outcome)
+{
+    out.setFormatVersion(formatVersion);
+    std::visit(CommandOutcomeWriter { out }, outcome);
+}
+
+Control::CommandOutcome read(ControlSchema::CommandOutcome::Reader in)
+{
+    checkFormatVersion(in.getFormatVersion());
+    switch (in.which()) {
+    case ControlSchema::CommandOutcome::CHANGE:
+        return read(in.getChange());
+    case ControlSchema::CommandOutcome::CLAIM:
+        return read(in.getClaim());
+    case ControlSchema::CommandOutcome::RECORD:
+        return fromNumber(in.getRecord(), Once::RecordResult::Stale);
+    case ControlSchema::CommandOutcome::ACKNOWLEDGED:
+        return Control::Acknowledged {};
+    case ControlSchema::CommandOutcome::REFUSED:
+        return Control::CommandRefused { read(in.getRefused()) };
+    }
+    failDecode("unknown kind of command outcome");
+}
+
+} // namespace Wire
--- a/Source/Core/Wire/ControlCodec.h
+++ b/Source/Core/Wire/ControlCodec.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "Common/Error.h"
-#include "Control/Messages.h"
+#include "Control/Command.h"
+#include "Control/Configuration.h"
 
 #include <string>
 #include <string_view>
 
-// Bytes of what the configuration's log, its snapshots and its messages carry. Decoding never trusts the bytes: bad
-// ones give an error with step "decode" and reason Corrupt, and so does a format version that is not known.
+// Bytes of what the logs carry, and of snapshots of the configuration. Decoding never trusts the bytes: bad ones give
+// an error with step "decode" and reason Corrupt, and so does a format version that is not known.
 namespace Wire {
 
 std::string encode(const Control::Command&);
@@ -20,10 +21,4 @@
 std::string encodeSnapshot(const Control::Configuration&);
 Common::Result<Control::Configuration> decodeConfiguration(std::string_view);
 
-std::string encode(const Control::Request&);
-Common::Result<Control::Request> decodeRequest(std::string_view);
-
-std::string encode(const Control::Reply&);
-Common::Result<Control::Reply> decodeReply(std::string_view);
-
 } // namespace Wire
--- /dev/null
+++ b/Source/Core/Wire/MessageCodec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "Common/Error.h"
+#include "Control/Messages.h"
+
+#include <string>
+#include <string_view>
+
+// Bytes of the messages between entry and control instances. Bad bytes give an error as in ControlCodec.h.
+namespace Wire {
+
+std::string encode(const Control::Request&);
+Common::Result<Control::Request> decodeRequest(std::string_view);
+
+std::string encode(const Control::Reply&);
+Common::Result<Control::Reply> decodeReply(std::string_view);
+
+} // namespace Wire
