Decide membership: directory, gossip, quarantine, connection progress

Backend servers announce themselves to any one instance and there is no list of them, so the instances have to tell each other, without control's quorum. Records of servers, instances and suspected requests merge as joins: a higher incarnation wins, leaving and gone are final within one. The instance that heard a server vouches for it; renewals heard elsewhere go to that owner in batches, so that only changes travel to all. Changes are pushed to three random peers each 200 ms; a digest in 128 buckets with each second's probe mends what pushes missed. A peer that does not answer is probed through others before it is suspect, and can refute. An instance that was frozen or hears nobody judges nobody, and a minority removes no backend servers.

--- a/Source/Core/Membership/ConnectionHealth.h
+++ b/Source/Core/Membership/ConnectionHealth.h
@@ -41,13 +41,12 @@
 void connectionClosed(PeerHealth&, Common::ConnectionId);
 void requestSent(PeerHealth&, Common::ConnectionId, Common::TimePoint now);
 void answerReceived(PeerHealth&, Common::ConnectionId, Common::TimePoint now);
-// The caller gave up on a request; the connection has still not answered it.
+// The caller gave up on a request, which may get no answer now.
 void requestAbandoned(PeerHealth&, Common::ConnectionId);
 
 Progress judge(const PeerHealth&, const ConnectionHealth&, Common::TimePoint now, const LatencyEstimate&);
 
-// If any connection is silent: it, and all that were opened before the latest good opening and have not answered
-// since a silent one began to wait. Empty otherwise.
+// If any connection is silent: it, and all that were opened before the latest good opening. Empty otherwise.
 std::vector<Common::ConnectionId> connectionsToReplace(
     const PeerHealth&, Common::TimePoint now, const LatencyEstimate&);
 
--- /dev/null
+++ b/Source/Core/Membership/Digest.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Membership/Directory.h"
+#include "Membership/Quarantine.h"
+
+#include <array>
+#include <unordered_set>
+#include <vector>
+
+namespace Membership {
+
+inline constexpr size_t digestBuckets = 128;
+
+// Hashes over all records that are told to others; equal only if two instances know the same.
+struct Digest {
+    std::array<uint32_t, digestBuckets> buckets {};
+    uint64_t root { 0 };
+    // What it was made from.
+    uint64_t directoryGeneration { 0 };
+    uint64_t quarantineGeneration { 0 };
+    Common::TimePoint made;
+};
+
+struct BucketSummaries {
+    uint32_t bucket { 0 };
+    std::vector<Summary> summaries;
+
+    friend bool operator==(const BucketSummaries&, const BucketSummaries&) = default;
+};
+
+Digest makeDigest(const Directory&, const QuarantineState&, const DirectorySettings&, Common::TimePoint now);
+
+uint32_t bucketOf(uint64_t key);
+
+// What this side knows in each of the buckets, in their order.
+std::vector<BucketSummaries> summariesOf(const Directory&, const QuarantineState&, const DirectorySettings&,
+    const std::vector<uint32_t>& buckets, Common::TimePoint now);
+
+// The records with these keys, at most limit.
+std::vector<Record> recordsOf(const Directory&, const QuarantineState&, const DirectorySettings&,
+    const std::unordered_set<uint64_t>& keys, size_t limit, Common::TimePoint now);
+
+// How two sides differ in some buckets: keys that the first lacks or has in another version, and the reverse.
+struct Difference {
+    std::unordered_set<uint64_t> toSend;
+    std::vector<uint64_t> wanted;
+};
+
+Difference compare(const std::vector<BucketSummaries>& own, const std::vector<BucketSummaries>& others);
+
+} // namespace Membership
--- /dev/null
+++ b/Source/Core/Membership/Directory.cpp
@@ -0,0 +1,246 @@
+#include "Membership/Directory.h"
+
+#include "Common/Hash.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace Membership {
+
+namespace {
+
+    bool isPresent(const ServerRecord& record)
+    {
+        return record.life != Life::Gone && record.announcement.state != ServerState::Leaving;
+    }
+
+    bool isSameAnnouncement(Announcement a, const Announcement& b)
+    {
+        a.sequence = b.sequence;
+        return a == b;
+    }
+
+    // Applies a record that is known to win.
+    Change put(Directory& directory, ServerEntry& entry, const ServerRecord& record, Common::TimePoint now)
+    {
+        const Announcement& news = record.announcement;
+        const Announcement& known = entry.record.announcement;
+        bool isLater = news.incarnation > known.incarnation || news.sequence > entry.heardSequence;
+        if (isLater || entry.summary == Summary {}) {
+            entry.heardSequence = news.sequence;
+            entry.renewed = now;
+        }
+        entry.record = record;
+        entry.changed = now;
+        entry.summary = summarize(record);
+        ++directory.generation;
+        return { record };
+    }
+
+    // The one instance that answers for a server whose owner was lost; all instances choose alike.
+    bool isSuccessor(const Directory& directory, const Common::BackendServerId& server, const Common::InstanceId& self)
+    {
+        auto weight = [&](const Common::InstanceId& id) {
+            return std::make_pair(Common::hash64(server.value(), Common::hash64(id.value())), id);
+        };
+        auto own = weight(self);
+        return std::none_of(directory.instances.begin(), directory.instances.end(),
+            [&](const auto& pair) { return isUsable(directory, pair.first) && weight(pair.first) > own; });
+    }
+
+    bool answersFor(const Directory& directory, const ServerRecord& record, const Common::InstanceId& self)
+    {
+        if (record.owner == self)
+            return true;
+        return !isUsable(directory, record.owner) && isSuccessor(directory, record.announcement.server, self);
+    }
+
+    // A takes-over by another instance restarts the silence, for the lost owner's renewals did not travel.
+    void restartSilenceOfOwned(Directory& directory, const Common::InstanceId& owner, Common::TimePoint now)
+    {
+        for (auto& [id, entry] : directory.servers) {
+            if (entry.record.owner == owner)
+                entry.renewed = now;
+        }
+    }
+
+    std::optional<Change> judgeSilence(Directory& directory, ServerEntry& entry, const DirectorySettings& settings,
+        bool mayRemove, Common::TimePoint now)
+    {
+        Common::Milliseconds silence = now - entry.renewed;
+        ServerRecord record = entry.record;
+        record.announcement.sequence = std::max(record.announcement.sequence, entry.heardSequence);
+        if (silence >= settings.removeAfter && mayRemove)
+            record.life = Life::Gone;
+        else if (silence >= settings.suspectAfter && record.life == Life::Alive)
+            record.life = Life::Suspect;
+        else
+            return std::nullopt;
+        return put(directory, entry, record, now);
+    }
+
+    template <typename Entries>
+    void forgetTombstones(Entries& entries, const DirectorySettings& settings, Common::TimePoint now)
+    {
+        std::erase_if(entries, [&](const auto& pair) {
+            const auto& entry = pair.second;
+            return entry.record.life == Life::Gone && now - entry.changed >= settings.keepTombstones;
+        });
+    }
+
+    Candidate makeCandidate(const ServerRecord& record)
+    {
+        const Announcement& announcement = record.announcement;
+        return { announcement.server, announcement.incarnation, announcement.address, announcement.domain,
+            announcement.state, record.life == Life::Suspect, {} };
+    }
+
+    void sortById(std::vector<Candidate>& candidates)
+    {
+        std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) { return a.server < b.server; });
+    }
+
+} // namespace
+
+std::optional<Change> merge(Directory& directory, const ServerRecord& record, Common::TimePoint now)
+{
+    auto [it, isNew] = directory.servers.try_emplace(record.announcement.server);
+    if (!isNew && !supersedes(record, it->second.record))
+        return std::nullopt;
+    return put(directory, it->second, record, now);
+}
+
+std::optional<Change> merge(Directory& directory, const InstanceRecord& record, Common::TimePoint now)
+{
+    auto [it, isNew] = directory.instances.try_emplace(record.id);
+    InstanceEntry& entry = it->second;
+    if (!isNew && !supersedes(record, entry.record))
+        return std::nullopt;
+    bool wasUsable = isUsable(directory, record.id);
+    entry.record = record;
+    entry.changed = now;
+    entry.summary = summarize(record);
+    ++directory.generation;
+    if (wasUsable && !isUsable(directory, record.id))
+        restartSilenceOfOwned(directory, record.id, now);
+    return Change { record };
+}
+
+bool isUsable(const Directory& directory, const Common::InstanceId& id)
+{
+    auto it = directory.instances.find(id);
+    if (it == directory.instances.end())
+        return false;
+    const InstanceRecord& record = it->second.record;
+    return record.life != Life::Gone && record.state == InstanceState::Up;
+}
+
+AnnounceOutcome announce(
+    Directory& directory, const Announcement& announcement, const Common::InstanceId& self, Common::TimePoint now)
+{
+    ServerRecord news { announcement, self, Life::Alive };
+    auto it = directory.servers.find(announcement.server);
+    if (it == directory.servers.end() || it->second.record.announcement.incarnation < announcement.incarnation)
+        return { Verdict::Accepted, merge(directory, news, now), std::nullopt };
+
+    ServerEntry& entry = it->second;
+    const Announcement& known = entry.record.announcement;
+    if (known.incarnation > announcement.incarnation)
+        return { Verdict::Stale };
+    if (entry.record.life == Life::Gone)
+        return { Verdict::RaiseIncarnation };
+    bool isLeaving = announcement.state == ServerState::Leaving && known.state != ServerState::Leaving;
+    if (announcement.sequence <= entry.heardSequence && !isLeaving)
+        return { Verdict::Stale };
+    if (known.state == ServerState::Leaving)
+        news.announcement.state = ServerState::Leaving;
+
+    entry.heardSequence = std::max(entry.heardSequence, announcement.sequence);
+    entry.renewed = now;
+    bool hasOwner = entry.record.owner == self || isUsable(directory, entry.record.owner);
+    if (hasOwner && entry.record.life == Life::Alive && isSameAnnouncement(news.announcement, known)) {
+        if (entry.record.owner == self)
+            return {};
+        return { Verdict::Accepted, std::nullopt, entry.record.owner };
+    }
+    return { Verdict::Accepted, merge(directory, news, now), std::nullopt };
+}
+
+std::optional<Change> renew(
+    Directory& directory, const Renewal& renewal, const Common::InstanceId& self, Common::TimePoint now)
+{
+    auto it = directory.servers.find(renewal.server);
+    if (it == directory.servers.end())
+        return std::nullopt;
+    ServerEntry& entry = it->second;
+    if (entry.record.announcement.incarnation != renewal.incarnation || renewal.sequence <= entry.heardSequence)
+        return std::nullopt;
+    entry.heardSequence = renewal.sequence;
+    entry.renewed = now;
+    if (entry.record.life != Life::Suspect)
+        return std::nullopt;
+    ServerRecord refuted = entry.record;
+    refuted.announcement.sequence = renewal.sequence;
+    refuted.owner = self;
+    refuted.life = Life::Alive;
+    return merge(directory, refuted, now);
+}
+
+std::vector<Change> expire(Directory& directory, const DirectorySettings& settings, const Common::InstanceId& self,
+    bool mayRemove, Common::TimePoint now)
+{
+    std::vector<Change> changes;
+    for (auto& [id, entry] : directory.servers) {
+        if (entry.record.life == Life::Gone || now - entry.renewed < settings.suspectAfter)
+            continue;
+        if (!answersFor(directory, entry.record, self))
+            continue;
+        if (auto change = judgeSilence(directory, entry, settings, mayRemove, now))
+            changes.push_back(std::move(*change));
+    }
+    forgetTombstones(directory.servers, settings, now);
+    forgetTombstones(directory.instances, settings, now);
+    return changes;
+}
+
+void restartSilence(Directory& directory, Common::TimePoint now)
+{
+    for (auto& [id, entry] : directory.servers)
+        entry.renewed = now;
+}
+
+std::vector<Candidate> candidates(
+    const Directory& directory, const Common::GroupName& group, Common::IndexVersion version)
+{
+    std::vector<Candidate> found;
+    for (const auto& [id, entry] : directory.servers) {
+        if (entry.record.announcement.group != group || !isPresent(entry.record))
+            continue;
+        Candidate candidate = makeCandidate(entry.record);
+        for (const Replica& replica : entry.record.announcement.replicas) {
+            if (replica.version == version)
+                candidate.shards.push_back(replica.shard);
+        }
+        if (candidate.shards.empty())
+            continue;
+        std::sort(candidate.shards.begin(), candidate.shards.end());
+        found.push_back(std::move(candidate));
+    }
+    sortById(found);
+    return found;
+}
+
+std::vector<Candidate> candidates(const Directory& directory, const Common::GroupName& group)
+{
+    std::vector<Candidate> found;
+    for (const auto& [id, entry] : directory.servers) {
+        if (entry.record.announcement.group == group && isPresent(entry.record))
+            found.push_back(makeCandidate(entry.record));
+    }
+    sortById(found);
+    return found;
+}
+
+} // namespace Membership
--- a/Source/Core/Membership/Directory.h
+++ b/Source/Core/Membership/Directory.h
@@ -18,13 +18,15 @@
 struct ServerEntry {
     ServerRecord record;
     uint64_t heardSequence { 0 }; // The highest that any announcement or renewal brought here.
-    Common::TimePoint renewed; // When this instance last heard of the server by renewal or change.
+    Common::TimePoint renewed; // When this instance last heard of the server, or began to answer for it.
     Common::TimePoint changed;
+    Summary summary;
 };
 
 struct InstanceEntry {
     InstanceRecord record;
     Common::TimePoint changed;
+    Summary summary;
 };
 
 // What one instance knows of backend servers and of its fellow instances. Merging is a join: order and repetition of
@@ -35,10 +37,6 @@
     uint64_t generation { 0 }; // Rises with each change, so that what was computed from it can be kept until then.
 };
 
-// Whether a wins over b, which is about the same server or instance.
-bool supersedes(const ServerRecord& a, const ServerRecord& b);
-bool supersedes(const InstanceRecord& a, const InstanceRecord& b);
-
 // Takes the record in if it supersedes what is known.
 std::optional<Change> merge(Directory&, const ServerRecord&, Common::TimePoint now);
 std::optional<Change> merge(Directory&, const InstanceRecord&, Common::TimePoint now);
@@ -70,10 +68,15 @@
 
 std::optional<Change> renew(Directory&, const Renewal&, const Common::InstanceId& self, Common::TimePoint now);
 
-// Suspects and removes servers that self vouches for, or that nobody vouches for any more, after renewals stopped;
-// forgets old tombstones. An isolated instance must not judge others: it passes mayRemove = false.
+// Whether the instance is there to vouch for servers and to hear of their renewals.
+bool isUsable(const Directory&, const Common::InstanceId&);
+
+// Suspects and, if mayRemove, removes servers whose renewals stopped and for which self answers: those that it owns,
+// and its part of those whose owner was lost. Forgets old tombstones.
 std::vector<Change> expire(
     Directory&, const DirectorySettings&, const Common::InstanceId& self, bool mayRemove, Common::TimePoint now);
+// Counts the silence of all servers from now on: for an instance that could hear nothing for a while.
+void restartSilence(Directory&, Common::TimePoint now);
 
 struct Candidate {
     Common::BackendServerId server;
--- /dev/null
+++ b/Source/Core/Membership/Gossip.cpp
@@ -0,0 +1,278 @@
+#include "Membership/Gossip.h"
+
+#include "Membership/GossipQueues.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Membership {
+
+namespace {
+
+    constexpr Common::Milliseconds expiryInterval { 500 };
+    constexpr Common::Milliseconds renewalInterval { 1'000 };
+
+    void shuffle(std::vector<Common::InstanceId>& ids, Common::Random& random)
+    {
+        for (size_t i = ids.size(); i > 1; --i)
+            std::swap(ids[i - 1], ids[random.below(i)]);
+    }
+
+    void addChange(GossipState& state, GossipPlan& plan, Change change)
+    {
+        queuePush(state, change);
+        plan.changes.push_back(std::move(change));
+    }
+
+    void send(GossipState& state, GossipPlan& plan, const Common::InstanceId& to, GossipMessage message)
+    {
+        auto address = addressOf(state, to);
+        if (!address)
+            return;
+        message.from = state.self.id;
+        plan.messages.push_back({ to, *address, std::move(message) });
+    }
+
+    // A process that was frozen, or heard nobody, missed renewals and answers: that is no evidence against others.
+    void resumeAfterGap(GossipState& state, Common::TimePoint now)
+    {
+        bool wasFrozen = state.lastCalled && now - *state.lastCalled >= state.settings.isolatedAfter;
+        state.lastCalled = now;
+        if (!wasFrozen && hearsOthers(state, now))
+            return;
+        restartSilence(state.directory, now);
+        state.probes.clear();
+        if (wasFrozen)
+            state.lastHeard.reset();
+    }
+
+    void suspect(GossipState& state, GossipPlan& plan, const Common::InstanceId& id, Common::TimePoint now)
+    {
+        auto it = state.directory.instances.find(id);
+        if (it == state.directory.instances.end() || it->second.record.life != Life::Alive)
+            return;
+        InstanceRecord record = it->second.record;
+        record.life = Life::Suspect;
+        if (auto change = merge(state.directory, record, now))
+            addChange(state, plan, std::move(*change));
+    }
+
+    void removeSuspects(GossipState& state, GossipPlan& plan, Common::TimePoint now)
+    {
+        std::vector<InstanceRecord> removed;
+        for (const auto& [id, entry] : state.directory.instances) {
+            bool isDue = now - entry.changed >= state.settings.suspicionTimeout;
+            if (entry.record.life == Life::Suspect && isDue)
+                removed.push_back(entry.record);
+        }
+        for (InstanceRecord& record : removed) {
+            record.life = Life::Gone;
+            if (auto change = merge(state.directory, record, now))
+                addChange(state, plan, std::move(*change));
+        }
+    }
+
+    void planExpiry(GossipState& state, GossipPlan& plan, Common::TimePoint now)
+    {
+        if (now < state.nextExpiry)
+            return;
+        state.nextExpiry = now + expiryInterval;
+        expire(state.quarantine, now);
+        if (!hearsOthers(state, now))
+            return;
+        removeSuspects(state, plan, now);
+        bool mayRemove = isWithMajority(state);
+        for (Change& change : expire(state.directory, state.settings.directory, state.self.id, mayRemove, now))
+            addChange(state, plan, std::move(change));
+    }
+
+    GossipMessage makeProbe(GossipState& state, Common::TimePoint now)
+    {
+        GossipMessage message;
+        message.from = state.self.id;
+        message.digest = currentDigest(state, now).root;
+        message.wantsReply = true;
+        return message;
+    }
+
+    // Without some peer's help a cut between two instances would look like the loss of one of them.
+    void askHelpers(GossipState& state, GossipPlan& plan, const Common::InstanceId& target, Common::Random& random)
+    {
+        auto helpers = peersOf(state);
+        std::erase(helpers, target);
+        shuffle(helpers, random);
+        helpers.resize(std::min(helpers.size(), state.settings.helpers));
+        for (const Common::InstanceId& helper : helpers) {
+            GossipMessage message;
+            message.probe = target;
+            send(state, plan, helper, std::move(message));
+        }
+    }
+
+    void planProbeRetries(GossipState& state, GossipPlan& plan, Common::TimePoint now, Common::Random& random)
+    {
+        std::vector<Common::InstanceId> lost;
+        for (auto& [id, probe] : state.probes) {
+            if (now - probe.started >= state.settings.probeTimeout) {
+                lost.push_back(id);
+                continue;
+            }
+            if (now - probe.tried < state.settings.probeRetry)
+                continue;
+            probe.tried = now;
+            send(state, plan, id, makeProbe(state, now));
+            if (probe.isOwn)
+                askHelpers(state, plan, id, random);
+        }
+        for (const Common::InstanceId& id : lost) {
+            bool isOwn = state.probes[id].isOwn;
+            state.probes.erase(id);
+            if (isOwn && hearsOthers(state, now))
+                suspect(state, plan, id, now);
+        }
+    }
+
+    // Two sides of a healed partition believe each other gone: only a call on those lost brings them together.
+    void planStrangerProbe(GossipState& state, GossipPlan& plan, Common::TimePoint now, Common::Random& random)
+    {
+        std::vector<std::pair<Common::InstanceId, Common::Address>> strangers;
+        for (const Common::Address& seed : state.seeds) {
+            if (seed != state.self.address)
+                strangers.emplace_back(Common::InstanceId(), seed);
+        }
+        for (const auto& [id, entry] : state.directory.instances) {
+            if (id != state.self.id && entry.record.life == Life::Gone)
+                strangers.emplace_back(id, entry.record.address);
+        }
+        if (strangers.empty())
+            return;
+        std::sort(strangers.begin(), strangers.end());
+        auto& [id, address] = strangers[random.below(strangers.size())];
+        GossipMessage message = makeProbe(state, now);
+        message.records.emplace_back(state.self);
+        plan.messages.push_back({ id, address, std::move(message) });
+    }
+
+    void planProbe(GossipState& state, GossipPlan& plan, Common::TimePoint now, Common::Random& random)
+    {
+        if (now < state.nextProbe)
+            return;
+        state.nextProbe = now + state.settings.probeInterval;
+        auto peers = peersOf(state);
+        if (state.probesStarted++ % state.settings.strangerInterval == 0 || peers.empty())
+            planStrangerProbe(state, plan, now, random);
+        if (peers.empty())
+            return;
+        auto isPeer = [&](const auto& id) { return std::binary_search(peers.begin(), peers.end(), id); };
+        std::erase_if(state.probeOrder, [&](const auto& id) { return !isPeer(id); });
+        if (state.probeOrder.empty()) {
+            state.probeOrder = peers;
+            shuffle(state.probeOrder, random);
+        }
+        Common::InstanceId peer = state.probeOrder.back();
+        state.probeOrder.pop_back();
+        Probe& probe = state.probes.try_emplace(peer, Probe { now, now }).first->second;
+        probe.isOwn = true;
+        send(state, plan, peer, makeProbe(state, now));
+    }
+
+    void planRenewals(GossipState& state, GossipPlan& plan, Common::TimePoint now)
+    {
+        if (now < state.nextRenewals || state.renewals.empty())
+            return;
+        state.nextRenewals = now + renewalInterval;
+        for (auto& [owner, renewals] : state.renewals) {
+            GossipMessage message;
+            message.renewals = std::move(renewals);
+            send(state, plan, owner, std::move(message));
+        }
+        state.renewals.clear();
+    }
+
+    void planPushes(GossipState& state, GossipPlan& plan, Common::TimePoint now, Common::Random& random)
+    {
+        if (now < state.nextPush || state.pushes.empty())
+            return;
+        auto peers = peersOf(state);
+        if (peers.empty())
+            return;
+        state.nextPush = now + state.settings.pushInterval;
+        shuffle(peers, random);
+        peers.resize(std::min(peers.size(), state.settings.fanOut));
+        GossipMessage message;
+        message.records = takePushes(state, peers.size());
+        for (const Common::InstanceId& peer : peers)
+            send(state, plan, peer, message);
+    }
+
+} // namespace
+
+GossipState makeGossipState(GossipSettings settings, InstanceRecord self, std::vector<Common::Address> seeds)
+{
+    GossipState state;
+    state.settings = settings;
+    state.self = std::move(self);
+    state.seeds = std::move(seeds);
+    if (auto change = merge(state.directory, state.self, Common::TimePoint()))
+        queuePush(state, *change);
+    return state;
+}
+
+GossipPlan nextGossip(GossipState& state, Common::TimePoint now, Common::Random& random)
+{
+    GossipPlan plan;
+    resumeAfterGap(state, now);
+    planExpiry(state, plan, now);
+    planProbeRetries(state, plan, now, random);
+    planProbe(state, plan, now, random);
+    planRenewals(state, plan, now);
+    planPushes(state, plan, now, random);
+    return plan;
+}
+
+AnnounceOutcome receiveAnnouncement(GossipState& state, const Announcement& announcement, Common::TimePoint now)
+{
+    AnnounceOutcome outcome = announce(state.directory, announcement, state.self.id, now);
+    if (outcome.change)
+        queuePush(state, *outcome.change);
+    if (outcome.renewAt)
+        queueRenewal(state, *outcome.renewAt, { announcement.server, announcement.incarnation, announcement.sequence });
+    return outcome;
+}
+
+std::optional<Change> learn(GossipState& state, const Record& record, Common::TimePoint now)
+{
+    auto change = applyRecord(state, record, now);
+    if (change)
+        queuePush(state, *change);
+    return change;
+}
+
+Change leave(GossipState& state, Common::TimePoint now)
+{
+    state.self.state = InstanceState::Leaving;
+    ++state.self.sequence;
+    merge(state.directory, state.self, now);
+    Change change { state.self };
+    queuePush(state, change);
+    return change;
+}
+
+std::vector<Change> reportLoss(
+    GossipState& state, const Loss& loss, const std::vector<Common::Fingerprint>& inFlight, Common::TimePoint now)
+{
+    auto changes = recordLoss(state.quarantine, loss, inFlight, now);
+    for (const Change& change : changes)
+        queuePush(state, change);
+    return changes;
+}
+
+std::optional<Change> reportCompletion(GossipState& state, Common::Fingerprint fingerprint, Common::TimePoint now)
+{
+    auto change = recordCompletion(state.quarantine, fingerprint, now);
+    if (change)
+        queuePush(state, *change);
+    return change;
+}
+
+} // namespace Membership
--- a/Source/Core/Membership/Gossip.h
+++ b/Source/Core/Membership/Gossip.h
@@ -1,18 +1,16 @@
 #pragma once
 
 #include "Common/Random.h"
+#include "Membership/Digest.h"
 #include "Membership/Directory.h"
 #include "Membership/Quarantine.h"
 
-#include <array>
 #include <map>
 #include <optional>
 #include <vector>
 
 namespace Membership {
 
-inline constexpr size_t digestBuckets = 128;
-
 struct GossipSettings {
     Common::Milliseconds pushInterval { 200 };
     Common::Milliseconds probeInterval { 1'000 }; // A digest goes to one peer, which has to answer.
@@ -22,34 +20,22 @@
     Common::Milliseconds isolatedAfter { 2'500 }; // An instance that heard from nobody for so long judges nobody.
     size_t fanOut { 3 };
     size_t helpers { 3 }; // Peers asked to probe one that does not answer.
-    size_t maximumRecords { 64 }; // In one message.
+    size_t maximumPushed { 64 }; // Records in one push.
+    size_t maximumSynced { 512 }; // Records in one answer to a digest.
+    // What a digest brought is pushed on if it is news of no more records; a newcomer's catching up is no news.
+    size_t maximumRelayed { 16 };
     size_t strangerInterval { 8 }; // Each so many probes, one goes to a seed or to an instance believed gone.
     DirectorySettings directory;
 };
 
-// The version of one record, without its contents.
-struct Summary {
-    uint64_t key { 0 }; // A hash of what the record is about.
-    uint32_t version { 0 }; // A hash of the whole record.
-
-    friend bool operator==(const Summary&, const Summary&) = default;
-};
-
-struct BucketSummaries {
-    uint32_t bucket { 0 };
-    std::vector<Summary> summaries;
-
-    friend bool operator==(const BucketSummaries&, const BucketSummaries&) = default;
-};
-
 // One message between two instances. Absent parts cost nothing.
 struct GossipMessage {
     Common::InstanceId from;
     std::vector<Record> records;
     std::vector<Renewal> renewals;
-    std::optional<uint64_t> digest; // Of all that the sender knows.
+    std::optional<uint64_t> digest; // The root over all that the sender knows.
     bool wantsReply { false };
-    std::vector<uint32_t> buckets; // digestBuckets hashes, or none.
+    std::vector<uint32_t> buckets; // The sender's digest bucket by bucket, or empty.
     std::vector<BucketSummaries> summaries;
     std::vector<uint64_t> wanted; // Keys of records that the sender asks for.
     std::optional<Common::InstanceId> probe; // The receiver is asked to probe this instance for the sender.
@@ -72,13 +58,12 @@
     size_t sends { 0 };
 };
 
+// An instance that has been called on and has not answered yet.
 struct Probe {
-    Common::Address address;
     Common::TimePoint started;
     Common::TimePoint tried;
-    bool askedHelpers { false };
+    bool isOwn { true }; // False if only others asked for it.
     std::vector<Common::InstanceId> onBehalfOf;
-    bool isOwn { true };
 };
 
 struct GossipState {
@@ -95,7 +80,11 @@
     size_t probesStarted { 0 };
     Common::TimePoint nextPush;
     Common::TimePoint nextProbe;
+    Common::TimePoint nextRenewals;
+    Common::TimePoint nextExpiry;
+    std::optional<Common::TimePoint> lastCalled;
     std::optional<Common::TimePoint> lastHeard;
+    Digest digest;
 };
 
 GossipState makeGossipState(GossipSettings, InstanceRecord self, std::vector<Common::Address> seeds);
--- a/Source/Core/Membership/Records.h
+++ b/Source/Core/Membership/Records.h
@@ -87,6 +87,23 @@
 
 using Record = std::variant<ServerRecord, InstanceRecord, FingerprintRecord>;
 
+// Whether a wins over b, which is about the same server or instance. Of two different records exactly one wins.
+bool supersedes(const ServerRecord& a, const ServerRecord& b);
+bool supersedes(const InstanceRecord& a, const InstanceRecord& b);
+
+// What a record is about and its version, as hashes that all instances compute alike.
+struct Summary {
+    uint64_t key { 0 };
+    uint32_t version { 0 };
+
+    friend bool operator==(const Summary&, const Summary&) = default;
+};
+
+Summary summarize(const ServerRecord&);
+Summary summarize(const InstanceRecord&);
+Summary summarize(const FingerprintRecord&);
+Summary summarize(const Record&);
+
 // A record that replaced what was known before.
 struct Change {
     Record record;
--- /dev/null
+++ b/Source/Core/Wire/Packing.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Common/Error.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <string>
+#include <string_view>
+
+namespace Wire {
+
+inline std::string pack(capnp::MessageBuilder& message)
+{
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    auto bytes = out.getArray();
+    return std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+}
+
+// Reads Root from packed bytes and returns fn(Root::Reader), a Result. What the library throws on bytes that make no
+// sense becomes an error with Reason::Corrupt and the step.
+template <typename Root, typename Function>
+auto unpack(std::string_view bytes, const char* step, Function&& fn) -> decltype(fn(typename Root::Reader()))
+{
+    decltype(fn(typename Root::Reader())) result
+        = Common::makeError(Common::Reason::Corrupt, step, "the bytes hold no message");
+    auto failure = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+        capnp::PackedMessageReader reader(in);
+        result = fn(reader.getRoot<Root>());
+    });
+    KJ_IF_MAYBE (exception, failure)
+        return Common::makeError(Common::Reason::Corrupt, step, exception->getDescription().cStr());
+    return result;
+}
+
+} // namespace Wire
--- /dev/null
+++ b/Source/UnitTests/Membership/ConnectionHealthTest.cpp
@@ -0,0 +1,80 @@
+#include "Membership/ConnectionHealth.h"
+
+#include <gtest/gtest.h>
+
+using namespace Membership;
+using Common::ConnectionId;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+namespace {
+
+const TimePoint start { Milliseconds(1'000) };
+const LatencyEstimate latency { Milliseconds(4), Milliseconds(100) };
+const ConnectionId oldIdle { 1 };
+const ConnectionId oldBusy { 2 };
+const ConnectionId fresh { 3 };
+
+TimePoint at(double milliseconds) { return start + Milliseconds(milliseconds); }
+
+// Two old connections; a request goes out on one of them and is never answered.
+PeerHealth peerWithAWaitingConnection()
+{
+    PeerHealth peer;
+    connectionOpened(peer, oldIdle, at(0));
+    connectionOpened(peer, oldBusy, at(0));
+    requestSent(peer, oldBusy, at(1'000));
+    return peer;
+}
+
+Progress judgeAt(const PeerHealth& peer, ConnectionId id, TimePoint now)
+{
+    return judge(peer, peer.connections.at(id), now, latency);
+}
+
+} // namespace
+
+TEST(ConnectionHealth, ASlowPeerIsNotSilent)
+{
+    PeerHealth peer = peerWithAWaitingConnection();
+    EXPECT_EQ(judgeAt(peer, oldBusy, at(1'100)), Progress::Fine);
+    EXPECT_EQ(judgeAt(peer, oldBusy, at(1'300)), Progress::Suspect);
+    EXPECT_EQ(judgeAt(peer, oldBusy, at(60'000)), Progress::Suspect);
+    EXPECT_EQ(judgeAt(peer, oldIdle, at(60'000)), Progress::Fine);
+    EXPECT_TRUE(connectionsToReplace(peer, at(60'000), latency).empty());
+}
+
+TEST(ConnectionHealth, ASilentConnectionTakesAllOlderOnesWithIt)
+{
+    PeerHealth peer = peerWithAWaitingConnection();
+    connectionOpened(peer, fresh, at(1'400));
+    requestSent(peer, fresh, at(1'400));
+    answerReceived(peer, fresh, at(1'410));
+    EXPECT_EQ(judgeAt(peer, oldBusy, at(1'700)), Progress::Suspect) << "stragglers may take that long";
+    EXPECT_EQ(judgeAt(peer, oldBusy, at(1'800)), Progress::Silent);
+    EXPECT_EQ(connectionsToReplace(peer, at(1'800), latency), (std::vector { oldIdle, oldBusy }));
+}
+
+TEST(ConnectionHealth, AnAnswerShowsTheConnectionAlive)
+{
+    PeerHealth peer = peerWithAWaitingConnection();
+    requestSent(peer, oldBusy, at(1'000));
+    answerReceived(peer, oldBusy, at(1'900));
+    EXPECT_EQ(judgeAt(peer, oldBusy, at(2'000)), Progress::Fine) << "the second request waits since the first answer";
+    answerReceived(peer, oldBusy, at(2'100));
+    EXPECT_EQ(judgeAt(peer, oldBusy, at(60'000)), Progress::Fine);
+}
+
+TEST(ConnectionHealth, AnAbandonedRequestProvesNothing)
+{
+    PeerHealth peer = peerWithAWaitingConnection();
+    requestAbandoned(peer, oldBusy);
+    requestSent(peer, oldIdle, at(5'000));
+    answerReceived(peer, oldIdle, at(5'004));
+    EXPECT_EQ(judgeAt(peer, oldBusy, at(6'000)), Progress::Suspect);
+    requestSent(peer, oldBusy, at(6'000));
+    EXPECT_EQ(judgeAt(peer, oldBusy, at(6'010)), Progress::Fine);
+    connectionClosed(peer, oldBusy);
+    answerReceived(peer, oldBusy, at(6'020)); // Late, on a connection that is gone.
+    EXPECT_EQ(peer.connections.size(), 1u);
+}
--- /dev/null
+++ b/Source/UnitTests/Membership/DirectoryTest.cpp
@@ -0,0 +1,279 @@
+#include "Membership/Directory.h"
+
+#include "Common/Random.h"
+#include "Membership/GossipLoop.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace Membership;
+using Common::Incarnation;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+namespace {
+
+const DirectorySettings settings;
+const Common::InstanceId self = instanceId(0);
+const TimePoint start { Milliseconds(1'000) };
+
+Directory directoryWithInstances(size_t n)
+{
+    Directory directory;
+    for (size_t i = 0; i < n; ++i)
+        merge(directory, instanceRecord(i), start);
+    return directory;
+}
+
+Announcement inState(ServerState state, uint64_t sequence, uint64_t incarnation = 1)
+{
+    Announcement it = announcement(0, sequence);
+    it.state = state;
+    it.incarnation = Incarnation(incarnation);
+    return it;
+}
+
+const ServerRecord& recordOf(const Directory& directory, size_t i = 0)
+{
+    return directory.servers.at(serverId(i)).record;
+}
+
+template <typename T> void shuffle(std::vector<T>& items, Common::Random& random)
+{
+    for (size_t i = items.size(); i > 1; --i)
+        std::swap(items[i - 1], items[random.below(i)]);
+}
+
+// A server's life: some incarnations, in each of them it starts, is ready, changes its replicas and may leave.
+std::vector<Announcement> randomLife(size_t i, Common::Random& random)
+{
+    std::vector<Announcement> life;
+    uint64_t incarnations = 1 + random.below(3);
+    for (uint64_t incarnation = 1; incarnation <= incarnations; ++incarnation) {
+        Announcement it = announcement(i, 0);
+        it.incarnation = Incarnation(incarnation);
+        it.state = ServerState::Starting;
+        uint64_t n = 1 + random.below(8);
+        for (uint64_t sequence = 1; sequence <= n; ++sequence) {
+            it.sequence = sequence;
+            if (random.chance(0.3))
+                it.state = ServerState::Ready;
+            if (random.chance(0.2))
+                it.replicas.push_back({ Common::IndexVersion(8), Common::ShardId(static_cast<uint32_t>(sequence)) });
+            life.push_back(it);
+        }
+        if (random.chance(0.5)) {
+            it.state = ServerState::Leaving;
+            it.sequence = n + 1;
+            life.push_back(it);
+        }
+    }
+    return life;
+}
+
+// The naive version knows all announcements: the highest incarnation wins, in it leaving, else the latest.
+struct Naive {
+    Incarnation incarnation;
+    ServerState state { ServerState::Starting };
+    std::vector<Replica> replicas;
+};
+
+Naive naiveOf(const std::vector<Announcement>& all)
+{
+    Naive naive;
+    uint64_t sequence = 0;
+    for (const Announcement& it : all)
+        naive.incarnation = std::max(naive.incarnation, it.incarnation);
+    for (const Announcement& it : all) {
+        if (it.incarnation == naive.incarnation && it.sequence > sequence) {
+            sequence = it.sequence;
+            naive.state = it.state;
+            naive.replicas = it.replicas;
+        }
+    }
+    return naive;
+}
+
+} // namespace
+
+TEST(Directory, AgreesWithTheNaiveVersionOnRandomSchedules)
+{
+    constexpr size_t instances = 4;
+    constexpr size_t servers = 3;
+    for (uint64_t seed = 1; seed <= 2'000; ++seed) {
+        Common::Random random(seed);
+        std::vector<Directory> directories(instances, directoryWithInstances(instances));
+        std::map<size_t, std::vector<Announcement>> heard;
+        std::vector<std::pair<size_t, Announcement>> deliveries;
+        for (size_t i = 0; i < servers; ++i) {
+            for (const Announcement& it : randomLife(i, random)) {
+                if (random.chance(0.2))
+                    continue; // Lost.
+                heard[i].push_back(it);
+                for (uint64_t copies = 1 + random.below(3); copies; --copies)
+                    deliveries.emplace_back(random.below(instances), it);
+            }
+        }
+        shuffle(deliveries, random);
+        std::vector<std::pair<size_t, ServerRecord>> gossip;
+        for (const auto& [to, it] : deliveries) {
+            auto outcome = announce(directories[to], it, instanceId(to), start);
+            if (!outcome.change)
+                continue;
+            for (size_t peer = 0; peer < instances; ++peer)
+                gossip.emplace_back(peer, std::get<ServerRecord>(outcome.change->record));
+        }
+        gossip.insert(gossip.end(), gossip.begin(), gossip.end());
+        shuffle(gossip, random);
+        for (const auto& [to, record] : gossip)
+            merge(directories[to], record, start);
+
+        for (const auto& [i, all] : heard) {
+            Naive naive = naiveOf(all);
+            for (const Directory& directory : directories) {
+                const ServerRecord& record = recordOf(directory, i);
+                ASSERT_EQ(record, recordOf(directories[0], i)) << "seed " << seed;
+                ASSERT_EQ(record.announcement.incarnation, naive.incarnation) << "seed " << seed;
+                ASSERT_EQ(record.announcement.state, naive.state) << "seed " << seed;
+                if (naive.state != ServerState::Leaving) {
+                    ASSERT_EQ(record.announcement.replicas, naive.replicas) << "seed " << seed;
+                }
+            }
+        }
+    }
+}
+
+TEST(Directory, MergeIsAJoin)
+{
+    for (uint64_t seed = 1; seed <= 2'000; ++seed) {
+        Common::Random random(seed);
+        std::vector<ServerRecord> records;
+        for (int n = 0; n < 12; ++n) {
+            ServerRecord record { announcement(0, random.below(4)), instanceId(random.below(3)) };
+            record.announcement.incarnation = Incarnation(1 + random.below(2));
+            record.announcement.state = static_cast<ServerState>(random.below(3));
+            record.life = static_cast<Life>(random.below(3));
+            records.push_back(record);
+        }
+        Directory one;
+        Directory two;
+        for (const ServerRecord& record : records)
+            merge(one, record, start);
+        records.insert(records.end(), records.begin(), records.begin() + 4);
+        shuffle(records, random);
+        for (const ServerRecord& record : records)
+            merge(two, record, start);
+        ASSERT_EQ(recordOf(one), recordOf(two)) << "seed " << seed;
+        for (const ServerRecord& record : records)
+            ASSERT_FALSE(merge(one, record, start)) << "seed " << seed;
+    }
+}
+
+TEST(Directory, LeavingIsFinalForItsIncarnation)
+{
+    Directory directory = directoryWithInstances(1);
+    announce(directory, inState(ServerState::Ready, 1), self, start);
+    // The farewell was overtaken by a later renewal.
+    EXPECT_FALSE(announce(directory, inState(ServerState::Ready, 5), self, start).change);
+    EXPECT_TRUE(announce(directory, inState(ServerState::Leaving, 4), self, start).change);
+    EXPECT_FALSE(announce(directory, inState(ServerState::Ready, 9), self, start).change);
+    EXPECT_EQ(recordOf(directory).announcement.state, ServerState::Leaving);
+    EXPECT_TRUE(candidates(directory, Common::GroupName("foglalas")).empty());
+    EXPECT_TRUE(announce(directory, inState(ServerState::Ready, 1, 2), self, start).change);
+    EXPECT_EQ(candidates(directory, Common::GroupName("foglalas")).size(), 1u);
+}
+
+TEST(Directory, SilentServersAreSuspectedThenRemovedAndStayRemoved)
+{
+    Directory directory = directoryWithInstances(1);
+    announce(directory, inState(ServerState::Ready, 1), self, start);
+    auto suspected = expire(directory, settings, self, true, start + settings.suspectAfter);
+    ASSERT_EQ(suspected.size(), 1u);
+    EXPECT_TRUE(candidates(directory, Common::GroupName("foglalas"))[0].isSuspect);
+    auto removedAt = start + settings.removeAfter;
+    ASSERT_EQ(expire(directory, settings, self, true, removedAt).size(), 1u);
+    EXPECT_TRUE(candidates(directory, Common::GroupName("foglalas")).empty());
+
+    for (uint64_t sequence : { 1, 2, 30 }) {
+        auto outcome = announce(directory, inState(ServerState::Ready, sequence), self, removedAt);
+        EXPECT_EQ(outcome.verdict, Verdict::RaiseIncarnation);
+        EXPECT_FALSE(outcome.change);
+    }
+    EXPECT_TRUE(announce(directory, inState(ServerState::Ready, 31, 2), self, removedAt).change);
+    EXPECT_EQ(announce(directory, inState(ServerState::Ready, 40), self, removedAt).verdict, Verdict::Stale);
+}
+
+TEST(Directory, TombstonesAreBoundedInTime)
+{
+    Directory directory = directoryWithInstances(1);
+    announce(directory, inState(ServerState::Ready, 1), self, start);
+    auto removedAt = start + settings.removeAfter;
+    expire(directory, settings, self, true, removedAt);
+    expire(directory, settings, self, true, removedAt + settings.keepTombstones - Milliseconds(1));
+    EXPECT_EQ(directory.servers.size(), 1u);
+    expire(directory, settings, self, true, removedAt + settings.keepTombstones);
+    EXPECT_TRUE(directory.servers.empty());
+}
+
+TEST(Directory, ARenewalRefutesASuspicionAndTravelsOnlyThen)
+{
+    Directory owner = directoryWithInstances(2);
+    Directory other = owner;
+    auto joined = announce(owner, inState(ServerState::Ready, 1), self, start);
+    merge(other, std::get<ServerRecord>(joined.change->record), start);
+    auto outcome = announce(other, inState(ServerState::Ready, 2), instanceId(1), start);
+    EXPECT_FALSE(outcome.change);
+    ASSERT_EQ(outcome.renewAt, self);
+
+    Renewal renewal { serverId(0), Incarnation(1), 2 };
+    EXPECT_FALSE(renew(owner, renewal, self, start + Milliseconds(5'000)));
+    EXPECT_TRUE(expire(owner, settings, self, true, start + Milliseconds(10'000)).empty());
+    EXPECT_EQ(expire(owner, settings, self, true, start + Milliseconds(11'000)).size(), 1u);
+    EXPECT_FALSE(renew(owner, renewal, self, start + Milliseconds(11'500))); // A duplicate is no sign of life.
+    renewal.sequence = 3;
+    EXPECT_TRUE(renew(owner, renewal, self, start + Milliseconds(11'500)));
+    EXPECT_EQ(recordOf(owner).life, Life::Alive);
+}
+
+TEST(Directory, AnotherInstanceTakesOverWhenTheOwnerIsLost)
+{
+    Directory directory = directoryWithInstances(3);
+    merge(directory, ServerRecord { announcement(0, 1), instanceId(2) }, start);
+    merge(directory, ServerRecord { announcement(1, 1), instanceId(2) }, start);
+    auto lostAt = start + Milliseconds(60'000);
+    EXPECT_TRUE(expire(directory, settings, self, true, lostAt).empty()) << "not ours to judge";
+    InstanceRecord lost = instanceRecord(2);
+    lost.life = Life::Gone;
+    merge(directory, lost, lostAt);
+
+    auto outcome = announce(directory, announcement(0, 9), self, lostAt + Milliseconds(1'000));
+    ASSERT_TRUE(outcome.change);
+    EXPECT_EQ(recordOf(directory, 0).owner, self);
+    // The other one never comes back: exactly one of the two that are left removes it.
+    Directory twin = directory;
+    auto later = lostAt + settings.removeAfter;
+    for (size_t i = 0; i < 2; ++i)
+        announce(i ? twin : directory, announcement(0, 10), instanceId(i), later - Milliseconds(100));
+    size_t removed = expire(directory, settings, self, true, later).size()
+        + expire(twin, settings, instanceId(1), true, later).size();
+    EXPECT_EQ(removed, 1u);
+}
+
+TEST(Directory, CandidatesHoldShardsOfTheVersion)
+{
+    Directory directory = directoryWithInstances(1);
+    Announcement both = announcement(1, 1);
+    both.state = ServerState::Starting;
+    both.replicas = { { Common::IndexVersion(7), Common::ShardId(3) }, { Common::IndexVersion(8), Common::ShardId(4) },
+        { Common::IndexVersion(7), Common::ShardId(1) } };
+    announce(directory, both, self, start);
+    announce(directory, announcement(2, 1), self, start);
+    auto found = candidates(directory, Common::GroupName("foglalas"), Common::IndexVersion(7));
+    ASSERT_EQ(found.size(), 2u);
+    EXPECT_EQ(found[0].shards, (std::vector { Common::ShardId(1), Common::ShardId(3) }));
+    EXPECT_EQ(found[0].state, ServerState::Starting);
+    EXPECT_EQ(candidates(directory, Common::GroupName("foglalas"), Common::IndexVersion(8)).size(), 1u);
+    EXPECT_TRUE(candidates(directory, Common::GroupName("dugo"), Common::IndexVersion(7)).empty());
+}
--- /dev/null
+++ b/Source/UnitTests/Membership/GossipTest.cpp
@@ -0,0 +1,193 @@
+#include "Membership/GossipLoop.h"
+
+#include <gtest/gtest.h>
+
+using namespace Membership;
+using Common::Milliseconds;
+
+namespace {
+
+constexpr Milliseconds target { 3'000 };
+constexpr double heavyLoss = 0.2;
+
+std::function<bool(const GossipState&)> knowsServerIn(size_t i, ServerState expected)
+{
+    return [=](const GossipState& state) {
+        auto it = state.directory.servers.find(serverId(i));
+        return it != state.directory.servers.end() && it->second.record.announcement.state == expected;
+    };
+}
+
+std::function<bool(const GossipState&)> seesInstanceAs(size_t i, Life life)
+{
+    return [=](const GossipState& state) {
+        auto it = state.directory.instances.find(instanceId(i));
+        return it != state.directory.instances.end() && it->second.record.life == life;
+    };
+}
+
+size_t countGone(const GossipState& state)
+{
+    return static_cast<size_t>(std::count_if(state.directory.instances.begin(), state.directory.instances.end(),
+        [](const auto& pair) { return pair.second.record.life == Life::Gone; }));
+}
+
+// One in ten of the directed pairs carries nothing.
+void cutAtRandom(GossipLoop& loop)
+{
+    size_t n = loop.instances().size();
+    for (size_t i = 0; i < n * n / 10; ++i)
+        loop.cut(loop.random().below(n), loop.random().below(n));
+}
+
+void expectLeaveKnownInTime(size_t instances, uint64_t seed)
+{
+    GossipLoop loop({ .instances = instances, .seed = seed, .loss = heavyLoss });
+    cutAtRandom(loop);
+    loop.runFor(Milliseconds(1'500));
+    size_t hearer = loop.random().below(instances);
+    receiveAnnouncement(loop.instance(hearer).state, announcement(5, 1), loop.now());
+    Milliseconds joined = loop.runUntil(knowsServerIn(5, ServerState::Ready), target);
+    EXPECT_LT(joined, target) << "seed " << seed;
+
+    Announcement leaving = announcement(5, 2);
+    leaving.state = ServerState::Leaving;
+    receiveAnnouncement(loop.instance(loop.random().below(instances)).state, leaving, loop.now());
+    Milliseconds left = loop.runUntil(knowsServerIn(5, ServerState::Leaving), target);
+    EXPECT_LT(left, target) << "seed " << seed;
+    std::printf("%zu instances, seed %lu: joined known in %.0f ms, leave in %.0f ms\n", instances, seed, joined.value(),
+        left.value());
+}
+
+} // namespace
+
+TEST(Gossip, NineInstancesHearOfALeaveInTimeThoughMessagesAreLost)
+{
+    for (uint64_t seed = 1; seed <= 100; ++seed)
+        expectLeaveKnownInTime(9, seed);
+}
+
+TEST(Gossip, HundredsOfInstancesHearOfALeaveInTimeThoughMessagesAreLost)
+{
+    for (uint64_t seed = 1; seed <= 3; ++seed)
+        expectLeaveKnownInTime(840, seed);
+}
+
+TEST(Gossip, QuarantineReachesAllInstances)
+{
+    GossipLoop loop({ .instances = 9, .seed = 4, .loss = heavyLoss });
+    Common::Fingerprint crasher { 77 };
+    reportLoss(loop.instance(1).state, { serverId(1), Common::Incarnation(1) }, { crasher }, loop.now());
+    reportLoss(loop.instance(2).state, { serverId(2), Common::Incarnation(1) }, { crasher }, loop.now());
+    auto isHeld = [&](const GossipState& state) { return isQuarantined(state.quarantine, crasher, loop.now()); };
+    EXPECT_LT(loop.runUntil(isHeld, target), target);
+    reportCompletion(loop.instance(3).state, crasher, loop.now());
+    auto isFree = [&](const GossipState& state) { return mayRetry(state.quarantine, crasher, loop.now()); };
+    EXPECT_LT(loop.runUntil(isFree, target), target);
+}
+
+TEST(Gossip, NewInstancesFindEachOtherThroughOneAddress)
+{
+    GossipLoop loop({ .instances = 9, .seed = 5, .loss = heavyLoss, .knowEachOther = false });
+    for (size_t i = 0; i < 50; ++i)
+        receiveAnnouncement(loop.instance(0).state, announcement(i, 1), loop.now());
+    auto knowsAll = [](const GossipState& state) {
+        return state.directory.instances.size() == 9 && state.directory.servers.size() == 50;
+    };
+    EXPECT_LT(loop.runUntil(knowsAll, Milliseconds(10'000)), Milliseconds(10'000));
+}
+
+TEST(Gossip, LossesAndCutsRemoveNoLiveInstance)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        GossipLoop loop({ .instances = 9, .seed = seed, .loss = heavyLoss });
+        cutAtRandom(loop);
+        loop.runFor(Milliseconds(120'000));
+        for (auto& it : loop.instances()) {
+            EXPECT_EQ(countGone(it.state), 0u) << "seed " << seed;
+            EXPECT_EQ(it.state.self.incarnation, Common::Incarnation(1)) << "seed " << seed;
+        }
+    }
+}
+
+TEST(Gossip, AStoppedInstanceIsRemovedAndItsServersAreTakenOver)
+{
+    GossipLoop loop({ .instances = 9, .seed = 6 });
+    receiveAnnouncement(loop.instance(3).state, announcement(1, 1), loop.now());
+    receiveAnnouncement(loop.instance(3).state, announcement(2, 1), loop.now());
+    loop.runFor(Milliseconds(2'000));
+    loop.stop(3);
+    // Server 1 goes on announcing itself, now to instance 4; server 2 stops.
+    for (uint64_t sequence = 2; sequence < 42; ++sequence) {
+        receiveAnnouncement(loop.instance(4).state, announcement(1, sequence), loop.now());
+        loop.runFor(Milliseconds(1'000));
+    }
+    for (size_t i : { 0, 4, 8 }) {
+        const Directory& directory = loop.instance(i).state.directory;
+        EXPECT_TRUE(seesInstanceAs(3, Life::Gone)(loop.instance(i).state));
+        EXPECT_EQ(directory.servers.at(serverId(1)).record.owner, instanceId(4));
+        EXPECT_EQ(directory.servers.at(serverId(1)).record.life, Life::Alive);
+        EXPECT_EQ(directory.servers.at(serverId(2)).record.life, Life::Gone);
+    }
+}
+
+TEST(Gossip, RenewalsThroughABalancerCostNoChanges)
+{
+    GossipLoop loop({ .instances = 9, .seed = 7 });
+    uint64_t sequence = 1;
+    auto renewAll = [&] {
+        for (size_t i = 0; i < 50; ++i)
+            receiveAnnouncement(loop.instance(loop.random().below(9)).state, announcement(i, sequence), loop.now());
+        ++sequence;
+        loop.runFor(Milliseconds(2'000));
+    };
+    renewAll();
+    for (auto& it : loop.instances())
+        it.changes.clear();
+    for (int n = 0; n < 30; ++n)
+        renewAll();
+    for (auto& it : loop.instances())
+        EXPECT_TRUE(it.changes.empty()) << it.changes.size();
+}
+
+TEST(Gossip, AFrozenInstanceComesBackAndRemovesNobody)
+{
+    GossipLoop loop({ .instances = 9, .seed = 8 });
+    receiveAnnouncement(loop.instance(2).state, announcement(1, 1), loop.now());
+    loop.runFor(Milliseconds(2'000));
+    loop.stop(2);
+    loop.runFor(Milliseconds(30'000));
+    EXPECT_TRUE(seesInstanceAs(2, Life::Gone)(loop.instance(0).state));
+    receiveAnnouncement(loop.instance(1).state, announcement(1, 16), loop.now());
+    loop.resume(2);
+    Milliseconds limit { 15'000 };
+    EXPECT_LT(loop.runUntil(seesInstanceAs(2, Life::Alive), limit), limit);
+    for (auto& it : loop.instances())
+        EXPECT_LE(countGone(it.state), 0u);
+}
+
+TEST(Gossip, ASmallSideOfAPartitionRemovesNoServersAndBothSidesMeetAgain)
+{
+    GossipLoop loop({ .instances = 9, .seed = 9 });
+    uint64_t sequence = 1;
+    auto renew = [&] { receiveAnnouncement(loop.instance(5).state, announcement(1, sequence++), loop.now()); };
+    renew();
+    loop.runFor(Milliseconds(2'000));
+    for (size_t i = 0; i < 9; ++i) {
+        for (size_t j = 0; j < 9; ++j) {
+            if ((i < 3) != (j < 3))
+                loop.cut(i, j);
+        }
+    }
+    for (int n = 0; n < 60; ++n) {
+        renew();
+        loop.runFor(Milliseconds(1'000));
+    }
+    for (size_t i = 0; i < 9; ++i)
+        EXPECT_NE(loop.instance(i).state.directory.servers.at(serverId(1)).record.life, Life::Gone) << i;
+    EXPECT_TRUE(seesInstanceAs(0, Life::Gone)(loop.instance(8).state));
+    loop.heal();
+    Milliseconds limit { 60'000 };
+    auto seesAll = [](const GossipState& state) { return countGone(state) == 0; };
+    EXPECT_LT(loop.runUntil(seesAll, limit), limit);
+}
