--- a/Source/Core/Common/Error.h
+++ b/Source/Core/Common/Error.h
@@ -49,7 +49,7 @@
 
 inline auto success() { return boost::outcome_v2::success(); }
 // For a Result whose value may itself hold an Error.
-template<typename T> auto success(T value) { return boost::outcome_v2::success(std::move(value)); }
+template <typename T> auto success(T value) { return boost::outcome_v2::success(std::move(value)); }
 inline auto failure(Error error) { return boost::outcome_v2::failure(std::move(error)); }
 Error makeError(Reason, std::string step, std::string message, std::string peer = {});
 
--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -3,7 +3,7 @@
 #include "Control/Leases.h"
 #include "Control/Messages.h"
 #include "Observe/Log.h"
-#include "Wire/ControlCodec.h"
+#include "Wire/MessageCodec.h"
 
 #include <algorithm>
 #include <set>
--- a/Source/Core/Daemon/Front.cpp
+++ b/Source/Core/Daemon/Front.cpp
@@ -168,6 +168,7 @@
             return;
         }
         Entry::BookingRequest booking;
+        booking.mayBeResend = isMaybeResend(request);
         booking.id = Common::RequestId(id);
         booking.route = Common::RouteName(route);
         booking.body = request.body;
@@ -230,8 +231,8 @@
                 withReply<Control::ProposeReply>(result, done, [&](const Control::CommandOutcome& outcome) {
                     if (auto changed = std::get_if<Control::ChangeOutcome>(&outcome))
                         done(respond(Api::statusOf(*changed), Api::encodeOutcome(*changed)));
-                    else if (auto error = std::get_if<Common::Error>(&outcome))
-                        done(refuse(*error));
+                    else if (auto refused = std::get_if<Control::CommandRefused>(&outcome))
+                        done(refuse(refused->error));
                     else
                         done(refuse(Common::makeError(Reason::Internal, "propose", "control did not take the change")));
                 });
--- a/Source/Core/Daemon/ReplicatedState.cpp
+++ b/Source/Core/Daemon/ReplicatedState.cpp
@@ -94,7 +94,7 @@
 {
     auto command = Wire::decodeCommand(bytes);
     if (!command)
-        return Wire::encode(Control::CommandOutcome(command.error()));
+        return Wire::encode(Control::CommandOutcome(Control::CommandRefused { command.error() }));
     Control::CommandOutcome outcome;
     {
         std::lock_guard lock(shard.mutex);
@@ -207,13 +207,12 @@
 {
     Shard* shard = m_private->find(id);
     if (!shard) {
-        done(Common::failure(Common::makeError(
-            Reason::InvalidInput, "propose", "there is no log shard " + std::to_string(id.value()))));
+        done(Common::makeError(Reason::InvalidInput, "propose", "there is no log shard " + std::to_string(id.value())));
         return;
     }
     shard->log->propose(Wire::encode(command), [done = std::move(done)](const Result<std::string>& result) {
         if (!result) {
-            done(Common::failure(result.error()));
+            done(result.error());
             return;
         }
         done(Wire::decodeCommandOutcome(result.value()));
--- a/Source/Core/Entry/BookingEngine.cpp
+++ b/Source/Core/Entry/BookingEngine.cpp
@@ -258,7 +258,11 @@
         auto error = route ? Common::makeError(Reason::InvalidInput, "admit-booking",
                          "route " + request.route.value() + " is for lookups: send to /v1/query")
                            : route.error();
-        done(Once::NotRunRefusal { error });
+        // Of a resend it is not known whether it ran while the route was there.
+        if (request.mayBeResend)
+            done(Once::OutcomeUnknownRefusal { error, std::nullopt });
+        else
+            done(Once::NotRunRefusal { error });
         return;
     }
     auto now = Clock::now();
@@ -269,10 +273,11 @@
     running->done = std::move(done);
     running->booking.claim = { request.id, request.route, Common::Fingerprint(Common::hash64(request.body)),
         { self->use.self, self->use.incarnation, id } };
+    running->booking.mayBeResend = request.mayBeResend;
     running->booking.deadline = now + running->route.route.deadline;
     running->request = std::move(request);
     self->bookings.insert(id, std::move(running));
-    self->drive(id, [](Running& r, bool mayTakeWork) { return Once::start(r.booking, Clock::now(), mayTakeWork); });
+    self->drive(id, [](Running& r, bool mayTakeWork) { return Once::start(r.booking, mayTakeWork); });
     self->bookings.ifPresent(id, [&](std::unique_ptr<Running>& r) {
         self->later(r->booking.deadline - Clock::now(), [id](Private& p) { p.step(id, Once::DeadlinePassed {}); });
     });
--- a/Source/Core/Entry/BookingEngine.h
+++ b/Source/Core/Entry/BookingEngine.h
@@ -20,6 +20,7 @@
     Common::RouteName route;
     std::string body;
     std::string contentType;
+    bool mayBeResend { true }; // False only if the caller says that it never sent this id before.
 };
 
 struct BookingDependencies {
--- a/Source/Core/Entry/ControlClient.cpp
+++ b/Source/Core/Entry/ControlClient.cpp
@@ -1,7 +1,7 @@
 #include "Entry/ControlClient.h"
 
 #include "Common/ShardedMap.h"
-#include "Wire/ControlCodec.h"
+#include "Wire/MessageCodec.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/Source/UnitTests/Http/ConnectionTest.cpp
@@ -0,0 +1,96 @@
+#include "Http/Connection.h"
+#include "Http/RawServer.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+using Common::Milliseconds;
+using Common::Reason;
+using HttpTest::okReply;
+using HttpTest::RawServer;
+
+namespace {
+
+constexpr Milliseconds timeout { 5'000 };
+
+Common::Result<Http::Response> exchange(Http::Connection& connection, const std::string& method)
+{
+    Http::Request request;
+    request.method = method;
+    request.path = "/book";
+    request.body = "{}";
+    std::promise<Common::Result<Http::Response>> promise;
+    connection.send(request, [&](Common::Result<Http::Response> result) { promise.set_value(std::move(result)); });
+    return promise.get_future().get();
+}
+
+// Answers a GET, and closes on reading a POST.
+RawServer::Reply closeOnPost(int, int, const std::string& head)
+{
+    if (head.rfind("POST", 0) == 0)
+        return { "", RawServer::After::Close };
+    return { okReply(), RawServer::After::KeepOpen };
+}
+
+} // namespace
+
+// What the client library does by itself: here to notice when a later version no longer does.
+TEST(Connection, LibrarySendsTwiceOnAReusedConnection)
+{
+    RawServer server(closeOnPost);
+    Http::Connection connection(server.address(), Http::Reuse::Allowed, timeout);
+    ASSERT_TRUE(exchange(connection, "GET"));
+    ASSERT_FALSE(exchange(connection, "POST"));
+    EXPECT_EQ(server.count("POST"), 2);
+}
+
+TEST(Connection, SendsOnceOnAFreshConnection)
+{
+    RawServer server(closeOnPost);
+    for (int i = 1; i <= 3; ++i) {
+        Http::Connection connection(server.address(), Http::Reuse::Never, timeout);
+        ASSERT_TRUE(exchange(connection, "GET"));
+        auto result = exchange(connection, "POST");
+        ASSERT_FALSE(result);
+        EXPECT_EQ(result.error().reason, Reason::ConnectionLost);
+        EXPECT_EQ(server.count("POST"), i);
+    }
+}
+
+TEST(Connection, TellsThatNothingWasSent)
+{
+    Common::Address gone;
+    {
+        RawServer server(closeOnPost);
+        gone = server.address();
+    }
+    Http::Connection connection(gone, Http::Reuse::Never, timeout);
+    auto result = exchange(connection, "POST");
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().reason, Reason::ConnectionFailed) << result.error();
+}
+
+TEST(Connection, CancelEndsARequestThatIsNotAnswered)
+{
+    RawServer server([](int, int, const std::string&) { return RawServer::Reply { "", RawServer::After::Silence }; });
+    Http::Connection connection(server.address(), Http::Reuse::Allowed, timeout);
+    std::promise<Common::Result<Http::Response>> promise;
+    connection.send({}, [&](Common::Result<Http::Response> result) { promise.set_value(std::move(result)); });
+    while (!server.count("GET"))
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    connection.cancel();
+    auto result = promise.get_future().get();
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().reason, Reason::Cancelled) << result.error();
+}
+
+TEST(Connection, TimeoutIsNotAProofThatItDidNotRun)
+{
+    RawServer server([](int, int, const std::string&) { return RawServer::Reply { "", RawServer::After::Silence }; });
+    Http::Connection connection(server.address(), Http::Reuse::Never, Milliseconds(50));
+    auto result = exchange(connection, "POST");
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().reason, Reason::DeadlineExceeded) << result.error();
+    EXPECT_EQ(server.count("POST"), 1);
+}
--- /dev/null
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -0,0 +1,102 @@
+#include "Http/Server.h"
+#include "Http/Connection.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+using Common::Milliseconds;
+
+namespace {
+
+constexpr Milliseconds timeout { 5'000 };
+constexpr int firstPort = 47'100;
+
+// The library can't let the kernel choose a port, so the first free one of a range is taken.
+std::unique_ptr<Http::Server> openServer(const Http::Handler& handler, Common::Address& address)
+{
+    for (int port = firstPort; port < firstPort + 200; ++port) {
+        address = Common::Address("127.0.0.1:" + std::to_string(port));
+        Http::ServerOptions options { address, Common::Bytes(1'000), timeout };
+        auto server = Http::Server::open(options, handler);
+        if (server)
+            return std::move(server).value();
+    }
+    return nullptr;
+}
+
+std::future<Common::Result<Http::Response>> post(Http::Connection& connection, const std::string& body)
+{
+    Http::Request request;
+    request.method = "POST";
+    request.path = "/echo/a b";
+    request.query["x"] = "1&2";
+    request.body = body;
+    auto promise = std::make_shared<std::promise<Common::Result<Http::Response>>>();
+    connection.send(request, [promise](Common::Result<Http::Response> r) { promise->set_value(std::move(r)); });
+    return promise->get_future();
+}
+
+} // namespace
+
+TEST(Server, CarriesPathQueryAndBody)
+{
+    Common::Address address;
+    auto server = openServer(
+        [](const Http::Request& request, const Http::Responder& done) {
+            Http::Response response;
+            response.status = 418;
+            response.headers["X-Query"] = request.query.at("x");
+            response.body = request.path + " " + request.body;
+            done(response);
+        },
+        address);
+    ASSERT_TRUE(server);
+    Http::Connection connection(address, Http::Reuse::Allowed, timeout);
+    auto result = post(connection, "hello").get();
+    ASSERT_TRUE(result) << result.error();
+    EXPECT_EQ(result.value().status, 418);
+    EXPECT_EQ(result.value().body, "/echo/a b hello");
+    EXPECT_EQ(Http::headerOf(result.value().headers, "x-query"), "1&2");
+}
+
+TEST(Server, RefusesAnOversizeBodyWithoutCallingTheHandler)
+{
+    Common::Address address;
+    std::atomic<int> calls { 0 };
+    auto server = openServer(
+        [&](const Http::Request&, const Http::Responder& done) {
+            ++calls;
+            done({});
+        },
+        address);
+    ASSERT_TRUE(server);
+    Http::Connection connection(address, Http::Reuse::Allowed, timeout);
+    auto result = post(connection, std::string(2'000, 'x')).get();
+    ASSERT_TRUE(result) << result.error();
+    EXPECT_EQ(result.value().status, 413);
+    EXPECT_EQ(calls, 0);
+}
+
+TEST(Server, WaitsForTheLastAnswer)
+{
+    Common::Address address;
+    std::promise<Http::Responder> pending;
+    auto server
+        = openServer([&](const Http::Request&, const Http::Responder& done) { pending.set_value(done); }, address);
+    ASSERT_TRUE(server);
+    Http::Connection connection(address, Http::Reuse::Allowed, timeout);
+    auto result = post(connection, "slow");
+    auto respond = pending.get_future().get();
+    EXPECT_EQ(server->inFlight(), 1u);
+    EXPECT_EQ(server->waitForAnswers(Milliseconds(20)), 1u);
+    server->closeAfterAnswers();
+    std::thread later([respond] { respond({}); });
+    EXPECT_EQ(server->waitForAnswers(timeout), 0u);
+    server->close();
+    later.join();
+    auto answer = result.get();
+    ASSERT_TRUE(answer) << answer.error();
+    EXPECT_EQ(answer.value().status, 200);
+}
