Add the stand-in backend server for tests

Tests of the entry path need backend servers that can be slow, shed, crash, lose answers and fall silent. Backend decides (slots, faults, versions, cancellation) without sockets; HttpFront speaks the protocol; Gate relays TCP before it, since http_listener can't limit connections.

--- /dev/null
+++ b/Source/StandIn/Faults.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Random.h"
+#include "Common/Units.h"
+
+#include <string>
+#include <string_view>
+
+namespace StandIn {
+
+// What a server is told to do wrong. See docs/BACKEND-PROTOCOL.md.
+struct Faults {
+    Common::Milliseconds delay;
+    Common::Ratio slowFraction;
+    double slowFactor { 50 };
+    Common::Ratio dropFraction;
+    Common::Ratio shedFraction;
+    bool mute { false };
+    std::string crashOn;
+    Common::Milliseconds cold;
+    double coldFactor { 10 };
+    bool draining { false };
+    Common::Milliseconds healthLag;
+    bool mislead { false };
+};
+
+// What is done to one piece of work.
+struct Treatment {
+    bool shed { false };
+    bool crash { false };
+    bool drop { false };
+    Common::Milliseconds duration;
+};
+
+// text is what crashOn is looked for in; warmFor is the time since the last cold start.
+Treatment treat(
+    const Faults&, Common::Milliseconds service, std::string_view text, Common::Milliseconds warmFor, Common::Random&);
+
+} // namespace StandIn
--- /dev/null
+++ b/Source/StandIn/Gate.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Error.h"
+#include "Common/Ids.h"
+#include "Common/Units.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace StandIn {
+
+// Threads that carry bytes for several gates.
+class GateThreads {
+public:
+    explicit GateThreads(int threads);
+    // Gates must be closed before.
+    ~GateThreads();
+    GateThreads(const GateThreads&) = delete;
+    GateThreads& operator=(const GateThreads&) = delete;
+
+private:
+    friend class Gate;
+    struct Private;
+    std::unique_ptr<Private> m_private;
+};
+
+struct GateOptions {
+    Common::Address listen; // Port 0 lets the kernel choose.
+    Common::Connections limit; // 0: none. A connection beyond it is closed at once.
+    Common::Milliseconds connectTime; // Before a new connection carries its first byte.
+};
+
+// A TCP relay before a server's HTTP listener, which knows no connections: limits and counts them, and lets them go
+// silent.
+class Gate {
+public:
+    static Common::Result<std::unique_ptr<Gate>> open(GateThreads&, const GateOptions&, const Common::Address& target);
+    ~Gate();
+    Gate(const Gate&) = delete;
+    Gate& operator=(const Gate&) = delete;
+
+    // With the port that the kernel gave.
+    Common::Address address() const;
+    // The connections that are open now take bytes and answer nothing from now on.
+    void silenceConnections();
+    void closeConnections();
+    // Takes no more connections and closes all.
+    void close();
+    uint64_t peakConnections() const;
+    uint64_t refusedConnections() const;
+
+private:
+    struct Private;
+    explicit Gate(std::shared_ptr<Private>);
+
+    std::shared_ptr<Private> m_private;
+};
+
+// Splits "IP:PORT"; fails with Reason::InvalidInput.
+struct HostAndPort {
+    std::string host;
+    uint16_t port { 0 };
+};
+Common::Result<HostAndPort> splitAddress(const Common::Address&);
+
+} // namespace StandIn
--- /dev/null
+++ b/Source/StandIn/HttpFront.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Error.h"
+#include "Common/Ids.h"
+#include "StandIn/Backend.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace StandIn {
+
+// What the admin requests do to connections.
+struct ConnectionActions {
+    std::function<void()> silence;
+    std::function<void()> close;
+};
+
+// Speaks docs/BACKEND-PROTOCOL.md over HTTP for one Backend.
+class HttpFront {
+public:
+    // Listens on a loopback port that the kernel chooses.
+    static Common::Result<std::unique_ptr<HttpFront>> open(Backend&, uint32_t defaultShardCount);
+    // On the given address instead.
+    static Common::Result<std::unique_ptr<HttpFront>> openAt(
+        Backend&, uint32_t defaultShardCount, const Common::Address&);
+    ~HttpFront();
+    HttpFront(const HttpFront&) = delete;
+    HttpFront& operator=(const HttpFront&) = delete;
+
+    // Before the first request.
+    void setConnectionActions(ConnectionActions);
+    Common::Address address() const;
+    // Waits until each request has its answer, but not longer than the bound; returns whether all had.
+    bool waitUntilIdle(Common::Milliseconds bound);
+
+private:
+    struct Private;
+    explicit HttpFront(std::shared_ptr<Private>);
+
+    std::shared_ptr<Private> m_private;
+};
+
+// The number of threads that all HTTP fronts and clients of this process share; before the first of them.
+void setHttpThreads(int);
+
+} // namespace StandIn
--- /dev/null
+++ b/Source/StandIn/Messages.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Ids.h"
+#include "Common/KeySpace.h"
+#include "Common/Units.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace StandIn {
+
+// The id that a caller gave to one query; its sub-requests share it.
+using QueryName = Common::StrongId<struct QueryNameTag, std::string>;
+
+// One entry of the data set.
+struct Record {
+    std::string key;
+    std::string value;
+    uint64_t point { 0 }; // Of the key space.
+};
+
+// The part of one index version that a server holds, out of shardCount equal shards.
+struct ReplicaSet {
+    Common::IndexVersion indexVersion;
+    uint32_t shardCount { 1 };
+    std::vector<Common::ShardId> shards;
+};
+
+struct SearchRequest {
+    QueryName query;
+    Common::IndexVersion indexVersion;
+    Common::ShardId shard;
+    std::optional<Common::KeyRange> range;
+    std::string text; // Alternatives parted by '|'.
+    std::optional<Common::Milliseconds> deadline;
+    size_t limit { 1000 };
+};
+
+struct SearchAnswer {
+    Common::IndexVersion indexVersion;
+    Common::ShardId shard;
+    Common::KeyRange range;
+    std::vector<Record> results;
+    bool truncated { false };
+};
+
+struct RunRequest {
+    Common::RequestId request;
+    std::string body;
+    std::optional<Common::Milliseconds> deadline;
+};
+
+// How a piece of work ended.
+enum class Verdict {
+    Done,
+    Shedding,
+    Draining,
+    NoSlots,
+    WrongVersion,
+    WrongShard,
+    Cancelled,
+    DeadlinePassed,
+    NeverAnswered, // It may have run, and no answer is to be sent.
+};
+
+struct SearchOutcome {
+    Verdict verdict { Verdict::Done };
+    SearchAnswer answer; // Of Verdict::Done only.
+};
+
+// What a server tells of itself each second.
+struct Announcement {
+    Common::BackendServerId server;
+    Common::Address address;
+    Common::FailureDomain failureDomain;
+    Common::GroupName group;
+    Common::Incarnation incarnation;
+    uint64_t sequence { 0 };
+    std::string state; // "starting", "ready" or "leaving".
+    Common::Slots slots;
+    Common::Connections connections;
+    std::vector<ReplicaSet> replicas;
+};
+
+struct LoadSample {
+    bool healthy { true };
+    Common::Slots running;
+    Common::Slots slots;
+};
+
+} // namespace StandIn
