Hold membership's rules by checks that were seen failing

Some rules had no test that noticed their absence, and instance 0 answered a call of every other instance each eight seconds, since it is the seed of all. Seeds that belong to a known instance are not called on any more. A frozen or isolated instance restarts the silence of servers and of suspects.

--- a/Source/Core/Membership/Directory.cpp
+++ b/Source/Core/Membership/Directory.cpp
@@ -209,6 +209,10 @@
 {
     for (auto& [id, entry] : directory.servers)
         entry.renewed = now;
+    for (auto& [id, entry] : directory.instances) {
+        if (entry.record.life == Life::Suspect)
+            entry.changed = now;
+    }
 }
 
 std::vector<Candidate> candidates(
--- a/Source/Core/Membership/Directory.h
+++ b/Source/Core/Membership/Directory.h
@@ -75,7 +75,7 @@
 // and its part of those whose owner was lost. Forgets old tombstones.
 std::vector<Change> expire(
     Directory&, const DirectorySettings&, const Common::InstanceId& self, bool mayRemove, Common::TimePoint now);
-// Counts the silence of all servers from now on: for an instance that could hear nothing for a while.
+// Counts the silence of all servers and suspects from now on: for an instance that could hear nothing for a while.
 void restartSilence(Directory&, Common::TimePoint now);
 
 struct Candidate {
--- a/Source/Core/Membership/Gossip.cpp
+++ b/Source/Core/Membership/Gossip.cpp
@@ -33,17 +33,13 @@
         plan.messages.push_back({ to, *address, std::move(message) });
     }
 
-    // A process that was frozen, or heard nobody, missed renewals and answers: that is no evidence against others.
-    void resumeAfterGap(GossipState& state, Common::TimePoint now)
+    void noticeFreeze(GossipState& state, Common::TimePoint now)
     {
-        bool wasFrozen = state.lastCalled && now - *state.lastCalled >= state.settings.isolatedAfter;
-        state.lastCalled = now;
-        if (!wasFrozen && hearsOthers(state, now))
-            return;
-        restartSilence(state.directory, now);
-        state.probes.clear();
-        if (wasFrozen)
+        if (state.lastCalled && now - *state.lastCalled >= state.settings.isolatedAfter) {
             state.lastHeard.reset();
+            forgetSilence(state, now);
+        }
+        state.lastCalled = now;
     }
 
     void suspect(GossipState& state, GossipPlan& plan, const Common::InstanceId& id, Common::TimePoint now)
@@ -132,21 +128,29 @@
         }
     }
 
-    // Two sides of a healed partition believe each other gone: only a call on those lost brings them together.
-    void planStrangerProbe(GossipState& state, GossipPlan& plan, Common::TimePoint now, Common::Random& random)
+    // Who is called on without being known: instances that are believed gone, and seeds that are nobody's address.
+    std::vector<std::pair<Common::InstanceId, Common::Address>> strangersOf(const GossipState& state)
     {
         std::vector<std::pair<Common::InstanceId, Common::Address>> strangers;
-        for (const Common::Address& seed : state.seeds) {
-            if (seed != state.self.address)
-                strangers.emplace_back(Common::InstanceId(), seed);
-        }
+        std::vector<Common::Address> unknownSeeds = state.seeds;
         for (const auto& [id, entry] : state.directory.instances) {
-            if (id != state.self.id && entry.record.life == Life::Gone)
+            if (entry.record.life != Life::Gone)
+                std::erase(unknownSeeds, entry.record.address);
+            else if (id != state.self.id)
                 strangers.emplace_back(id, entry.record.address);
         }
+        for (const Common::Address& seed : unknownSeeds)
+            strangers.emplace_back(Common::InstanceId(), seed);
+        std::sort(strangers.begin(), strangers.end());
+        return strangers;
+    }
+
+    // Two sides of a healed partition believe each other gone: only a call on those lost brings them together.
+    void planStrangerProbe(GossipState& state, GossipPlan& plan, Common::TimePoint now, Common::Random& random)
+    {
+        auto strangers = strangersOf(state);
         if (strangers.empty())
             return;
-        std::sort(strangers.begin(), strangers.end());
         auto& [id, address] = strangers[random.below(strangers.size())];
         GossipMessage message = makeProbe(state, now);
         message.records.emplace_back(state.self);
@@ -221,7 +225,7 @@
 GossipPlan nextGossip(GossipState& state, Common::TimePoint now, Common::Random& random)
 {
     GossipPlan plan;
-    resumeAfterGap(state, now);
+    noticeFreeze(state, now);
     planExpiry(state, plan, now);
     planProbeRetries(state, plan, now, random);
     planProbe(state, plan, now, random);
--- a/Source/Core/Membership/GossipQueues.cpp
+++ b/Source/Core/Membership/GossipQueues.cpp
@@ -107,9 +107,17 @@
 
 bool hearsOthers(const GossipState& state, Common::TimePoint now)
 {
+    if (state.directory.instances.size() == 1)
+        return true;
     return state.lastHeard && now - *state.lastHeard < state.settings.isolatedAfter;
 }
 
+void forgetSilence(GossipState& state, Common::TimePoint now)
+{
+    restartSilence(state.directory, now);
+    state.probes.clear();
+}
+
 bool isWithMajority(const GossipState& state)
 {
     size_t present = 0;
--- a/Source/Core/Membership/GossipQueues.h
+++ b/Source/Core/Membership/GossipQueues.h
@@ -20,8 +20,10 @@
 std::optional<Common::Address> addressOf(const GossipState&, const Common::InstanceId&);
 // Instances that are not gone, without this one, by id.
 std::vector<Common::InstanceId> peersOf(const GossipState&);
-// Whether this instance heard from others lately; one that did not must not judge them.
+// Whether this instance heard from others lately, or there are none. One that did not must not judge them.
 bool hearsOthers(const GossipState&, Common::TimePoint now);
+// An instance that was frozen, or heard nobody, missed renewals and answers: that is no evidence against anyone.
+void forgetSilence(GossipState&, Common::TimePoint now);
 // Whether more instances are here than were lost: a minority behind a partition must not remove backend servers.
 bool isWithMajority(const GossipState&);
 
--- a/Source/Core/Membership/GossipReceipt.cpp
+++ b/Source/Core/Membership/GossipReceipt.cpp
@@ -177,7 +177,7 @@
     if (message.from == state.self.id)
         return receipt;
     if (!hearsOthers(state, now))
-        restartSilence(state.directory, now);
+        forgetSilence(state, now);
     state.lastHeard = now;
     settleProbe(state, receipt, message.from, true);
     if (message.heard)
--- a/Source/UnitTests/Membership/DirectoryTest.cpp
+++ b/Source/UnitTests/Membership/DirectoryTest.cpp
@@ -68,6 +68,10 @@
             it.state = ServerState::Leaving;
             it.sequence = n + 1;
             life.push_back(it);
+            // A thread of the server that has not noticed yet renews once more.
+            it.state = ServerState::Ready;
+            it.sequence = n + 2;
+            life.push_back(it);
         }
     }
     return life;
@@ -86,16 +90,34 @@
     uint64_t sequence = 0;
     for (const Announcement& it : all)
         naive.incarnation = std::max(naive.incarnation, it.incarnation);
+    bool left = false;
     for (const Announcement& it : all) {
-        if (it.incarnation == naive.incarnation && it.sequence > sequence) {
+        if (it.incarnation != naive.incarnation)
+            continue;
+        left |= it.state == ServerState::Leaving;
+        if (it.sequence > sequence) {
             sequence = it.sequence;
             naive.state = it.state;
             naive.replicas = it.replicas;
         }
     }
+    if (left)
+        naive.state = ServerState::Leaving;
     return naive;
 }
 
+// Of all records, those that count: of the highest incarnation.
+std::vector<ServerRecord> latest(const std::vector<ServerRecord>& records)
+{
+    Incarnation highest;
+    for (const ServerRecord& record : records)
+        highest = std::max(highest, record.announcement.incarnation);
+    std::vector<ServerRecord> found;
+    std::copy_if(records.begin(), records.end(), std::back_inserter(found),
+        [&](const ServerRecord& record) { return record.announcement.incarnation == highest; });
+    return found;
+}
+
 } // namespace
 
 TEST(Directory, AgreesWithTheNaiveVersionOnRandomSchedules)
@@ -166,6 +188,15 @@
         for (const ServerRecord& record : records)
             merge(two, record, start);
         ASSERT_EQ(recordOf(one), recordOf(two)) << "seed " << seed;
+        auto counting = latest(records);
+        auto isGone = [](const ServerRecord& it) { return it.life == Life::Gone; };
+        auto isLeaving = [](const ServerRecord& it) { return it.announcement.state == ServerState::Leaving; };
+        bool anyGone = std::any_of(counting.begin(), counting.end(), isGone);
+        ASSERT_EQ(isGone(recordOf(one)), anyGone) << "seed " << seed;
+        if (!anyGone) {
+            bool anyLeaving = std::any_of(counting.begin(), counting.end(), isLeaving);
+            ASSERT_EQ(isLeaving(recordOf(one)), anyLeaving) << "seed " << seed;
+        }
         for (const ServerRecord& record : records)
             ASSERT_FALSE(merge(one, record, start)) << "seed " << seed;
     }
@@ -231,7 +262,9 @@
     EXPECT_FALSE(renew(owner, renewal, self, start + Milliseconds(5'000)));
     EXPECT_TRUE(expire(owner, settings, self, true, start + Milliseconds(10'000)).empty());
     EXPECT_EQ(expire(owner, settings, self, true, start + Milliseconds(11'000)).size(), 1u);
-    EXPECT_FALSE(renew(owner, renewal, self, start + Milliseconds(11'500))); // A duplicate is no sign of life.
+    // A duplicate is no sign of life.
+    EXPECT_FALSE(renew(owner, renewal, self, start + Milliseconds(11'500)));
+    EXPECT_EQ(owner.servers.at(serverId(0)).renewed, start + Milliseconds(5'000));
     renewal.sequence = 3;
     EXPECT_TRUE(renew(owner, renewal, self, start + Milliseconds(11'500)));
     EXPECT_EQ(recordOf(owner).life, Life::Alive);
@@ -247,6 +280,9 @@
     InstanceRecord lost = instanceRecord(2);
     lost.life = Life::Gone;
     merge(directory, lost, lostAt);
+    for (size_t i = 0; i < 2; ++i)
+        EXPECT_TRUE(expire(directory, settings, instanceId(i), true, lostAt + Milliseconds(1'000)).empty())
+            << "renewals went to the lost owner until now";
 
     auto outcome = announce(directory, announcement(0, 9), self, lostAt + Milliseconds(1'000));
     ASSERT_TRUE(outcome.change);
--- a/Source/UnitTests/Membership/GossipTest.cpp
+++ b/Source/UnitTests/Membership/GossipTest.cpp
@@ -110,6 +110,17 @@
     }
 }
 
+TEST(Gossip, ACutBetweenTwoInstancesMakesNobodySuspect)
+{
+    GossipLoop loop({ .instances = 9, .seed = 10 });
+    loop.cut(0, 1);
+    loop.cut(1, 0);
+    loop.cut(2, 3); // One way.
+    loop.runFor(Milliseconds(120'000));
+    for (auto& it : loop.instances())
+        EXPECT_TRUE(it.changes.empty());
+}
+
 TEST(Gossip, AStoppedInstanceIsRemovedAndItsServersAreTakenOver)
 {
     GossipLoop loop({ .instances = 9, .seed = 6 });
@@ -166,6 +177,49 @@
         EXPECT_LE(countGone(it.state), 0u);
 }
 
+TEST(Gossip, AFreezeIsNoEvidenceAgainstServersOrSuspects)
+{
+    GossipLoop alone({ .instances = 1, .seed = 11 });
+    receiveAnnouncement(alone.instance(0).state, announcement(1, 1), alone.now());
+    alone.runFor(Milliseconds(1'000));
+    alone.stop(0);
+    alone.runFor(Milliseconds(60'000));
+    alone.resume(0);
+    alone.runFor(Milliseconds(2'000));
+    EXPECT_EQ(alone.instance(0).state.directory.servers.at(serverId(1)).record.life, Life::Alive);
+    alone.runFor(Milliseconds(20'000));
+    EXPECT_EQ(alone.instance(0).state.directory.servers.at(serverId(1)).record.life, Life::Gone);
+
+    GossipLoop loop({ .instances = 9, .seed = 12 });
+    InstanceRecord suspect = instanceRecord(4);
+    suspect.life = Life::Suspect;
+    loop.runFor(Milliseconds(1'000));
+    merge(loop.instance(2).state.directory, suspect, loop.now());
+    loop.stop(2);
+    loop.runFor(Milliseconds(30'000));
+    loop.resume(2);
+    loop.runFor(Milliseconds(30'000));
+    EXPECT_EQ(loop.instance(4).state.self.incarnation, Common::Incarnation(1)) << "it had to come back from removal";
+}
+
+TEST(Gossip, AnIsolatedOwnerDoesNotRemoveItsServersWhenItIsBack)
+{
+    Common::Random random(1);
+    Common::TimePoint now { Milliseconds(1'000) };
+    GossipState state = makeGossipState({}, instanceRecord(0), {});
+    learn(state, instanceRecord(1), now);
+    receiveAnnouncement(state, announcement(1, 1), now);
+    for (int n = 0; n < 600; ++n) {
+        now = now + Milliseconds(50);
+        EXPECT_TRUE(nextGossip(state, now, random).changes.empty());
+    }
+    GossipMessage hello;
+    hello.from = instanceId(1);
+    receiveGossip(state, hello, now);
+    EXPECT_TRUE(nextGossip(state, now + Milliseconds(500), random).changes.empty());
+    EXPECT_EQ(state.directory.servers.at(serverId(1)).record.life, Life::Alive);
+}
+
 TEST(Gossip, ASmallSideOfAPartitionRemovesNoServersAndBothSidesMeetAgain)
 {
     GossipLoop loop({ .instances = 9, .seed = 9 });
