--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -52,13 +52,15 @@
         concurrency::streams::istream stream;
         concurrency::streams::container_buffer<std::string> buffer;
         size_t limit { 0 };
+        size_t total { 0 };
 
         // True if the whole body came, false if it is over the limit.
         pplx::task<bool> read()
         {
             auto self = shared_from_this();
             return stream.read(buffer, bodyChunk).then([self](size_t n) {
-                if (self->buffer.collection().size() > self->limit)
+                self->total += n;
+                if (self->total > self->limit)
                     return pplx::task_from_result(false);
                 if (!n)
                     return pplx::task_from_result(true);
@@ -120,6 +122,8 @@
             return;
         }
         request.body = std::move(reader->buffer.collection());
+        // The buffer grows ahead of what is written.
+        request.body.resize(reader->total);
         try {
             self->handler(
                 std::move(request), [self, message](Response response) { self->answer(message, std::move(response)); });
