--- a/Source/UnitTests/Consensus/FakeCluster.cpp
+++ b/Source/UnitTests/Consensus/FakeCluster.cpp
@@ -170,7 +170,7 @@
             m_history.violation("a member applied entries out of order");
         node.applied = entry->index;
         node.machine = History::mix(node.machine, *entry);
-        m_history.applied(*entry);
+        m_history.applied(*entry, node.state->hard.term);
         auto proposal = node.proposals.extract(entry->index);
         if (!proposal.empty() && proposal.mapped().first == entry->term)
             m_history.acknowledged(proposal.mapped().second, entry->index);
--- a/Source/UnitTests/Consensus/History.cpp
+++ b/Source/UnitTests/Consensus/History.cpp
@@ -24,7 +24,7 @@
         m_violations.push_back(std::move(what));
 }
 
-void History::applied(const Entry& entry)
+void History::applied(const Entry& entry, Common::Term term)
 {
     if (entry.index <= last()) {
         if (m_entries[entry.index.value() - 1] != entry)
@@ -36,6 +36,7 @@
         return;
     }
     m_entries.push_back(entry);
+    m_appliedIn.push_back(term);
     m_machines.push_back(mix(m_machines.back(), entry));
     if (entry.kind == Consensus::EntryKind::Membership)
         m_membership = entry.membership;
@@ -56,6 +57,8 @@
     if (!m_checkedLeaders.emplace(state.hard.term, self).second)
         return;
     for (LogIndex i = firstIndex(state.log); i <= last(); i += LogIndex(1)) {
+        if (m_appliedIn[i.value() - 1] >= state.hard.term)
+            return;
         if (i > lastIndex(state.log) || *entryAt(state.log, i) != m_entries[i.value() - 1]) {
             violation("a leader lacks a committed entry" + at(i));
             return;
--- a/Source/UnitTests/Consensus/History.h
+++ b/Source/UnitTests/Consensus/History.h
@@ -12,11 +12,12 @@
 // began.
 class History {
 public:
-    // A member applied the entry.
-    void applied(const Consensus::Entry&);
+    // A member that is in this term applied the entry.
+    void applied(const Consensus::Entry&, Common::Term);
     // A member's state machine, here a hash of all entries up to the index, was replaced by this one.
     void restored(Common::LogIndex, uint64_t machine);
-    // A member leads, with this log.
+    // A member leads, with this log. It must hold what was committed in earlier terms; while a later leader commits
+    // more, late votes may still bring it to the lead.
     void leads(const Consensus::State&);
     void acknowledged(const std::string& command, Common::LogIndex);
     // The prefix that a read beginning now has to see.
@@ -37,6 +38,7 @@
 
 private:
     std::vector<Consensus::Entry> m_entries;
+    std::vector<Common::Term> m_appliedIn; // The term of the member that applied the entry first.
     std::vector<uint64_t> m_machines { 0 }; // By index, after the entry was applied.
     Consensus::Membership m_membership;
     std::map<Common::Term, Consensus::MemberId> m_leaders;
