--- a/Source/UnitTests/Consensus/RandomisedTest.cpp
+++ b/Source/UnitTests/Consensus/RandomisedTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr uint64_t defaultRuns = 2000;
+constexpr uint64_t defaultRuns = 600;
 constexpr Common::Milliseconds faultTime { 20'000 };
 
 volatile uint64_t currentSeed = 0;
--- /dev/null
+++ b/Source/UnitTests/Replica/LogShardTest.cpp
@@ -0,0 +1,98 @@
+#include "Replica/TestGroup.h"
+
+#include <gtest/gtest.h>
+
+using Common::Reason;
+
+namespace {
+
+void proposeMany(TestGroup& group, const std::string& prefix, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        std::string command = prefix + std::to_string(i);
+        auto result = group.propose(command);
+        ASSERT_TRUE(result) << result.error();
+        EXPECT_EQ(result.value(), "done " + command);
+    }
+}
+
+bool allHold(TestGroup& group, size_t count)
+{
+    return group.await([&] {
+        auto first = group.applied(0);
+        return first.size() == count && group.applied(1) == first && group.applied(2) == first;
+    });
+}
+
+} // namespace
+
+TEST(LogShard, KeepsItsStateThroughLeaderLossRestartAndLostFolder)
+{
+    TestGroup group("log-shard");
+    proposeMany(group, "a", 50);
+    size_t leader = *group.awaitLeader();
+    group.stop(leader);
+    proposeMany(group, "b", 600); // Past a snapshot.
+    group.start(leader);
+    EXPECT_TRUE(allHold(group, 650));
+
+    group.stop(leader);
+    group.removeFolder(leader);
+    group.start(leader);
+    EXPECT_TRUE(allHold(group, 650));
+    auto status = [&] { return group.shard(leader).status(); };
+    EXPECT_TRUE(group.await([&] { return status().role != Replica::Role::Learner; }));
+    EXPECT_TRUE(group.await([&] { return status().learners.empty() && status().voters.size() == 3; }));
+
+    // Another one fails right after that repair.
+    group.stop((leader + 1) % 3);
+    proposeMany(group, "c", 20);
+    group.start((leader + 1) % 3);
+    EXPECT_TRUE(allHold(group, 670));
+}
+
+TEST(LogShard, AllRestartWithTheSameState)
+{
+    TestGroup group("restart-all");
+    proposeMany(group, "a", 700);
+    EXPECT_TRUE(allHold(group, 700));
+    auto before = group.applied(0);
+    for (size_t i = 0; i < 3; ++i)
+        group.stop(i);
+    for (size_t i = 0; i < 3; ++i)
+        group.start(i);
+    proposeMany(group, "b", 1);
+    EXPECT_TRUE(allHold(group, 701));
+    before.emplace_back("b0");
+    EXPECT_EQ(group.applied(0), before);
+}
+
+TEST(LogShard, HandsOverAndConfirmsReads)
+{
+    TestGroup group("hand-over");
+    proposeMany(group, "a", 10);
+    size_t leader = *group.awaitLeader();
+    auto read = group.confirmRead(leader);
+    ASSERT_TRUE(read) << read.error();
+    EXPECT_EQ(group.applied(leader).size(), 10u);
+    EXPECT_GE(group.shard(leader).status().applied, read.value());
+
+    group.shard(leader).handOver();
+    EXPECT_NE(group.shard(leader).status().role, Replica::Role::Leader);
+    EXPECT_EQ(group.confirmRead(leader).error().reason, Reason::Unavailable);
+    proposeMany(group, "b", 1);
+}
+
+TEST(LogShard, WithoutQuorumTheOutcomeIsUnknownAndThenNothingIsAccepted)
+{
+    TestGroup group("no-quorum");
+    proposeMany(group, "a", 5);
+    size_t leader = *group.awaitLeader();
+    for (size_t i = 0; i < 3; ++i) {
+        if (i != leader)
+            group.stop(i);
+    }
+    auto result = group.propose("lost");
+    EXPECT_EQ(result.error().reason, Reason::ConnectionLost);
+    EXPECT_NE(group.shard(leader).status().role, Replica::Role::Leader);
+}
--- /dev/null
+++ b/Source/UnitTests/Replica/ThroughputTest.cpp
@@ -0,0 +1,89 @@
+#include "Common/Clock.h"
+#include "Replica/TestGroup.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <cstdio>
+
+#include <sys/resource.h>
+
+using Common::Clock;
+
+namespace {
+
+constexpr size_t commandSize = 200; // Bytes.
+constexpr Common::Milliseconds measured { 1'000 };
+
+double processorMilliseconds()
+{
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    auto ms
+        = [](const timeval& t) { return static_cast<double>(t.tv_sec) * 1e3 + static_cast<double>(t.tv_usec) / 1e3; };
+    return ms(usage.ru_utime) + ms(usage.ru_stime);
+}
+
+// Keeps a number of proposals in flight: each one that is done starts the next.
+class Load {
+public:
+    Load(Replica::LogShard& shard, size_t inFlight)
+        : m_shard(shard)
+        , m_open(inFlight)
+    {
+        for (size_t i = 0; i < inFlight; ++i)
+            proposeNext();
+    }
+
+    // Waits for the last ones.
+    void stop()
+    {
+        m_stopping = true;
+        while (m_open)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+
+    uint64_t done() const { return m_done; }
+    uint64_t failed() const { return m_failed; }
+
+private:
+    void proposeNext()
+    {
+        m_shard.propose(std::string(commandSize, 'x'), [this](const Common::Result<std::string>& result) {
+            ++(result ? m_done : m_failed);
+            if (m_stopping || !result)
+                --m_open;
+            else
+                proposeNext();
+        });
+    }
+
+    Replica::LogShard& m_shard;
+    std::atomic<size_t> m_open;
+    std::atomic<bool> m_stopping { false };
+    std::atomic<uint64_t> m_done { 0 };
+    std::atomic<uint64_t> m_failed { 0 };
+};
+
+} // namespace
+
+// Prints proposals a second and processor time a command, all three members together, against proposals in flight.
+TEST(Throughput, AgainstProposalsInFlight)
+{
+    TestGroup group("throughput");
+    for (size_t inFlight : { 1, 10, 100, 1000 }) {
+        ASSERT_TRUE(group.propose("first"));
+        size_t leader = *group.awaitLeader();
+        double processorBefore = processorMilliseconds();
+        auto start = Clock::now();
+        Load load(group.shard(leader), inFlight);
+        std::this_thread::sleep_for(Clock::toChrono(measured));
+        load.stop();
+        double seconds = (Clock::now() - start).value() / 1e3;
+        double processor = processorMilliseconds() - processorBefore;
+        auto n = static_cast<double>(load.done());
+        std::printf("in flight %zu: %.0f proposals/s, %.1f us processor time a command, failed %llu\n", inFlight,
+            n / seconds, processor * 1e3 / n, static_cast<unsigned long long>(load.failed()));
+        EXPECT_GT(load.done(), 0u);
+    }
+}
