--- a/Source/Core/Gather/Query.cpp
+++ b/Source/Core/Gather/Query.cpp
@@ -3,6 +3,7 @@
 #include "Common/Assert.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 using Common::AttemptId;
@@ -15,7 +16,8 @@
 
     constexpr int attemptBits = 8; // The low bits of an attempt's id number it inside its part.
     constexpr int attemptCeiling = 16; // For maximumAttempts, so that numbers fit in the bits.
-    constexpr int spareAsks = 3; // How often an extra that found no budget is asked for again.
+    constexpr int spareAsks = 6; // How often an extra that found no budget is asked for again.
+    constexpr double askAgainAfter = 0.5; // Hedge delays; doubles with each time.
 
     size_t partIndex(AttemptId id) { return static_cast<size_t>(id.value() >> attemptBits); }
 
@@ -70,19 +72,26 @@
         return query.options.mayRetry && part.sent < query.options.maximumAttempts && part.asksLeft > 0;
     }
 
-    void setTimer(Query& query, const Part& part, TimePoint now, Effects& effects)
+    bool isLater(const Query::Timer& a, const Query::Timer& b) { return a.when > b.when; }
+
+    void setTimer(Query& query, const Part& part, TimePoint when, Effects& effects)
     {
-        // Threads may read the clock in another order than they get the lock.
-        TimePoint when = now + query.hedgeDelay;
-        if (query.firstTimer < query.timers.size())
-            when = std::max(when, query.timers.back().when);
         query.timers.push_back({ when, static_cast<size_t>(&part - query.parts.data()) });
+        std::push_heap(query.timers.begin(), query.timers.end(), isLater);
         if (when >= query.nextWake)
             return;
         query.nextWake = when;
         effects.emplace_back(WakeAt { when });
     }
 
+    size_t takeTimer(Query& query)
+    {
+        std::pop_heap(query.timers.begin(), query.timers.end(), isLater);
+        size_t part = query.timers.back().part;
+        query.timers.pop_back();
+        return part;
+    }
+
     // An attempt has ended without an answer: wait for the others, try elsewhere, or give up.
     void afterLoss(Query& query, Part& part, Effects& effects)
     {
@@ -308,7 +317,7 @@
     part->usedServers.push_back(server);
     part->usedDomains.push_back(domain);
     if (!part->hedged && mayAskExtra(query, *part))
-        setTimer(query, *part, now, effects);
+        setTimer(query, *part, now + query.hedgeDelay, effects);
     return effects;
 }
 
@@ -323,7 +332,7 @@
     removeAttempt(*part, id);
     if (purpose != Purpose::First && error.reason == Reason::Overloaded && mayAskExtra(query, *part)) {
         // The budget fills with other queries' first sends: ask again while there is time.
-        setTimer(query, *part, now, effects);
+        setTimer(query, *part, now + query.hedgeDelay * askAgainAfter * std::exp2(part->refusals++), effects);
     } else if (part->attempts.empty()) {
         // The reason of an attempt that was sent says more than that of an extra that was not.
         if (part->detail.empty())
@@ -371,11 +380,11 @@
         finish(query, now, effects);
         return effects;
     }
-    while (query.firstTimer < query.timers.size() && query.timers[query.firstTimer].when <= now)
-        fireTimer(query, query.parts[query.timers[query.firstTimer++].part], effects);
+    while (!query.timers.empty() && query.timers.front().when <= now)
+        fireTimer(query, query.parts[takeTimer(query)], effects);
     query.nextWake = answerBy(query);
-    if (query.firstTimer < query.timers.size())
-        query.nextWake = std::min(query.nextWake, query.timers[query.firstTimer].when);
+    if (!query.timers.empty())
+        query.nextWake = std::min(query.nextWake, query.timers.front().when);
     effects.emplace_back(WakeAt { query.nextWake });
     finishIfOver(query, now, effects);
     return effects;
--- a/Source/Core/Gather/Query.h
+++ b/Source/Core/Gather/Query.h
@@ -53,12 +53,14 @@
     uint8_t asked { 0 }; // Attempts asked for, to number them.
     uint8_t sent { 0 };
     bool hedged { false }; // A hedge was sent.
-    uint8_t asksLeft { 0 }; // How often an extra without a budget is asked for again.
+    uint8_t asksLeft { 0 }; // For extras, sent or not.
+    uint8_t refusals { 0 }; // Extras that found no budget or slot.
     Common::Reason reason { Common::Reason::DeadlineExceeded }; // Of the last failure.
     std::string detail;
 };
 
 struct Query {
+    // When to look whether a part needs an extra.
     struct Timer {
         Common::TimePoint when;
         size_t part { 0 };
@@ -69,8 +71,7 @@
 
     std::vector<Part> parts;
     size_t openParts { 0 };
-    std::vector<Timer> timers; // In order of time: all are set one hedge delay ahead.
-    size_t firstTimer { 0 };
+    std::vector<Timer> timers; // A heap with the earliest first.
     Common::Milliseconds hedgeDelay;
     Common::TimePoint nextWake;
     Common::KeyRangeSet merged;
@@ -92,8 +93,8 @@
 Effects attemptStarted(
     Query&, Common::AttemptId, const Common::BackendServerId&, const Common::FailureDomain&, Common::TimePoint now);
 
-// Nothing was sent. Overloaded says that an extra found no budget or slot now: it may be asked for again after
-// another hedge delay. Any other reason is final for this attempt.
+// Nothing was sent. Overloaded says that an extra found no budget or slot now: it is asked for again a few times. Any
+// other reason is final for this attempt.
 Effects attemptNotStarted(Query&, Common::AttemptId, const Common::Error&, Common::TimePoint now);
 
 // A sub-answer with what it says of itself. Another version, shard or range than asked for counts as a failure.
--- a/Source/Core/Limits/ServerLoad.cpp
+++ b/Source/Core/Limits/ServerLoad.cpp
@@ -18,15 +18,23 @@
     constexpr double warmRaise = 0.02; // A success.
     constexpr double shedFactor = 0.5;
     constexpr double slowFactor = 0.95; // A success that shows a raised latency.
-    constexpr double slowRatio = 2; // Latency over the usual one that counts as raised.
+    constexpr double slowRatio = 2; // Latency over the usual one that counts as slow.
+    constexpr double raisedShare = 0.3; // Of slow requests; a share, since single stragglers are no sign of load.
     constexpr int successesUntilWarm = 8;
     constexpr int shortWindow = 10; // Samples.
     constexpr int longWindow = 200; // Samples.
     constexpr double outlierRatio = 4; // A sample counts as at most this many times the average.
     constexpr int maximumTroubles = 10;
-    constexpr Milliseconds shedPause { 20 };
-    constexpr Milliseconds failurePause { 50 };
-    constexpr Milliseconds maximumPause { 1000 };
+    // How long a server is left alone after a trouble, and how much longer after each further one.
+    struct Backoff {
+        Milliseconds first;
+        double factor;
+        Milliseconds longest;
+    };
+    constexpr Backoff shedBackoff { Milliseconds(20), 2, Milliseconds(1000) };
+    // Steeper, since each try of a lost server costs a retry. A server that returns announces itself anew.
+    constexpr Backoff failureBackoff { Milliseconds(50), 8, Milliseconds(5000) };
+    constexpr Milliseconds maximumPacing { 1000 };
     constexpr Milliseconds excessHalfLife { 1000 };
 
     int64_t wholeLimit(const ServerLoad& load)
@@ -49,6 +57,8 @@
             load.latency = load.usualLatency = took;
             return;
         }
+        double slow = took > load.usualLatency * slowRatio ? 1 : 0;
+        load.slowShare += (slow - load.slowShare) / shortWindow;
         // Stragglers are routine: one of them says little about the server.
         Milliseconds sample = std::min(took, load.latency * outlierRatio);
         load.latency = average(load.latency, sample, shortWindow);
@@ -59,7 +69,7 @@
     void raiseLimit(ServerLoad& load)
     {
         double ceiling = static_cast<double>(load.share.ceiling.value());
-        bool raised = load.latency > load.usualLatency * slowRatio;
+        bool raised = load.slowShare > raisedShare;
         if (raised && load.limit > load.share.fair.value()) {
             load.limit = std::max(load.share.fair.value(), load.limit * slowFactor);
             return;
@@ -76,20 +86,20 @@
             load.cold = false;
     }
 
-    void backOff(ServerLoad& load, Milliseconds pause, TimePoint now)
+    void backOff(ServerLoad& load, const Backoff& backoff, TimePoint now)
     {
         // Requests that were in flight together tell of one trouble, not of several.
         if (now < load.pausedUntil)
             return;
         load.troubles = std::min(load.troubles + 1, maximumTroubles);
         load.limit = std::max(minimumLimit, load.limit * shedFactor);
-        load.pausedUntil = now + std::min(maximumPause, pause * std::exp2(load.troubles - 1));
+        load.pausedUntil = now + std::min(backoff.longest, backoff.first * std::pow(backoff.factor, load.troubles - 1));
     }
 
     void pace(ServerLoad& load, TimePoint now)
     {
         if (load.limit < 1)
-            load.pacedUntil = now + std::min(maximumPause, load.latency * (1 / load.limit - 1));
+            load.pacedUntil = now + std::min(maximumPacing, load.latency * (1 / load.limit - 1));
     }
 
 } // namespace
@@ -137,10 +147,10 @@
         succeed(load);
         break;
     case Completion::Shed:
-        backOff(load, shedPause, now);
+        backOff(load, shedBackoff, now);
         break;
     case Completion::Failed:
-        backOff(load, failurePause, now);
+        backOff(load, failureBackoff, now);
         break;
     case Completion::Cancelled:
     case Completion::TimedOut:
--- a/Source/Core/Limits/ServerLoad.h
+++ b/Source/Core/Limits/ServerLoad.h
@@ -39,6 +39,7 @@
     int64_t inFlight { 0 };
     Common::Milliseconds latency; // Moving average, outliers damped; 0 before the first sample.
     Common::Milliseconds usualLatency; // The same over a longer time.
+    double slowShare { 0 }; // Of recent requests, those that took much longer than usual.
     int samples { 0 }; // Up to the longer window.
     Common::TimePoint sampledAt;
     bool cold { true }; // Until enough requests succeeded.
--- a/Source/Core/Limits/WaitQueue.cpp
+++ b/Source/Core/Limits/WaitQueue.cpp
@@ -8,28 +8,50 @@
 
 namespace Limits {
 
+namespace {
+
+    // Estimates are means; an answer needs the slowest of its shards.
+    constexpr double estimateMargin = 1.25;
+
+    bool mayUse(const Waiter& waiter, const Common::BackendServerId& server)
+    {
+        const auto& avoid = waiter.avoidServers;
+        return std::find(avoid.begin(), avoid.end(), server) == avoid.end();
+    }
+
+    std::optional<Waiter> takeFirst(std::deque<Waiter>& line, const Common::BackendServerId& server)
+    {
+        auto it = std::find_if(line.begin(), line.end(), [&](const Waiter& w) { return mayUse(w, server); });
+        if (it == line.end())
+            return std::nullopt;
+        std::optional<Waiter> waiter(std::move(*it));
+        line.erase(it);
+        return waiter;
+    }
+
+} // namespace
+
 void push(WaitQueue& queue, Waiter waiter)
 {
     auto& line = queue.routes[waiter.route];
     if (line.empty())
         queue.turns.push_back(waiter.route);
-    line.push_back(std::move(waiter));
+    auto it = std::upper_bound(line.begin(), line.end(), waiter.deadline,
+        [](TimePoint deadline, const Waiter& w) { return deadline < w.deadline; });
+    line.insert(it, std::move(waiter));
 }
 
-std::optional<Waiter> pop(WaitQueue& queue, TimePoint now, Milliseconds needed)
+std::optional<Waiter> pop(WaitQueue& queue, TimePoint now, Milliseconds needed, const Common::BackendServerId& server)
 {
-    while (!queue.turns.empty()) {
+    // Each route gets one look; one that has nothing for this server keeps its place behind the others.
+    for (size_t n = queue.turns.size(); n > 0; --n) {
         Common::RouteName route = std::move(queue.turns.front());
         queue.turns.pop_front();
         auto it = queue.routes.find(route);
         auto& line = it->second;
         while (!line.empty() && line.front().deadline <= now + needed)
             line.pop_front();
-        std::optional<Waiter> next;
-        if (!line.empty()) {
-            next = std::move(line.front());
-            line.pop_front();
-        }
+        std::optional<Waiter> next = takeFirst(line, server);
         if (line.empty())
             queue.routes.erase(it);
         else
@@ -93,7 +115,7 @@
     Milliseconds longest;
     for (const Backlog& backlog : backlogs)
         longest = std::max(longest, estimatedTime(backlog));
-    if (now + longest <= deadline)
+    if (now + longest * estimateMargin <= deadline)
         return Common::success();
     return Common::makeError(Common::Reason::Overloaded, "admit",
         "an answer would take about " + std::to_string(longest.value()) + " ms, the deadline is in "
--- a/Source/Core/Limits/WaitQueue.h
+++ b/Source/Core/Limits/WaitQueue.h
@@ -19,17 +19,21 @@
     Common::ShardId shard;
     Common::RouteName route;
     Common::TimePoint deadline; // By which the answer is needed.
+    std::vector<Common::BackendServerId> avoidServers; // Not to be used: an earlier attempt was there.
 };
 
-// Waiters for the slots of one set of replicas: one route after the other, first come first served inside a route.
+// Waiters for the slots of one set of replicas: one route after the other; inside a route the earliest deadline first,
+// and first come first served where deadlines are equal. So a retry, whose query is older, goes before first sends.
 struct WaitQueue {
     std::map<Common::RouteName, std::deque<Waiter>> routes; // Routes that have waiters.
     std::deque<Common::RouteName> turns; // The same routes, next one first.
 };
 
 void push(WaitQueue&, Waiter);
-// The next waiter whose deadline is more than `needed` away; those before it that can't make it are dropped.
-std::optional<Waiter> pop(WaitQueue&, Common::TimePoint now, Common::Milliseconds needed = {});
+// The next waiter that may use the server that has a slot and whose deadline is more than `needed` away. Waiters that
+// can't make it are dropped. An empty server suits all.
+std::optional<Waiter> pop(
+    WaitQueue&, Common::TimePoint now, Common::Milliseconds needed = {}, const Common::BackendServerId& server = {});
 // Whether the attempt was there.
 bool remove(WaitQueue&, Common::QueryId, Common::AttemptId, const Common::RouteName&);
 size_t size(const WaitQueue&);
--- a/Source/UnitTests/Limits/WaitQueueTest.cpp
+++ b/Source/UnitTests/Limits/WaitQueueTest.cpp
@@ -46,6 +46,24 @@
     EXPECT_EQ(Limits::size(queue), 0u);
 }
 
+TEST(WaitQueue, ARetryGoesFirstButNotToTheServerThatItAvoids)
+{
+    Limits::WaitQueue queue;
+    Common::BackendServerId a("a");
+    Common::BackendServerId b("b");
+    Limits::push(queue, waiter(1, "r", 900));
+    Limits::push(queue, waiter(2, "r", 900));
+    Limits::Waiter retry = waiter(3, "r", 800);
+    retry.avoidServers = { a };
+    Limits::push(queue, retry);
+    EXPECT_EQ(Limits::pop(queue, at(0), {}, a)->query, Common::QueryId(1));
+    EXPECT_EQ(Limits::pop(queue, at(0), {}, b)->query, Common::QueryId(3));
+    Limits::push(queue, retry);
+    EXPECT_EQ(Limits::pop(queue, at(0), {}, a)->query, Common::QueryId(2));
+    EXPECT_FALSE(Limits::pop(queue, at(0), {}, a));
+    EXPECT_EQ(Limits::size(queue), 1u);
+}
+
 TEST(WaitQueue, TheSlowestBacklogDecidesOnAdmission)
 {
     Backlog free { 0, true, 4, Milliseconds(2) };
