--- a/Source/Core/Daemon/Front.cpp
+++ b/Source/Core/Daemon/Front.cpp
@@ -159,6 +159,9 @@
         return response;
     }
 
+    // A caller may say that it never sent this id before; then a refusal can say that the request did not run.
+    bool isMaybeResend(const Http::Request& request) { return Http::headerOf(request.headers, "x-first-send") != "1"; }
+
     void answerRun(const FrontDependencies& use, const std::string& route, const Http::Request& request,
         const Http::Responder& done)
     {
