End an attempt that is told of an unknown outcome

Nothing ran twice, but the claim stayed held until its owner's incarnation ended. The answer now ends the attempt that asked; a new attempt may claim.

--- a/Source/Core/Once/Claims.cpp
+++ b/Source/Core/Once/Claims.cpp
@@ -68,6 +68,8 @@
 
     void rememberEnded(Record& record, const AttemptRef& by)
     {
+        if (hasEnded(record, by))
+            return;
         if (record.ended.size() == maximumEnded)
             record.ended.erase(record.ended.begin());
         record.ended.push_back(by);
@@ -117,7 +119,7 @@
         return grant(claims, record, claim);
     }
 
-    ClaimOutcome answerHeld(const Claims& claims, const Record& record, const Claim& claim)
+    ClaimOutcome answerHeld(const Claims& claims, Record& record, const Claim& claim)
     {
         switch (record.state) {
         case RecordState::Running:
@@ -127,6 +129,9 @@
             CORIANDERLOCK_INVARIANT(!isOrphaned(claims, claim.by), "no claim of an orphaned incarnation runs");
             return Granted {};
         case RecordState::Unknown:
+            // The claimer gives up on this answer: a copy of its claim that comes late must not be granted.
+            if (record.by != claim.by)
+                rememberEnded(record, claim.by);
             return HeldUnknown { record.by };
         case RecordState::Done:
             return *record.done;
@@ -181,8 +186,7 @@
             return RecordResult::Recorded;
         }
         if (record.by != outcome.by) {
-            if (!hasEnded(record, outcome.by))
-                rememberEnded(record, outcome.by);
+            rememberEnded(record, outcome.by);
             return RecordResult::Stale;
         }
         // An orphan's owner may still prove that it never dispatched, but not after it said itself that it may have.
--- a/Source/Core/Once/Claims.h
+++ b/Source/Core/Once/Claims.h
@@ -43,7 +43,7 @@
     bool reportedUnknown { false }; // The owner itself said Unknown, so it cannot prove later that it did not run.
     LogTime settledAt; // Log time when it left Running.
     std::optional<Done> done;
-    std::vector<AttemptRef> ended; // The latest attempts that were reported as not run; they may not claim again.
+    std::vector<AttemptRef> ended; // The latest attempts that gave up; they may not claim again.
 
     friend bool operator==(const Record&, const Record&) = default;
 };
--- a/Source/Core/Once/Commands.h
+++ b/Source/Core/Once/Commands.h
@@ -111,7 +111,7 @@
     friend bool operator==(const Done&, const Done&) = default;
 };
 
-// An attempt may or may not have run; it may still become Done.
+// Another attempt may or may not have run; it may still become Done. The claiming attempt ends by this answer.
 struct HeldUnknown {
     AttemptRef by;
 
@@ -121,7 +121,7 @@
 enum class ClaimRefusal {
     OtherBody, // The id was used with another body or route.
     Orphaned, // The claimer's incarnation has ended: it must take a higher one.
-    Superseded, // This attempt was reported as not run already; a new attempt may claim.
+    Superseded, // This attempt gave up already; a new attempt may claim.
     Expired, // The id is older than the retention: whether it ran is no longer known.
     Full, // No room for another claim; this one was not recorded.
 };
--- a/Source/UnitTests/Once/NaiveClaims.h
+++ b/Source/UnitTests/Once/NaiveClaims.h
@@ -25,8 +25,11 @@
             return Once::Refused { Once::ClaimRefusal::OtherBody };
         if (entry.done)
             return *entry.done;
-        if (entry.holder && entry.unknown)
+        if (entry.holder && entry.unknown) {
+            if (*entry.holder != claim.by && !hasEnded(entry, claim.by))
+                entry.ended.push_back(claim.by);
             return Once::HeldUnknown { *entry.holder };
+        }
         if (entry.holder && *entry.holder != claim.by)
             return Once::Running { *entry.holder };
         if (entry.holder)
