Kill members while a slow write runs

Cause: in the scratch copy, a leader that counts its own entry before the sync still passed all tests. Change: kills fall within the write that they hit, more of them in slow ones; a focused test that the own entry counts after the Persisted event only.

--- a/Source/UnitTests/Consensus/FakeCluster.cpp
+++ b/Source/UnitTests/Consensus/FakeCluster.cpp
@@ -148,12 +148,13 @@
     if (!effects.write)
         return;
     Consensus::WriteNumber number = effects.write->number;
-    if (m_faulty && m_random.chance(effects.write->hard ? 0.05 : 0.004))
-        atNode(member, m_now + Milliseconds(5 * m_random.unit()), [this, member] { killDuringWrite(member); });
     node.disk.unsynced.push_back(std::move(*effects.write));
-    double slow = m_faulty && m_random.chance(0.02) ? 200 : 5;
-    atNode(member, m_now + Milliseconds(0.2 + slow * m_random.unit()),
-        [this, member, number] { finishWrite(member, number); });
+    bool slow = m_faulty && m_random.chance(0.03);
+    Milliseconds length(0.2 + (slow ? 200 : 5) * m_random.unit());
+    atNode(member, m_now + length, [this, member, number] { finishWrite(member, number); });
+    bool changesVote = node.disk.unsynced.back().hard.has_value();
+    if (m_faulty && m_random.chance(slow || changesVote ? 0.05 : 0.003))
+        atNode(member, m_now + length * m_random.unit(), [this, member] { killDuringWrite(member); });
 }
 
 void FakeCluster::finishWrite(size_t member, Consensus::WriteNumber number)
--- a/Source/UnitTests/Consensus/StepTest.cpp
+++ b/Source/UnitTests/Consensus/StepTest.cpp
@@ -113,6 +113,17 @@
     EXPECT_EQ(match(3), LogIndex(3));
 }
 
+TEST(Step, OwnEntryCountsOnceItIsDurable)
+{
+    Consensus::State state = leader();
+    step(state, appendReply(state, member("b", 2), 3), TimePoint());
+    step(state, Consensus::Propose { { "new" } }, TimePoint());
+    step(state, appendReply(state, member("b", 2), 4), TimePoint());
+    EXPECT_EQ(state.commit, LogIndex(3));
+    step(state, Consensus::Persisted { state.lastWrite }, TimePoint());
+    EXPECT_EQ(state.commit, LogIndex(4));
+}
+
 TEST(Step, OneMembershipChangeAtATime)
 {
     Consensus::State state = leader();
