Let instances borrow one slot, and retry after a shed anywhere

With one slot a server, a straggler and its hedge held both of an instance's slots of a shard, and all its queries waited.

Change: the ceiling of an instance is one more than its whole part, at most the slots; what is borrowed goes back on sheds and slow answers, quickly down to the fair part and slowly below it. A server that refused a request ("not run") may be asked again and the send does not use up an attempt. The experiment's admission leaves out only servers paused for over 100 ms.

--- a/Source/Core/Gather/Query.cpp
+++ b/Source/Core/Gather/Query.cpp
@@ -124,7 +124,8 @@
     {
         if (part.state == Part::State::Open && part.detail.empty()) {
             if (part.sent)
-                explain(part, Reason::DeadlineExceeded, "no answer in time from " + part.usedServers.back().value());
+                explain(part, Reason::DeadlineExceeded,
+                    "no answer in time" + (part.usedServers.empty() ? "" : " from " + part.usedServers.back().value()));
             else
                 explain(part, Reason::Overloaded, "no slot in time");
         }
@@ -214,6 +215,17 @@
             finish(query, now, effects);
     }
 
+    // A server that said it did not run the request may be asked again; routing knows that it sheds.
+    void forgetSend(Part& part, const Attempt& attempt)
+    {
+        auto it = std::find(part.usedServers.begin(), part.usedServers.end(), attempt.server);
+        if (it == part.usedServers.end())
+            return;
+        part.usedDomains.erase(part.usedDomains.begin() + (it - part.usedServers.begin()));
+        part.usedServers.erase(it);
+        --part.sent;
+    }
+
     void fail(Query& query, Part& part, AttemptId id, const Common::Error& error, TimePoint now, Effects& effects)
     {
         explain(part, error.reason, describe(error));
@@ -365,8 +377,11 @@
 {
     Effects effects;
     Part* part = partOf(query, id);
-    if (query.finished || !part || !findAttempt(*part, id))
+    Attempt* attempt = part ? findAttempt(*part, id) : nullptr;
+    if (query.finished || !attempt)
         return effects;
+    if (error.reason == Reason::Refused)
+        forgetSend(*part, *attempt);
     fail(query, *part, id, error, now, effects);
     return effects;
 }
--- a/Source/Core/Gather/Query.h
+++ b/Source/Core/Gather/Query.h
@@ -25,7 +25,7 @@
     Common::TimePoint deadline; // When the caller needs the answer.
     Common::Milliseconds returnMargin { 5 }; // The way back to the caller; sub-answers count until deadline less this.
     Common::Ratio minimumCoverage { 0 }; // Below it the caller gets a refusal.
-    int maximumAttempts { 3 }; // Requests sent for one shard, all purposes; at least 1.
+    int maximumAttempts { 3 }; // Requests that may run for one shard, all purposes; at least 1.
     bool mayRetry { true }; // False bars retries and hedges, for a request that may have crashed a server.
 };
 
@@ -49,9 +49,9 @@
     State state { State::Open };
     std::vector<Attempt> attempts; // Live ones.
     std::vector<Common::BackendServerId> usedServers;
-    std::vector<Common::FailureDomain> usedDomains;
+    std::vector<Common::FailureDomain> usedDomains; // One for each used server.
     uint8_t asked { 0 }; // Attempts asked for, to number them.
-    uint8_t sent { 0 };
+    uint8_t sent { 0 }; // Less those that the server did not run.
     bool hedged { false }; // A hedge was sent.
     uint8_t asksLeft { 0 }; // For extras, sent or not.
     uint8_t refusals { 0 }; // Extras that found no budget or slot.
@@ -101,7 +101,7 @@
 Effects subAnswer(Query&, Common::AttemptId, Common::IndexVersion, Common::ShardId, Common::KeyRange, std::vector<Item>,
     Common::TimePoint now);
 
-// An attempt that was started failed.
+// An attempt that was started failed. Refused says that the server did not run it: a retry may go there again.
 Effects attemptFailed(Query&, Common::AttemptId, const Common::Error&, Common::TimePoint now);
 
 // Hedges what is due; finishes when the time is over.
--- a/Source/Core/Limits/ServerLoad.cpp
+++ b/Source/Core/Limits/ServerLoad.cpp
@@ -16,7 +16,8 @@
     constexpr double coldLimit = 0.25;
     constexpr double coldRaise = 0.25; // A success.
     constexpr double warmRaise = 0.02; // A success.
-    constexpr double shedFactor = 0.5;
+    constexpr double borrowedFactor = 0.5; // A shed or failure, down to the fair part.
+    constexpr double ownFactor = 0.7; // Below it.
     constexpr double slowFactor = 0.95; // A success that shows a raised latency.
     constexpr double slowRatio = 2; // Latency over the usual one that counts as slow.
     constexpr double raisedShare = 0.3; // Of slow requests; a share, since single stragglers are no sign of load.
@@ -31,7 +32,7 @@
         double factor;
         Milliseconds longest;
     };
-    constexpr Backoff shedBackoff { Milliseconds(20), 2, Milliseconds(1000) };
+    constexpr Backoff shedBackoff { Milliseconds(10), 2, Milliseconds(1000) };
     // Steeper, since each try of a lost server costs a retry. A server that returns announces itself anew.
     constexpr Backoff failureBackoff { Milliseconds(50), 8, Milliseconds(5000) };
     constexpr Milliseconds maximumPacing { 1000 };
@@ -92,7 +93,9 @@
         if (now < load.pausedUntil)
             return;
         load.troubles = std::min(load.troubles + 1, maximumTroubles);
-        load.limit = std::max(minimumLimit, load.limit * shedFactor);
+        double fair = load.share.fair.value();
+        load.limit = load.limit > fair ? std::max(fair, load.limit * borrowedFactor)
+                                       : std::max(minimumLimit, load.limit * ownFactor);
         load.pausedUntil = now + std::min(backoff.longest, backoff.first * std::pow(backoff.factor, load.troubles - 1));
     }
 
@@ -109,7 +112,7 @@
     auto n = static_cast<int64_t>(std::max<size_t>(1, instances));
     int64_t whole = slots.value() / n + (static_cast<int64_t>(index) < slots.value() % n ? 1 : 0);
     double fair = static_cast<double>(slots.value()) / static_cast<double>(n);
-    int64_t ceiling = std::max<int64_t>(1, whole);
+    int64_t ceiling = std::min(slots.value(), std::max<int64_t>(1, whole) + 1);
     return { Common::Slots(ceiling), Common::Ratio(std::min(fair, static_cast<double>(ceiling))) };
 }
 
--- a/Source/Core/Limits/ServerLoad.h
+++ b/Source/Core/Limits/ServerLoad.h
@@ -11,16 +11,17 @@
 // What one of several entry instances may hold of a backend server's slots.
 //
 // Instances do not agree on each request, so slots fewer than instances can't be divided into whole ones. Each
-// instance may hold `ceiling` requests, at least one. What exceeds `fair`, its exact part, is borrowed: it is given
-// back when latencies rise or the server sheds. A limit below one is kept in time: one request, then a pause.
-// A server of 2 slots under 9 instances sees at most 9 requests, and about 2 once the borrowed part is given back.
+// instance may hold `ceiling` requests: its whole part, at least one, and one more, so that a straggler does not block
+// all that the instance sends; never more than the slots. What exceeds `fair`, its exact part, is borrowed: it is
+// given back when latencies rise or the server sheds. A limit below one is kept in time: one request, then a pause.
+// A server of 2 slots under 9 instances sees at most 18 requests, and about 2 once what is borrowed is given back.
 // Exact ownership of slots was not taken: a query touches all shards, so almost each sub-request would need a relay.
 struct SlotShare {
     Common::Slots ceiling { 1 };
     Common::Ratio fair { 1 }; // Slots; may be above 1.
 };
 
-// The part of instance number `index` of `instances`. The ceilings add up to `slots` when there are enough.
+// The part of instance number `index` of `instances`. The fair parts add up to `slots`.
 SlotShare slotShare(Common::Slots slots, size_t instances, size_t index);
 
 // How a request to a backend server ended.
--- a/Source/UnitTests/Gather/PolicyModel.cpp
+++ b/Source/UnitTests/Gather/PolicyModel.cpp
@@ -18,6 +18,7 @@
 constexpr double oneWay = 0.5; // Milliseconds.
 constexpr double stragglerFactor = 50;
 constexpr double deadlineAfter = 1000; // Milliseconds.
+constexpr Milliseconds longPause { 100 }; // A server paused for longer does not count on admission.
 const Common::RouteName route("lookup");
 
 } // namespace
@@ -104,7 +105,7 @@
         for (size_t i = shard * replicas; i < (shard + 1) * replicas; ++i) {
             const Limits::ServerLoad& load = instance.loads[i];
             backlog.slotFree = backlog.slotFree || Limits::hasRoom(load, now());
-            backlog.slots += load.pausedUntil > now() ? 0 : load.limit;
+            backlog.slots += load.pausedUntil > now() + longPause ? 0 : load.limit;
         }
     }
     return Limits::admit(backlogs, TimePoint(Milliseconds(deadline - 5)), now()).has_value();
--- a/Source/UnitTests/Gather/QueryTest.cpp
+++ b/Source/UnitTests/Gather/QueryTest.cpp
@@ -123,6 +123,16 @@
     EXPECT_EQ(done[0].answer.refusal->reason, Reason::Conflict);
 }
 
+TEST_F(GatherQuery, AServerThatDidNotRunItMayBeAskedAgain)
+{
+    auto starts = begin(1);
+    sent(starts[0], 0, "a", "x");
+    auto retry = pick<StartAttempt>(fails(starts[0], 1, Reason::Refused));
+    ASSERT_EQ(retry.size(), 1u);
+    EXPECT_TRUE(retry[0].avoidServers.empty());
+    EXPECT_TRUE(retry[0].avoidDomains.empty());
+}
+
 TEST_F(GatherQuery, HedgesOnceFromTheSendAndCancelsTheLoser)
 {
     auto starts = begin(1);
