Keep a revision in force while an instance joins

A joining instance has applied nothing when it first renews, so each join took every revision out of force for up to a renewal interval, although the instance takes no work before it has applied what comes with its first lease. renew() now takes the revision that goes out with the grant, and a new incarnation counts as having applied it.

Leases.AJoiningInstanceTakesNothingOutOfForce fails in a scratch copy without it.

--- a/Source/Core/Control/Leases.cpp
+++ b/Source/Core/Control/Leases.cpp
@@ -53,7 +53,7 @@
 {
 }
 
-Common::Result<LeaseGranted> renew(LeaseTable& table, const Renewal& renewal, TimePoint now)
+Common::Result<LeaseGranted> renew(LeaseTable& table, const Renewal& renewal, TimePoint now, Common::Revision sent)
 {
     LeaseGranted granted { table.duration, std::nullopt };
     TimePoint until = now + table.duration;
@@ -70,7 +70,7 @@
         granted.replaced = known;
     bool hasMoved = lease.instance != renewal.instance;
     lease.instance = renewal.instance;
-    lease.applied = isSame ? std::max(lease.applied, renewal.applied) : renewal.applied;
+    lease.applied = std::max(renewal.applied, isSame ? lease.applied : sent);
     lease.expiresAt = isSame ? std::max(lease.expiresAt, until) : until;
     lease.ended = false;
     if (isNew || hasMoved)
--- a/Source/Core/Control/Leases.h
+++ b/Source/Core/Control/Leases.h
@@ -70,7 +70,11 @@
 
 // Refuses (reason Conflict) an incarnation older than a known one, and one whose lease was released or expired: the
 // instance must take a higher incarnation.
-Common::Result<LeaseGranted> renew(LeaseTable&, const Renewal&, Common::TimePoint now);
+//
+// `sent` is the revision up to which changes go out with the grant. An instance that joins uses its first lease only
+// after it has applied them, so it counts as having applied `sent`, and takes no revision out of force by joining.
+Common::Result<LeaseGranted> renew(
+    LeaseTable&, const Renewal&, Common::TimePoint now, Common::Revision sent = Common::Revision());
 
 // A planned stop: the instance takes no more work. Returns false if this incarnation held no lease. As for an expired
 // lease, claims that it left running are orphans.
--- a/Source/UnitTests/Control/LeasesTest.cpp
+++ b/Source/UnitTests/Control/LeasesTest.cpp
@@ -45,6 +45,17 @@
     EXPECT_EQ(revisionStatus(table, Revision(8), at(4'100)).missing, std::vector { b });
 }
 
+TEST(Leases, AJoiningInstanceTakesNothingOutOfForce)
+{
+    LeaseTable table = oldTable();
+    ASSERT_TRUE(renew(table, renewalOf("a", 7), at(0), Revision(7)));
+    ASSERT_TRUE(renew(table, renewalOf("b", 0), at(0), Revision(7)));
+    EXPECT_EQ(revisionStatus(table, Revision(7), at(1)).state, RevisionState::InForce);
+    EXPECT_EQ(revisionStatus(table, Revision(8), at(1)).missing, (std::vector { a, b }));
+    ASSERT_TRUE(renew(table, renewalOf("b", 7), at(1'000), Revision(8)));
+    EXPECT_EQ(revisionStatus(table, Revision(8), at(1'001)).missing, (std::vector { a, b }));
+}
+
 TEST(Leases, ANewLeaderSaysNothingIsInForceForALeaseTime)
 {
     LeaseTable table(Common::Term(3), at(0));
