Push a change less often once peers push it back

A change cost each instance 15 sends of 125 bytes at 840 instances, and one message in five lost made owners suspect live servers after three lost renewals, each a change that travels. A record that a peer pushes and that is known already now counts as one send; servers are suspected after 10 s (was 6) and removed after 20 s (was 15).

--- a/Source/Core/Membership/Directory.h
+++ b/Source/Core/Membership/Directory.h
@@ -9,8 +9,9 @@
 namespace Membership {
 
 struct DirectorySettings {
-    Common::Milliseconds suspectAfter { 6'000 }; // Without a renewal.
-    Common::Milliseconds removeAfter { 15'000 }; // Without a renewal.
+    // Without a renewal; servers renew every two seconds, and some of the renewals may be lost.
+    Common::Milliseconds suspectAfter { 10'000 };
+    Common::Milliseconds removeAfter { 20'000 };
     Common::Milliseconds advertiseTombstones { 60'000 }; // Then they are kept, but no longer told to others.
     Common::Milliseconds keepTombstones { 600'000 }; // Bounds how late an old announcement can still be recognised.
 };
--- a/Source/Core/Membership/GossipQueues.cpp
+++ b/Source/Core/Membership/GossipQueues.cpp
@@ -12,6 +12,11 @@
     // Enough that a record reaches all but a few of n instances with one message in five lost; digests do the rest.
     size_t roundsFor(size_t n) { return 2 + static_cast<size_t>(std::ceil(std::log10(static_cast<double>(n + 1)))); }
 
+    size_t pushLimit(const GossipState& state)
+    {
+        return state.settings.fanOut * roundsFor(state.directory.instances.size());
+    }
+
     std::optional<Change> applyToSelf(GossipState& state, const InstanceRecord& record, Common::TimePoint now)
     {
         if (!supersedes(record, state.self))
@@ -31,9 +36,20 @@
     state.pushes[summarize(change.record).key] = { change.record, 0 };
 }
 
+void countDuplicate(GossipState& state, const Record& record)
+{
+    Summary summary = summarize(record);
+    auto it = state.pushes.find(summary.key);
+    if (it == state.pushes.end() || summarize(it->second.record).version != summary.version)
+        return;
+    ++it->second.sends;
+    if (it->second.sends >= pushLimit(state))
+        state.pushes.erase(it);
+}
+
 std::vector<Record> takePushes(GossipState& state, size_t recipients)
 {
-    size_t limit = state.settings.fanOut * roundsFor(state.directory.instances.size());
+    size_t limit = pushLimit(state);
     std::vector<std::pair<size_t, uint64_t>> order;
     order.reserve(state.pushes.size());
     for (const auto& [key, push] : state.pushes)
--- a/Source/Core/Membership/GossipQueues.h
+++ b/Source/Core/Membership/GossipQueues.h
@@ -6,6 +6,8 @@
 
 // Queues the change for the next pushes; a newer record replaces an older one about the same thing.
 void queuePush(GossipState&, const Change&);
+// A peer pushed a record that is known here already: it needs fewer pushes, since others spread it too.
+void countDuplicate(GossipState&, const Record&);
 // At most maximumPushed records, those sent least often first; counts that they were sent to recipients.
 std::vector<Record> takePushes(GossipState&, size_t recipients);
 void queueRenewal(GossipState&, const Common::InstanceId& owner, const Renewal&);
--- a/Source/Core/Membership/GossipReceipt.cpp
+++ b/Source/Core/Membership/GossipReceipt.cpp
@@ -40,6 +40,8 @@
         for (const Record& record : records) {
             if (auto change = applyRecord(state, record, now))
                 receipt.changes.push_back(std::move(*change));
+            else
+                countDuplicate(state, record);
         }
     }
 
