--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -6,7 +6,6 @@
 #include "Wire/MessageCodec.h"
 
 #include <algorithm>
-#include <set>
 
 using Common::Clock;
 using Common::LogShardId;
@@ -22,13 +21,11 @@
 namespace {
 
     constexpr Milliseconds sweepInterval { 500 };
-    constexpr Milliseconds expiryInterval { 10'000 };
+    constexpr Milliseconds logTimeStep { 1'000 };
     constexpr Milliseconds orphanBound { 5'000 };
     // A watch that has nothing to tell is answered after this time, so that a lost connection is noticed.
     constexpr Milliseconds watchHold { 10'000 };
 
-    using OwnerKey = std::pair<Common::InstanceId, Common::Incarnation>;
-
     struct Watcher {
         uint64_t id { 0 };
         Common::Revision from;
@@ -55,7 +52,6 @@
     std::mutex watchMutex;
     std::vector<Watcher> watchers;
     uint64_t nextWatcher { 1 };
-    Common::TimePoint lastExpiry;
 
     void leadershipChanged(bool leading, Common::Term);
     void configurationChanged();
@@ -73,10 +69,10 @@
 
     void sweepLater();
     void sweep();
-    void orphan(LogShardId, const OwnerKey&);
-    std::set<OwnerKey> runningOwners(LogShardId) const;
-    bool isEnded(const OwnerKey&);
-    void expireClaims();
+    bool hasNoLease(const Once::Orphan&);
+    void orphan(LogShardId, const Once::Orphan&);
+    // Moves log time on, so that old claims are forgotten and new ones are settled at the right time.
+    void keepLogTime(LogShardId);
 };
 
 void ControlRole::Private::leadershipChanged(bool leading, Common::Term term)
@@ -150,11 +146,15 @@
     std::lock_guard lock(leaseMutex);
     if (!leases)
         return { notLeading(), {} };
-    auto granted = Control::renew(*leases, { request.instance, request.applied }, Clock::now());
+    grant.changes = changesSince(request.applied);
+    auto granted = Control::renew(*leases, { request.instance, request.applied }, Clock::now(), grant.changes.revision);
     if (!granted)
         return { granted.error(), {} };
     grant.lease = granted.value().duration;
-    grant.changes = changesSince(request.applied);
+    if (granted.value().replaced) {
+        for (uint32_t i = 1; i <= state->claimShards(); ++i)
+            orphan(LogShardId(i), { request.instance.id, *granted.value().replaced });
+    }
     grant.live = Control::liveSince(*leases, request.live);
     return { grant, {} };
 }
@@ -278,38 +278,12 @@
         if (!self)
             return;
         self->sweep();
-        self->expireClaims();
+        for (uint32_t i = 1; i <= self->state->claimShards(); ++i)
+            self->keepLogTime(LogShardId(i));
         self->sweepLater();
     });
 }
 
-std::set<OwnerKey> ControlRole::Private::runningOwners(LogShardId id) const
-{
-    std::set<OwnerKey> owners;
-    state->withClaims(id, [&](const Once::Claims& claims) {
-        for (auto& [owner, ids] : claims.runningByOwner) {
-            for (const Common::RequestId& request : ids) {
-                auto it = claims.records.find(request);
-                if (it != claims.records.end())
-                    owners.insert({ owner, it->second.by.incarnation });
-            }
-        }
-    });
-    return owners;
-}
-
-bool ControlRole::Private::isEnded(const OwnerKey& owner)
-{
-    std::lock_guard lock(leaseMutex);
-    if (!leases)
-        return false;
-    auto it = leases->leases.find(owner.first);
-    if (it == leases->leases.end())
-        return true;
-    const Control::Lease& lease = it->second;
-    return lease.instance.incarnation > owner.second || (lease.instance.incarnation == owner.second && lease.ended);
-}
-
 // Finds running claims whose owner holds no lease any more. This instance's copies of the claims may be a little
 // behind; the orphan command is decided by the log shard itself.
 void ControlRole::Private::sweep()
@@ -323,41 +297,41 @@
             use.timeline.record(EventKind::LeaseLost, ended.id.value(), "not renewed");
             LOG_WARNING(Part::Control, "The lease of " << ended.id << " has run out.");
         }
-        // Whom an earlier leader gave a lease may not have come here yet.
-        if (now - leases->electedAt < leases->duration)
-            return;
     }
     for (uint32_t i = 1; i <= state->claimShards(); ++i) {
-        for (const OwnerKey& owner : runningOwners(LogShardId(i))) {
-            if (isEnded(owner))
-                orphan(LogShardId(i), owner);
+        LogShardId shard(i);
+        std::vector<Once::Orphan> owners;
+        state->withClaims(shard, [&](const Once::Claims& claims) { owners = Once::runningOwners(claims); });
+        for (const Once::Orphan& owner : owners) {
+            if (hasNoLease(owner))
+                orphan(shard, owner);
         }
     }
 }
 
-void ControlRole::Private::orphan(LogShardId shard, const OwnerKey& owner)
+bool ControlRole::Private::hasNoLease(const Once::Orphan& owner)
+{
+    std::lock_guard lock(leaseMutex);
+    return leases && Control::hasNoLease(*leases, owner.owner, owner.incarnation, Clock::now());
+}
+
+void ControlRole::Private::orphan(LogShardId shard, const Once::Orphan& owner)
 {
     LOG_WARNING(Part::Once,
-        "Claims of " << owner.first << " in log shard " << shard
+        "Claims of " << owner.owner << " in log shard " << shard
                      << " have lost their owner. Their outcome is unknown.");
-    Control::ProposeRequest request { shard, Once::Orphan { owner.first, owner.second } };
-    use.control.call(shard, request, Clock::now() + orphanBound, [](const auto&) {});
+    use.control.call(shard, Control::ProposeRequest { shard, owner }, Clock::now() + orphanBound, [](const auto&) {});
 }
 
-// Moves log time on, so that old claims are forgotten.
-void ControlRole::Private::expireClaims()
+void ControlRole::Private::keepLogTime(LogShardId shard)
 {
-    auto now = Clock::now();
-    if (now - lastExpiry < expiryInterval)
-        return;
-    lastExpiry = now;
-    Once::LogTime time(static_cast<uint64_t>(Clock::wallClock().value()));
-    for (uint32_t i = 1; i <= state->claimShards(); ++i) {
-        bool any = false;
-        state->withClaims(LogShardId(i), [&](const Once::Claims& claims) { any = !claims.records.empty(); });
-        if (any && state->leads(LogShardId(i)))
-            state->propose(LogShardId(i), Once::Expire { time }, [](const auto&) {});
-    }
+    Once::LogTime now(static_cast<uint64_t>(Clock::wallClock().value()));
+    bool isBehind = false;
+    state->withClaims(shard, [&](const Once::Claims& claims) {
+        isBehind = claims.logTime + Once::LogTime(static_cast<uint64_t>(logTimeStep.value())) < now;
+    });
+    if (isBehind && state->leads(shard))
+        state->propose(shard, Once::Expire { now }, [](const auto&) {});
 }
 
 ControlRole::ControlRole(std::shared_ptr<Private> p)
--- a/Source/Core/Daemon/EntryRole.cpp
+++ b/Source/Core/Daemon/EntryRole.cpp
@@ -58,8 +58,8 @@
               Clock::now())
         , queries({ use.settings.instance, use.settings.entry, configuration, servers, membership, *losses, backend,
               use.timers, use.metrics, use.timeline })
-        , bookings({ use.settings.instance, use.incarnation, static_cast<uint32_t>(use.settings.control.claimShards),
-              configuration, servers, lease, use.control, backend, use.timers, use.metrics, use.timeline })
+        , bookings({ use.settings.instance, static_cast<uint32_t>(use.settings.control.claimShards), configuration,
+              servers, lease, use.control, backend, use.timers, use.metrics, use.timeline })
     {
     }
 
--- a/Source/Core/Entry/BookingEngine.cpp
+++ b/Source/Core/Entry/BookingEngine.cpp
@@ -272,7 +272,7 @@
     running->admitted = now;
     running->done = std::move(done);
     running->booking.claim = { request.id, request.route, Common::Fingerprint(Common::hash64(request.body)),
-        { self->use.self, self->use.incarnation, id } };
+        { self->use.self, self->use.lease.incarnation(), id } };
     running->booking.mayBeResend = request.mayBeResend;
     running->booking.deadline = now + running->route.route.deadline;
     running->request = std::move(request);
--- a/Source/Core/Entry/BookingEngine.h
+++ b/Source/Core/Entry/BookingEngine.h
@@ -25,7 +25,6 @@
 
 struct BookingDependencies {
     Common::InstanceId self;
-    Common::Incarnation incarnation;
     uint32_t claimShards { 1 };
     const ConfigurationView& configuration;
     ServerTable& servers;
--- a/Source/Core/Entry/LeaseKeeper.cpp
+++ b/Source/Core/Entry/LeaseKeeper.cpp
@@ -41,6 +41,7 @@
     void renew();
     void renewed(TimePoint sentAt, const Common::Result<Control::Reply>&);
     void take(TimePoint sentAt, const Control::RenewGrant&);
+    void refused(const Common::Error&);
     void learn(const Control::LiveChanges&);
     bool follow(const Control::Changes&);
     void noteHeld();
@@ -70,7 +71,8 @@
 // One renewal is under way at a time; whoever asks meanwhile gets another one after it.
 void LeaseKeeper::Private::renew()
 {
-    Control::RenewRequest request { use.self, use.configuration.revision(), {} };
+    Control::RenewRequest request;
+    request.applied = use.configuration.revision();
     {
         std::lock_guard lock(mutex);
         if (lease.released)
@@ -81,6 +83,7 @@
         }
         renewing = true;
         renewAgain = false;
+        request.instance = use.self;
         request.live = live;
     }
     auto sentAt = Clock::now();
@@ -96,7 +99,7 @@
     if (grant)
         take(sentAt, *grant);
     else if (reply)
-        LOG_WARNING(Part::Entry, "The lease is not renewed: " << std::get<Common::Error>(reply->result) << ".");
+        refused(std::get<Common::Error>(reply->result));
     else if (!result)
         LOG_WARNING(Part::Entry, "Control does not answer: " << result.error() << ".");
     bool again = false;
@@ -123,6 +126,16 @@
     learn(grant.live);
 }
 
+// Control has ended this incarnation, and with it all its claims: the instance goes on as a new one.
+void LeaseKeeper::Private::refused(const Common::Error& error)
+{
+    LOG_WARNING(Part::Entry, "The lease is not renewed: " << error << ".");
+    if (error.reason != Common::Reason::Conflict)
+        return;
+    std::lock_guard lock(mutex);
+    use.self.incarnation += Common::Incarnation(1);
+}
+
 void LeaseKeeper::Private::learn(const Control::LiveChanges& changes)
 {
     for (const Control::LiveInstance& instance : changes.joined) {
@@ -216,6 +229,12 @@
     return Control::mayTakeWork(m_private->lease, Clock::now());
 }
 
+Common::Incarnation LeaseKeeper::incarnation() const
+{
+    std::lock_guard lock(m_private->mutex);
+    return m_private->use.self.incarnation;
+}
+
 TimePoint LeaseKeeper::heldUntil() const
 {
     std::lock_guard lock(m_private->mutex);
@@ -228,9 +247,9 @@
         std::lock_guard lock(m_private->mutex);
         Control::dropLease(m_private->lease);
     }
-    const auto& self = m_private->use.self;
-    m_private->use.control.call(configurationShard, Control::ReleaseRequest { self.id, self.incarnation },
-        Clock::now() + bound, [done = std::move(done)](const auto&) { done(); });
+    Control::ReleaseRequest request { m_private->use.self.id, incarnation() };
+    m_private->use.control.call(
+        configurationShard, request, Clock::now() + bound, [done = std::move(done)](const auto&) { done(); });
 }
 
 } // namespace Entry
