Let random schedules refuse sub-requests too

Cause: the differential failed attempts with ConnectionLost only, so the path of a refused request ("not run") was covered by one unit test.

Change: half of the failures are refusals. The check that an attempt's server is not among the avoided ones assumed that the list only grows; it is replaced by a stricter one: what an attempt avoids is exactly the servers that were used for the shard and did not refuse.

--- a/Source/UnitTests/Gather/DifferentialTest.cpp
+++ b/Source/UnitTests/Gather/DifferentialTest.cpp
@@ -178,8 +178,7 @@
             m_wanted.erase(id.value());
             m_running.erase(id.value());
             if (event.kind == Event::Kind::Failed)
-                return attemptFailed(
-                    m_query, id, Common::makeError(Common::Reason::ConnectionLost, "read", "x"), m_now);
+                return failureEffects(event.attempt, wanted);
             return subAnswer(m_query, id, event.version, event.shard, event.range, event.items, m_now);
         case Event::Kind::Wake:
             return wake(m_query, m_now);
@@ -190,14 +189,14 @@
     Effects startedEffects(const Event& event)
     {
         const StartAttempt& attempt = event.attempt;
-        Common::BackendServerId server("s" + std::to_string(attempt.avoidServers.size()));
-        EXPECT_EQ(std::count(attempt.avoidServers.begin(), attempt.avoidServers.end(), server), 0);
-        Common::FailureDomain domain(std::to_string(attempt.avoidServers.size()));
+        Common::BackendServerId server("s" + std::to_string(attempt.id.value()));
+        Common::FailureDomain domain(server.value());
         Effects effects = attemptStarted(m_query, attempt.id, server, domain, m_now);
         if (!effects.empty() && std::holds_alternative<CancelAttempt>(effects.front()))
             return effects;
         EXPECT_TRUE(m_wanted.contains(attempt.id.value())) << "a cancelled attempt was started";
         m_running.insert(attempt.id.value());
+        m_used[attempt.shard].insert(server);
         bool hedge = attempt.purpose == Purpose::Hedge;
         EXPECT_TRUE(!hedge || m_hedged.insert(attempt.shard).second) << "two hedges of a shard";
         answerLater(attempt);
@@ -242,12 +241,23 @@
         return Common::makeError(final ? Common::Reason::Unavailable : Common::Reason::Overloaded, "send", "none");
     }
 
+    Effects failureEffects(const StartAttempt& attempt, bool wanted)
+    {
+        bool shed = m_random.chance(0.5);
+        if (shed && wanted)
+            m_used[attempt.shard].erase(Common::BackendServerId("s" + std::to_string(attempt.id.value())));
+        auto reason = shed ? Common::Reason::Refused : Common::Reason::ConnectionLost;
+        return attemptFailed(m_query, attempt.id, Common::makeError(reason, "read", "none"), m_now);
+    }
+
     void carryOut(const Effects& effects)
     {
         for (const Effect& effect : effects) {
             EXPECT_TRUE(!m_finishes || std::holds_alternative<CancelAttempt>(effect)) << "an effect after the answer";
             if (auto* attempt = std::get_if<StartAttempt>(&effect)) {
                 EXPECT_TRUE(m_wanted.insert(attempt->id.value()).second) << "an attempt's id came twice";
+                std::set<Common::BackendServerId> avoided(attempt->avoidServers.begin(), attempt->avoidServers.end());
+                EXPECT_EQ(avoided, m_used[attempt->shard]);
                 bool denied = m_random.chance(m_trouble * (attempt->purpose == Purpose::First ? 0.1 : 1));
                 auto kind = denied ? Event::Kind::NotStarted : Event::Kind::Started;
                 push(m_random.chance(0.8) ? 0 : m_random.unit() * 40, { .kind = kind, .attempt = *attempt });
@@ -276,6 +286,7 @@
     std::set<uint64_t> m_wanted; // Asked for, not ended, not cancelled.
     std::set<uint64_t> m_running; // Those of them that were sent.
     std::set<Common::ShardId> m_hedged;
+    std::map<Common::ShardId, std::set<Common::BackendServerId>> m_used; // Without those that refused.
     int m_finishes { 0 };
     TimePoint m_finishedAt;
     Answer m_answer;
