--- a/Source/Core/Api/CallerJson.cpp
+++ b/Source/Core/Api/CallerJson.cpp
@@ -1,6 +1,3 @@
-#include <utility>
-
-#define _TURN_OFF_PLATFORM_STRING
 #include "Api/CallerJson.h"
 
 #include "Model/Validation.h"
--- a/Source/Core/Api/ResourceJson.cpp
+++ b/Source/Core/Api/ResourceJson.cpp
@@ -1,6 +1,3 @@
-#include <utility>
-
-#define _TURN_OFF_PLATFORM_STRING
 #include "Api/ResourceJson.h"
 
 #include "Json/Reader.h"
--- a/Source/Core/Backend/Client.cpp
+++ b/Source/Core/Backend/Client.cpp
@@ -258,7 +258,7 @@
 
 Client::~Client() = default;
 
-CallId Client::search(const Target& target, SearchRequest request, SearchDone done)
+CallId Client::search(const Target& target, const SearchRequest& request, SearchDone done)
 {
     auto self = m_private;
     CallId id(self->nextId++);
--- a/Source/Core/Backend/Client.h
+++ b/Source/Core/Backend/Client.h
@@ -34,7 +34,7 @@
     Client& operator=(const Client&) = delete;
 
     // done is called once, on another thread.
-    CallId search(const Target&, SearchRequest, SearchDone done);
+    CallId search(const Target&, const SearchRequest&, SearchDone done);
     // Tells the server and closes the connection; done gets Cancelled if it has not been called.
     void cancelSearch(CallId);
     // On a fresh connection, so that the library can't send it twice.
--- a/Source/Core/Backend/Json.cpp
+++ b/Source/Core/Backend/Json.cpp
@@ -1,6 +1,3 @@
-#include <utility>
-
-#define _TURN_OFF_PLATFORM_STRING
 #include "Backend/Json.h"
 
 #include "Model/Validation.h"
--- a/Source/Core/CommandLine/Print.cpp
+++ b/Source/Core/CommandLine/Print.cpp
@@ -1,6 +1,3 @@
-#include <utility>
-
-#define _TURN_OFF_PLATFORM_STRING
 #include "CommandLine/Print.h"
 
 #include "Json/Reader.h"
--- a/Source/Core/Entry/QueryEngine.cpp
+++ b/Source/Core/Entry/QueryEngine.cpp
@@ -344,8 +344,8 @@
             sending.purpose == Gather::Purpose::Hedge ? EventKind::SubRequestHedged : EventKind::SubRequestRetried,
             sending.request.queryId, "to " + sending.target.server.value());
     auto self = shared_from_this();
-    auto request = sending.request;
-    Backend::CallId call = use.backend.search(sending.target, std::move(request),
+
+    Backend::CallId call = use.backend.search(sending.target, sending.request,
         [self, sending](Common::Result<Backend::SearchAnswer> answer) { self->answered(sending, std::move(answer)); });
     bool cancel = true; // Unless the query still wants it.
     queries.ifPresent(sending.query, [&](std::unique_ptr<Running>& r) {
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -1,10 +1,9 @@
+#include "Http/Connection.h"
+
 #include <utility>
 
-#define _TURN_OFF_PLATFORM_STRING
 #include <cpprest/http_client.h>
 
-#include "Http/Connection.h"
-
 #include <algorithm>
 #include <atomic>
 #include <mutex>
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -1,11 +1,10 @@
+#include "Http/Server.h"
+
 #include <utility>
 
-#define _TURN_OFF_PLATFORM_STRING
 #include <cpprest/http_listener.h>
 #include <pplx/threadpool.h>
 
-#include "Http/Server.h"
-
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
--- a/Source/Core/Json/Reader.h
+++ b/Source/Core/Json/Reader.h
@@ -2,6 +2,9 @@
 
 #include "Common/Error.h"
 
+// Boost.Asio within the next header needs it, and does not include it.
+#include <utility>
+
 #include <cpprest/json.h>
 
 #include <cstdint>
