Free a stand-in's slot before its answer goes out

A caller that counts slots sends its next request as soon as an answer comes, and was refused with no-slots while the old slot was still held. Likewise work that ended in the queue kept its place until a slot came up. Program could be started once in a process only, as the HTTP library refuses a second set-up of its threads.

--- a/Source/StandIn/Backend.cpp
+++ b/Source/StandIn/Backend.cpp
@@ -79,6 +79,7 @@
     void start(const WorkPtr&);
     void finish(const WorkPtr&, Verdict);
     void releaseSlot();
+    void leaveQueue(const WorkPtr&);
     void finishLater(const WorkPtr&, Common::Milliseconds, Verdict);
 
     const BackendOptions options;
@@ -143,17 +144,26 @@
     timers.after(delay, [self = shared_from_this(), work, verdict] { self->finish(work, verdict); });
 }
 
-// The first end of a piece of work counts: its answer, its cancellation or its deadline.
+// The first end of a piece of work counts: its answer, its cancellation or its deadline. The slot is free before the
+// answer goes out, or a caller that counts slots would be refused the one that it was just given back.
 void Backend::Private::finish(const WorkPtr& work, Verdict verdict)
 {
     if (work->finished.exchange(true))
         return;
     if (!work->searchKey.empty())
         searches.take(work->searchKey);
-    work->finish(verdict);
-    work->finish = nullptr;
     if (work->holdsSlot.exchange(false))
         releaseSlot();
+    else
+        leaveQueue(work);
+    work->finish(verdict);
+    work->finish = nullptr;
+}
+
+void Backend::Private::leaveQueue(const WorkPtr& work)
+{
+    std::lock_guard lock(mutex);
+    std::erase(waiting, work);
 }
 
 void Backend::Private::releaseSlot()
--- a/Source/StandIn/HttpFront.cpp
+++ b/Source/StandIn/HttpFront.cpp
@@ -313,6 +313,11 @@
     return m_private->idle.wait_for(lock, Common::Clock::toChrono(bound), [&] { return !m_private->inFlight; });
 }
 
-void setHttpThreads(int n) { crossplat::threadpool::initialize_with_threads(n); }
+void setHttpThreads(int n)
+{
+    // The library refuses a second time.
+    static std::once_flag once;
+    std::call_once(once, [n] { crossplat::threadpool::initialize_with_threads(n); });
+}
 
 } // namespace StandIn
--- a/Source/StandIn/HttpFront.h
+++ b/Source/StandIn/HttpFront.h
@@ -42,7 +42,8 @@
     std::shared_ptr<Private> m_private;
 };
 
-// The number of threads that all HTTP fronts and clients of this process share; before the first of them.
+// The number of threads that all HTTP fronts and clients of this process share. Call it before the first of them; later
+// calls change nothing.
 void setHttpThreads(int);
 
 } // namespace StandIn
--- a/Source/UnitTests/StandIn/BackendTest.cpp
+++ b/Source/UnitTests/StandIn/BackendTest.cpp
@@ -110,6 +110,12 @@
     waitingRequest.deadline = Milliseconds(1);
     auto waiting = search(backend, waitingRequest);
     EXPECT_EQ(waiting.get().verdict, Verdict::DeadlinePassed);
+    // One that is cancelled leaves its place in the queue before it leaves cancel().
+    for (const char* name : { "second-waiting", "third-waiting" }) {
+        auto next = search(backend, request(name, 0));
+        EXPECT_TRUE(backend.cancel(StandIn::QueryName(name), Common::ShardId(0)));
+        EXPECT_EQ(next.get().verdict, Verdict::Cancelled);
+    }
     EXPECT_TRUE(backend.cancel(StandIn::QueryName("running"), Common::ShardId(0)));
     EXPECT_FALSE(backend.cancel(StandIn::QueryName("running"), Common::ShardId(0)));
     EXPECT_EQ(running.get().verdict, Verdict::Cancelled);
@@ -123,6 +129,18 @@
     EXPECT_EQ(backend.pending(), 0U);
 }
 
+TEST_F(BackendTest, ASlotIsFreeBeforeItsAnswerGoesOut)
+{
+    m_options.slots = Common::Slots(1);
+    StandIn::Backend backend(m_options, m_data, m_timers, *m_runLog);
+    std::promise<Verdict> second;
+    backend.search(request("first", 0), [&](const StandIn::SearchOutcome&) {
+        backend.search(
+            request("second", 0), [&](const StandIn::SearchOutcome& outcome) { second.set_value(outcome.verdict); });
+    });
+    EXPECT_EQ(second.get_future().get(), Verdict::Done);
+}
+
 TEST_F(BackendTest, FaultsApplyAndCanBeTakenBack)
 {
     bool hasCrashed = false;
--- a/Source/UnitTests/StandIn/ProgramTest.cpp
+++ b/Source/UnitTests/StandIn/ProgramTest.cpp
@@ -76,7 +76,6 @@
 
 } // namespace
 
-// One program for all, since the HTTP library's threads are set up once in a process.
 TEST(StandInProgram, SpeaksTheProtocolOverLoopback)
 {
     const std::string logPath = testing::TempDir() + "standin-runs-" + std::to_string(::getpid());
