--- a/Source/UnitTests/Consensus/StepCostTest.cpp
+++ b/Source/UnitTests/Consensus/StepCostTest.cpp
@@ -10,7 +10,6 @@
 using Common::InstanceId;
 using Common::LogIndex;
 using Common::TimePoint;
-using Consensus::MemberId;
 using Consensus::Message;
 using Consensus::State;
 
