--- a/Source/Core/Entry/LossDetector.cpp
+++ b/Source/Core/Entry/LossDetector.cpp
@@ -13,10 +13,11 @@
 }
 
 void LossDetector::connectionLost(const Backend::Target& target, Common::Incarnation incarnation,
-    Common::Fingerprint fingerprint, std::function<void()> done)
+    std::optional<Common::Fingerprint> fingerprint, Done done)
 {
     bool isFirst = m_pending.withValue(target.server, [&](Pending& pending) {
-        pending.fingerprints.push_back(fingerprint);
+        if (fingerprint)
+            pending.fingerprints.push_back(*fingerprint);
         pending.waiting.push_back(std::move(done));
         return pending.waiting.size() == 1;
     });
@@ -34,11 +35,12 @@
         return;
     if (!alive) {
         LOG_WARNING(Part::Membership,
-            "Server " << server << " is lost with " << pending->fingerprints.size() << " requests in flight.");
-        m_membership.reportLoss({ server, incarnation }, pending->fingerprints);
+            "Server " << server << " is lost with " << pending->waiting.size() << " requests in flight.");
+        if (!pending->fingerprints.empty())
+            m_membership.reportLoss({ server, incarnation }, pending->fingerprints);
     }
     for (auto& done : pending->waiting)
-        done();
+        done(!alive);
 }
 
 } // namespace Entry
--- a/Source/Core/Entry/LossDetector.h
+++ b/Source/Core/Entry/LossDetector.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Entry {
@@ -16,13 +17,15 @@
 public:
     LossDetector(Backend::Client&, MembershipService&);
 
-    // A request with this fingerprint lost its connection. done is called once the server's state is known.
-    void connectionLost(const Backend::Target&, Common::Incarnation, Common::Fingerprint, std::function<void()> done);
+    // A request lost its connection; its fingerprint, if one is given, is reported if the server is lost too. done is
+    // called once the server's state is known.
+    using Done = std::function<void(bool isServerLost)>;
+    void connectionLost(const Backend::Target&, Common::Incarnation, std::optional<Common::Fingerprint>, Done done);
 
 private:
     struct Pending {
         std::vector<Common::Fingerprint> fingerprints;
-        std::vector<std::function<void()>> waiting;
+        std::vector<Done> waiting;
     };
 
     void probed(const Common::BackendServerId&, Common::Incarnation, bool alive);
--- a/Source/Core/Entry/MembershipService.cpp
+++ b/Source/Core/Entry/MembershipService.cpp
@@ -1,6 +1,7 @@
 #include "Entry/MembershipService.h"
 
 #include "Common/Random.h"
+#include "Membership/Completed.h"
 #include "Observe/Log.h"
 #include "Wire/MembershipCodec.h"
 
@@ -69,6 +70,7 @@
     std::function<void()> changed;
     mutable std::mutex mutex; // Guards what follows.
     Membership::GossipState state;
+    Membership::CompletedFingerprints completed;
     Common::Random random { std::random_device {}() };
     bool stopped { false };
 
@@ -223,10 +225,27 @@
     return Membership::isQuarantined(m_private->state.quarantine, fingerprint, Common::Clock::now());
 }
 
+bool MembershipService::isSuspect(Common::Fingerprint fingerprint) const
+{
+    std::lock_guard lock(m_private->mutex);
+    return Membership::isSuspect(m_private->state.quarantine, fingerprint, Common::Clock::now());
+}
+
+bool MembershipService::hasCompleted(Common::Fingerprint fingerprint) const
+{
+    std::lock_guard lock(m_private->mutex);
+    return Membership::hasCompleted(m_private->completed, fingerprint);
+}
+
 bool MembershipService::mayRetry(Common::Fingerprint fingerprint) const
 {
     std::lock_guard lock(m_private->mutex);
-    return Membership::mayRetry(m_private->state.quarantine, fingerprint, Common::Clock::now());
+    auto now = Common::Clock::now();
+    const auto& quarantine = m_private->state.quarantine;
+    if (Membership::isQuarantined(quarantine, fingerprint, now))
+        return false;
+    return Membership::hasCompleted(m_private->completed, fingerprint)
+        || Membership::mayRetry(quarantine, fingerprint, now);
 }
 
 void MembershipService::reportLoss(const Membership::Loss& loss, const std::vector<Common::Fingerprint>& fingerprints)
@@ -245,7 +264,9 @@
     std::optional<Change> change;
     {
         std::lock_guard lock(m_private->mutex);
-        change = Membership::reportCompletion(m_private->state, fingerprint, Common::Clock::now());
+        auto now = Common::Clock::now();
+        change = Membership::reportCompletion(m_private->state, fingerprint, now);
+        Membership::addCompleted(m_private->completed, fingerprint, now);
     }
     if (change)
         m_private->publish({ *change });
--- a/Source/Core/Entry/MembershipService.h
+++ b/Source/Core/Entry/MembershipService.h
@@ -43,6 +43,9 @@
     std::vector<Common::InstanceId> liveInstances() const;
 
     bool isQuarantined(Common::Fingerprint) const;
+    bool isSuspect(Common::Fingerprint) const;
+    // Whether it ran to its end here lately: it is not what crashes servers, most likely.
+    bool hasCompleted(Common::Fingerprint) const;
     bool mayRetry(Common::Fingerprint) const;
     void reportLoss(const Membership::Loss&, const std::vector<Common::Fingerprint>&);
     void reportCompletion(Common::Fingerprint);
--- a/Source/Core/Entry/QueryEngine.cpp
+++ b/Source/Core/Entry/QueryEngine.cpp
@@ -48,6 +48,7 @@
         std::unordered_map<AttemptId, Sent> sent;
         std::unordered_map<AttemptId, Common::ShardId> waiting;
         std::optional<Common::TimerId> timer;
+        bool lossReported { false }; // One run counts as one loss, however many servers went with it.
     };
 
     // What is needed to send one attempt, copied out of the query's lock.
@@ -61,6 +62,13 @@
         TimePoint sentAt;
     };
 
+    // Of another index version the same text may be harmless, or not.
+    Common::Fingerprint fingerprintOf(const QueryRequest& request, Common::IndexVersion version)
+    {
+        return Common::Fingerprint(
+            Common::hash64(request.text, Common::hash64(request.route.value(), version.value())));
+    }
+
     Limits::Completion completionOf(const Common::Result<Backend::SearchAnswer>& answer)
     {
         if (answer)
@@ -120,7 +128,10 @@
     void begin(QueryId, AttemptId, Gather::Purpose, Common::ShardId, size_t server, const CandidateSet&);
     void send(Sending);
     void answered(const Sending&, Common::Result<Backend::SearchAnswer>);
+    void connectionLost(const Sending&, const Common::Error&);
     void failed(const Sending&, const Common::Error&);
+    void launch(std::unique_ptr<Running>);
+    void tryOneShard(std::unique_ptr<Running>);
     void drain(const QueueKey&);
     void drainAfterRelease(const Sending&, const Common::GroupName&);
     void watchQueue(const QueueKey&);
@@ -163,7 +174,7 @@
         return Common::makeError(
             Reason::InvalidInput, "admit-query", "route " + request.route.value() + " runs once: send to /v1/run");
     running->route = std::move(route);
-    running->fingerprint = Common::Fingerprint(Common::hash64(request.text, Common::hash64(request.route.value())));
+    running->fingerprint = fingerprintOf(request, running->route.route.version);
     if (use.membership.isQuarantined(running->fingerprint))
         return Common::makeError(Reason::Quarantined, "admit-query", "this request was in flight on lost servers");
     const Model::QueryRoute& settings = running->route.route;
@@ -392,9 +403,26 @@
         failed(sending, answer.error());
         return;
     }
+    connectionLost(sending, answer.error());
+}
+
+// Finds out whether the server is lost too, before a retry could lose another one.
+void QueryEngine::Private::connectionLost(const Sending& sending, const Common::Error& error)
+{
+    std::optional<Common::Fingerprint> fingerprint;
+    queries.ifPresent(sending.query, [&](std::unique_ptr<Running>& r) {
+        if (r->lossReported || use.membership.hasCompleted(r->fingerprint))
+            return;
+        r->lossReported = true;
+        fingerprint = r->fingerprint;
+    });
     auto self = shared_from_this();
-    use.losses.connectionLost(sending.target, sending.incarnation, sending.request.fingerprint,
-        [self, sending, error = answer.error()] { self->failed(sending, error); });
+    use.losses.connectionLost(
+        sending.target, sending.incarnation, fingerprint, [self, sending, error, fingerprint](bool isServerLost) {
+            if (fingerprint && !isServerLost)
+                self->queries.ifPresent(sending.query, [](std::unique_ptr<Running>& r) { r->lossReported = false; });
+            self->failed(sending, error);
+        });
 }
 
 void QueryEngine::Private::failed(const Sending& sending, const Common::Error& error)
@@ -489,6 +517,51 @@
     running->done(std::move(answer));
 }
 
+void QueryEngine::Private::launch(std::unique_ptr<Running> running)
+{
+    QueryId id(nextId++);
+    running->wireId = use.self.value() + "-" + std::to_string(id.value());
+    const std::string& route = running->route.route.name.value();
+    use.metrics.change(Observe::Gauge::QueriesInFlight, 1, route);
+    use.timeline.record(EventKind::QueryAdmitted, running->id.value(),
+        "route " + route + " version " + std::to_string(running->query.plan.version.value()) + " as "
+            + running->wireId);
+    Milliseconds hedgeDelay;
+    groups.withValue(
+        running->route.route.group, [&](GroupStatistics& group) { hedgeDelay = Routing::hedgeDelay(group.latency); });
+    queries.insert(id, std::move(running));
+    drive(id, [&](Running& r) { return Gather::start(r.query, Clock::now(), hedgeDelay); });
+}
+
+// A request that is suspected to crash servers goes to one shard first, so that it takes one more server at most. Only
+// if it comes back from there does it go to all.
+void QueryEngine::Private::tryOneShard(std::unique_ptr<Running> running)
+{
+    auto whole = std::make_shared<std::unique_ptr<Running>>(std::move(running));
+    const Running& model = **whole;
+    auto trial = std::make_unique<Running>();
+    trial->id = model.id;
+    trial->route = model.route;
+    trial->text = model.text;
+    trial->fingerprint = model.fingerprint;
+    trial->candidates = model.candidates;
+    trial->admitted = model.admitted;
+    Gather::QueryOptions options = model.query.options;
+    options.minimumCoverage = Common::Ratio(0);
+    options.mayRetry = false;
+    trial->query = Gather::makeQuery({ model.query.plan.version, { model.query.plan.shards.front() } }, options);
+    auto self = shared_from_this();
+    trial->done = [self, whole](const Common::Result<Gather::Answer>& answer) {
+        if (answer && answer.value().missing.empty()) {
+            self->launch(std::move(*whole));
+            return;
+        }
+        (*whole)->done(Common::makeError(
+            Reason::Quarantined, "try-one-shard", "the request is suspected to crash servers, and a trial failed"));
+    };
+    launch(std::move(trial));
+}
+
 QueryEngine::QueryEngine(QueryDependencies use)
     : m_private(std::make_shared<Private>(use))
 {
@@ -507,18 +580,11 @@
         return;
     }
     std::unique_ptr<Running> running = std::move(admitted).value();
-    QueryId id(self->nextId++);
-    running->wireId = self->use.self.value() + "-" + std::to_string(id.value());
-    const std::string& route = running->route.route.name.value();
-    self->use.metrics.change(Observe::Gauge::QueriesInFlight, 1, route);
-    self->use.timeline.record(EventKind::QueryAdmitted, running->id.value(),
-        "route " + route + " version " + std::to_string(running->query.plan.version.value()) + " as "
-            + running->wireId);
-    Milliseconds hedgeDelay;
-    self->groups.withValue(
-        running->route.route.group, [&](GroupStatistics& group) { hedgeDelay = Routing::hedgeDelay(group.latency); });
-    self->queries.insert(id, std::move(running));
-    self->drive(id, [&](Running& r) { return Gather::start(r.query, Clock::now(), hedgeDelay); });
+    const auto& membership = self->use.membership;
+    if (membership.isSuspect(running->fingerprint) && !membership.hasCompleted(running->fingerprint))
+        self->tryOneShard(std::move(running));
+    else
+        self->launch(std::move(running));
 }
 
 size_t QueryEngine::inFlight() const { return m_private->queries.size(); }
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -128,6 +128,9 @@
     } catch (const std::exception& e) {
         error = Common::makeError(Reason::ConnectionLost, "request", e.what(), peer);
     }
+    // On a connection that was open already, the library may have sent the request once before it failed to connect.
+    if (error && warm && reuse == Reuse::Allowed && error->reason == Reason::ConnectionFailed)
+        error->reason = Reason::ConnectionLost;
     warm = !error;
     if (error) {
         done(*std::move(error));
--- a/Source/Core/Limits/ExtraBudget.cpp
+++ b/Source/Core/Limits/ExtraBudget.cpp
@@ -18,7 +18,8 @@
         return false;
     budget.saved -= firstSendsAnExtra;
     ++budget.extras;
-    CORIANDERLOCK_INVARIANT(budget.extras * firstSendsAnExtra <= budget.firstSends, "extra load above its budget");
+    CORIANDERLOCK_INVARIANT(
+        (budget.extras - initialExtras) * firstSendsAnExtra <= budget.firstSends, "extra load above its budget");
     return true;
 }
 
--- a/Source/UnitTests/Http/ConnectionTest.cpp
+++ b/Source/UnitTests/Http/ConnectionTest.cpp
@@ -73,6 +73,18 @@
     EXPECT_EQ(result.error().reason, Reason::ConnectionFailed) << result.error();
 }
 
+TEST(Connection, ReusedConnectionToALostServerProvesNothing)
+{
+    auto server = std::make_unique<RawServer>(closeOnPost);
+    Http::Connection connection(server->address(), Http::Reuse::Allowed, timeout);
+    ASSERT_TRUE(exchange(connection, "GET"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    server.reset();
+    auto result = exchange(connection, "POST");
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().reason, Reason::ConnectionLost) << result.error();
+}
+
 TEST(Connection, CancelEndsARequestThatIsNotAnswered)
 {
     RawServer server([](int, int, const std::string&) { return RawServer::Reply { "", RawServer::After::Silence }; });
--- a/Source/UnitTests/Http/RawServer.cpp
+++ b/Source/UnitTests/Http/RawServer.cpp
@@ -1,5 +1,7 @@
 #include "Http/RawServer.h"
 
+#include <gtest/gtest.h>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -54,8 +56,8 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof address;
-    ::bind(m_listener, reinterpret_cast<sockaddr*>(&address), length);
-    ::listen(m_listener, 64);
+    EXPECT_EQ(::bind(m_listener, reinterpret_cast<sockaddr*>(&address), length), 0);
+    EXPECT_EQ(::listen(m_listener, 64), 0);
     ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
     m_port = ntohs(address.sin_port);
     m_acceptor = std::thread([this] { accept(); });
