--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -55,7 +55,7 @@
 
     void leadershipChanged(bool leading, Common::Term);
     void configurationChanged();
-    void answer(const Peer::Reply&, Control::Reply) const;
+    void answer(const Peer::Reply&, const Control::Reply&) const;
     Control::LeaderHint hint(LogShardId id = configurationShard) const { return state->leaderOf(id); }
 
     void serve(const Control::ProposeRequest&, const Peer::Reply&);
@@ -111,7 +111,7 @@
     }
 }
 
-void ControlRole::Private::answer(const Peer::Reply& reply, Control::Reply message) const
+void ControlRole::Private::answer(const Peer::Reply& reply, const Control::Reply& message) const
 {
     reply(Wire::encode(message));
 }
--- a/Source/Core/Entry/ControlClient.cpp
+++ b/Source/Core/Entry/ControlClient.cpp
@@ -109,8 +109,8 @@
 
 ControlClient::~ControlClient() = default;
 
-void ControlClient::call(
-    Common::LogShardId shard, Control::Request request, Common::TimePoint deadline, Done done, Milliseconds tryTimeout)
+void ControlClient::call(Common::LogShardId shard, const Control::Request& request, Common::TimePoint deadline,
+    Done done, Milliseconds tryTimeout)
 {
     auto t = std::make_shared<Try>();
     t->shard = shard;
--- a/Source/Core/Entry/ControlClient.h
+++ b/Source/Core/Entry/ControlClient.h
@@ -28,7 +28,7 @@
     // done is called once, by the deadline: with a reply that is not an Unavailable error, or the last error seen.
     using Done = std::function<void(Common::Result<Control::Reply>)>;
     // tryTimeout, if above 0, takes the place of the option: for questions that control holds back on purpose.
-    void call(Common::LogShardId, Control::Request, Common::TimePoint deadline, Done done,
+    void call(Common::LogShardId, const Control::Request&, Common::TimePoint deadline, Done done,
         Common::Milliseconds tryTimeout = Common::Milliseconds(0));
 
 private:
