Wire queues, paused replicas and the load command

Cause: the entry path refused each retry without a free slot, hedges took slots at replicas in trouble, and nothing sent load from the command line. Ruled out: a second queue for extras; the one queue already has the order (an older query's retry goes first) and knows which servers to avoid. Change: attempts without a slot wait with their budget token and the servers to avoid; a hedge whose best replica is paused is refused; whoever takes an unsent extra out of the list gives its token back; admission counts only servers not paused for over 100 ms; a shard with no replica before the deadline is Unavailable at once. 'corianderlock load' drives the Load library. entry.hedging: false sends each sub-request once.

--- a/Source/Core/CommandLine/Main.cpp
+++ b/Source/Core/CommandLine/Main.cpp
@@ -1,4 +1,5 @@
 #include "CommandLine/Commands.h"
+#include "CommandLine/LoadCommand.h"
 
 #include <CLI/CLI.hpp>
 
@@ -22,6 +23,7 @@
     double waitMs { 15'000 };
     QueryOptions query;
     double deadlineMs { 0 };
+    LoadArguments load;
 };
 
 Remote remoteOf(const Arguments& args)
@@ -107,6 +109,22 @@
     timelineCommand->callback([&] { code = timeline(remoteOf(args), args.subject, args.limit, outputOf(args)); });
 }
 
+void addLoadCommand(CLI::App& app, Arguments& args, ExitCode& code)
+{
+    LoadArguments& it = args.load;
+    auto command = app.add_subcommand("load", "Send requests at a fixed rate, and report latency and coverage");
+    command->add_option("ROUTE", it.route)->required();
+    command->add_option("--rate", it.ratePerSecond, "requests a second")->check(CLI::Range(0.01, 100'000.0));
+    command->add_option("--duration-ms", it.durationMs)->check(CLI::Range(1.0, 86'400'000.0));
+    command->add_option("--seed", it.seed, "of arrivals and of the choice of queries");
+    command->add_option("--q", it.queries, "what is asked or booked; several are drawn at random");
+    command->add_option("--deadline-ms", it.deadlineMs, "told to the entry instances; the route's own if 0");
+    command->add_option("--mode", it.mode, "query or booking")->check(CLI::IsMember({ "query", "booking" }));
+    command->add_option("--resends", it.resends, "of a booking whose answer was lost")->check(CLI::Range(0, 100));
+    addRemoteOptions(*command, args);
+    command->callback([&] { code = load(remoteOf(args), args.load, outputOf(args)); });
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -118,6 +136,7 @@
     addLocalCommands(app, args, code);
     addResourceCommands(app, args, code);
     addOperatorCommands(app, args, code);
+    addLoadCommand(app, args, code);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& e) {
--- a/Source/Core/Entry/QueryEngine.cpp
+++ b/Source/Core/Entry/QueryEngine.cpp
@@ -46,10 +46,19 @@
         QueryEngine::Done done;
         TimePoint admitted;
         std::unordered_map<AttemptId, Sent> sent;
-        std::unordered_map<AttemptId, Common::ShardId> waiting;
+        std::unordered_map<AttemptId, Gather::StartAttempt> waiting; // Whoever takes one out answers for its budget.
         std::optional<Common::TimerId> timer;
     };
 
+    // An attempt for which a slot was taken.
+    struct Beginning {
+        QueryId query;
+        Gather::StartAttempt start; // Of a queued attempt, the id and the shard only.
+        bool wasQueued { false };
+        const Common::GroupName& group;
+        const Membership::Candidate& server;
+    };
+
     // What is needed to send one attempt, copied out of the query's lock.
     struct Sending {
         QueryId query;
@@ -115,9 +124,12 @@
     void finish(QueryId, std::unique_ptr<Running>, Gather::Answer);
 
     bool takeExtra(const Common::GroupName&);
+    void returnExtra(const Common::GroupName&, Gather::Purpose);
+    Placed place(const Gather::StartAttempt&, const CandidateSet&, const PlaceOptions&);
     void notStarted(QueryId, AttemptId, const Common::Error&);
     void wait(QueryId, const Gather::StartAttempt&, const QueueKey&);
-    void begin(QueryId, AttemptId, Gather::Purpose, Common::ShardId, size_t server, const CandidateSet&);
+    void begin(const Beginning&);
+    bool claim(Running&, const Beginning&, Sending&, Gather::Effects&);
     void send(Sending);
     void answered(const Sending&, Common::Result<Backend::SearchAnswer>);
     void failed(const Sending&, const Common::Error&);
@@ -174,7 +186,7 @@
     options.returnMargin = use.settings.returnMargin;
     options.minimumCoverage = settings.minimumCoverage;
     options.maximumAttempts = use.settings.attempts;
-    options.mayRetry = use.membership.mayRetry(running->fingerprint);
+    options.mayRetry = use.settings.hedging && use.membership.mayRetry(running->fingerprint);
     running->query = Gather::makeQuery({ running->route.index->version, running->route.index->shards }, options);
     running->candidates = use.servers.candidates(settings.group, settings.version);
     running->id = request.id;
@@ -204,7 +216,7 @@
         if (!ahead)
             continue;
         backlogs.push_back({ ahead, use.servers.hasRoom(*running.candidates, among, now),
-            use.servers.slots(*running.candidates, among), serviceTime });
+            use.servers.slots(*running.candidates, among, now), serviceTime });
     }
     return Limits::admit(backlogs, running.query.options.deadline, now);
 }
@@ -213,38 +225,44 @@
 {
     std::shared_ptr<const CandidateSet> candidates;
     QueueKey key;
+    TimePoint before;
     bool found = queries.ifPresent(id, [&](std::unique_ptr<Running>& r) {
         candidates = r->candidates;
         key = { r->route.route.group, r->route.route.version, start.shard };
+        before = Gather::answerBy(r->query);
     });
     if (!found)
         return;
-    const auto& among = candidates->of(start.shard);
-    if (among.empty()) {
-        notStarted(id, start.id, Common::makeError(Reason::Unavailable, "choose-replica", "no server holds the shard"));
-        return;
-    }
     bool isFirst = start.purpose == Gather::Purpose::First;
+    bool isHedge = start.purpose == Gather::Purpose::Hedge;
     if (!isFirst && !takeExtra(key.group)) {
         notStarted(
             id, start.id, Common::makeError(Reason::Overloaded, "extra-budget", "hedges and retries are used up"));
         return;
     }
-    if (isFirst && !waiting.isEmpty(key)) {
-        wait(id, start, key);
-        return;
-    }
-    auto server = use.servers.acquire(*candidates, among, { start.avoidServers, start.avoidDomains }, Clock::now());
-    if (server) {
-        begin(id, start.id, start.purpose, start.shard, *server, *candidates);
+    // First sends queue up behind others; a retry's query is older than those.
+    Placed placed = place(start, *candidates, { !isFirst || waiting.isEmpty(key), !isHedge, before });
+    if (placed.placement == Placement::Taken) {
+        begin({ id, start, false, key.group, candidates->servers[placed.server] });
         return;
     }
-    if (isFirst) {
+    // A hedge does not wait for a server in trouble: it would hold back the budget of others.
+    if (placed.placement == Placement::NoSlot || (placed.placement == Placement::Paused && !isHedge)) {
         wait(id, start, key);
         return;
     }
-    groups.withValue(key.group, [](GroupStatistics& group) { Limits::returnExtra(group.budget); });
-    notStarted(id, start.id, Common::makeError(Reason::Overloaded, "choose-replica", "no slot at another replica"));
+    returnExtra(key.group, start.purpose);
+    bool isPaused = placed.placement == Placement::Paused;
+    notStarted(id, start.id,
+        Common::makeError(isPaused ? Reason::Overloaded : Reason::Unavailable, "choose-replica",
+            isPaused ? "the replicas left are paused" : "no replica can be asked before the deadline"));
+}
+
+Placed QueryEngine::Private::place(
+    const Gather::StartAttempt& start, const CandidateSet& candidates, const PlaceOptions& options)
+{
+    Routing::Avoid avoid { start.avoidServers, start.avoidDomains };
+    return use.servers.place(candidates, candidates.of(start.shard), avoid, options, Clock::now());
 }
 
 bool QueryEngine::Private::takeExtra(const Common::GroupName& name)
@@ -252,6 +270,12 @@
     return groups.withValue(name, [](GroupStatistics& group) { return Limits::tryTakeExtra(group.budget); });
 }
 
+void QueryEngine::Private::returnExtra(const Common::GroupName& name, Gather::Purpose purpose)
+{
+    if (purpose != Gather::Purpose::First)
+        groups.withValue(name, [](GroupStatistics& group) { Limits::returnExtra(group.budget); });
+}
+
 void QueryEngine::Private::notStarted(QueryId id, AttemptId attempt, const Common::Error& error)
 {
     drive(id, [&](Running& r) { return Gather::attemptNotStarted(r.query, attempt, error, Clock::now()); });
@@ -259,14 +283,16 @@
 
 void QueryEngine::Private::wait(QueryId id, const Gather::StartAttempt& start, const QueueKey& key)
 {
-    Limits::Waiter waiter { id, start.id, start.shard, {}, {} };
+    Limits::Waiter waiter { id, start.id, start.shard, {}, {}, start.avoidServers };
     bool found = queries.ifPresent(id, [&](std::unique_ptr<Running>& r) {
-        r->waiting[start.id] = start.shard;
+        r->waiting[start.id] = start;
         waiter.route = r->route.route.name;
         waiter.deadline = Gather::answerBy(r->query);
     });
-    if (!found)
+    if (!found) {
+        returnExtra(key.group, start.purpose);
         return;
+    }
     if (waiting.push(key, std::move(waiter)))
         watchQueue(key);
     // A slot may have become free between the try and the push.
@@ -289,48 +315,67 @@
 void QueryEngine::Private::drain(const QueueKey& key)
 {
     auto set = use.servers.candidates(key.group, key.version);
-    for (auto& [waiter, server] : waiting.drain(key, *set, Milliseconds(0), Clock::now()))
-        begin(waiter.query, waiter.attempt, Gather::Purpose::First, waiter.shard, server, *set);
+    for (auto& [waiter, server] : waiting.drain(key, *set, Clock::now())) {
+        Gather::StartAttempt start { .id = waiter.attempt, .shard = waiter.shard };
+        begin({ waiter.query, std::move(start), true, key.group, set->servers[server] });
+    }
 }
 
 // A slot is taken: tells the query, and sends unless it no longer wants the attempt.
-void QueryEngine::Private::begin(QueryId id, AttemptId attempt, Gather::Purpose purpose, Common::ShardId shard,
-    size_t server, const CandidateSet& candidates)
+void QueryEngine::Private::begin(const Beginning& beginning)
 {
-    const Membership::Candidate& chosen = candidates.servers[server];
-    Sending sending { id, attempt, purpose, { chosen.server, chosen.address, {} }, chosen.incarnation, {},
-        Clock::now() };
+    const Membership::Candidate& chosen = beginning.server;
+    Sending sending { beginning.query, beginning.start.id, beginning.start.purpose,
+        { chosen.server, chosen.address, beginning.group }, chosen.incarnation, {}, Clock::now() };
     bool wanted = false;
-    drive(id, [&](Running& r) {
-        r.waiting.erase(attempt);
-        auto effects = Gather::attemptStarted(r.query, attempt, chosen.server, chosen.domain, sending.sentAt);
-        wanted = std::none_of(effects.begin(), effects.end(), [&](const Gather::Effect& effect) {
-            auto cancel = std::get_if<Gather::CancelAttempt>(&effect);
-            return cancel && cancel->id == attempt;
-        });
-        if (!wanted)
-            return effects;
-        r.sent[attempt] = { {}, chosen.server };
-        sending.target.group = r.route.route.group;
-        sending.request.queryId = r.wireId;
-        sending.request.version = r.query.plan.version;
-        sending.request.shard = shard;
-        sending.request.text = r.text;
-        sending.request.fingerprint = r.fingerprint;
-        sending.request.timeLeft = Gather::answerBy(r.query) - sending.sentAt;
-        for (const Model::Shard& s : r.route.index->shards) {
-            if (s.id == shard)
-                sending.request.range = s.range;
+    // A queued attempt that is gone from the list was cancelled, and its budget given back then.
+    bool isOurs = !beginning.wasQueued;
+    drive(beginning.query, [&](Running& r) {
+        if (auto it = r.waiting.find(beginning.start.id); it != r.waiting.end()) {
+            isOurs = true;
+            sending.purpose = it->second.purpose;
+            r.waiting.erase(it);
         }
+        Gather::Effects effects;
+        wanted = claim(r, beginning, sending, effects);
         return effects;
     });
-    if (wanted && sending.request.timeLeft > Milliseconds(0)) {
+    if (wanted) {
         send(std::move(sending));
         return;
     }
     use.servers.release(chosen.server, Limits::Completion::Cancelled, Milliseconds(0), Clock::now());
-    if (purpose != Gather::Purpose::First && !sending.target.group.value().empty())
-        groups.withValue(sending.target.group, [](GroupStatistics& group) { Limits::returnExtra(group.budget); });
+    if (isOurs)
+        returnExtra(beginning.group, sending.purpose);
+}
+
+// Under the query's lock: whether the attempt is to be sent, and what.
+bool QueryEngine::Private::claim(Running& r, const Beginning& beginning, Sending& sending, Gather::Effects& effects)
+{
+    const Membership::Candidate& chosen = beginning.server;
+    AttemptId attempt = beginning.start.id;
+    Milliseconds timeLeft = Gather::answerBy(r.query) - sending.sentAt;
+    if (timeLeft <= Milliseconds(0))
+        return false;
+    effects = Gather::attemptStarted(r.query, attempt, chosen.server, chosen.domain, sending.sentAt);
+    bool wanted = std::none_of(effects.begin(), effects.end(), [&](const Gather::Effect& effect) {
+        auto cancel = std::get_if<Gather::CancelAttempt>(&effect);
+        return cancel && cancel->id == attempt;
+    });
+    if (!wanted)
+        return false;
+    r.sent[attempt] = { {}, chosen.server };
+    sending.request = { .queryId = r.wireId,
+        .version = r.query.plan.version,
+        .shard = beginning.start.shard,
+        .text = r.text,
+        .timeLeft = timeLeft,
+        .fingerprint = r.fingerprint };
+    for (const Model::Shard& shard : r.route.index->shards) {
+        if (shard.id == beginning.start.shard)
+            sending.request.range = shard.range;
+    }
+    return true;
 }
 
 void QueryEngine::Private::send(Sending sending)
@@ -426,7 +471,7 @@
 void QueryEngine::Private::perform(QueryId id, const Gather::CancelAttempt& cancel, Running* finished)
 {
     std::optional<Backend::CallId> call;
-    std::optional<Common::ShardId> shard;
+    std::optional<Gather::StartAttempt> queued;
     Common::RouteName route;
     QueueKey key;
     auto look = [&](Running& r) {
@@ -438,7 +483,7 @@
                 call = it->second.call;
         }
         if (auto it = r.waiting.find(cancel.id); it != r.waiting.end()) {
-            shard = it->second;
+            queued = std::move(it->second);
             r.waiting.erase(it);
         }
     };
@@ -446,9 +491,10 @@
         look(*finished);
     else
         queries.ifPresent(id, [&](std::unique_ptr<Running>& r) { look(*r); });
-    if (shard) {
-        key.shard = *shard;
+    if (queued) {
+        key.shard = queued->shard;
         waiting.remove(key, id, cancel.id, route);
+        returnExtra(key.group, queued->purpose);
     }
     if (!call)
         return;
@@ -473,6 +519,9 @@
 {
     if (running->timer)
         use.timers.cancel(*running->timer);
+    // Attempts that came into the queue while the query cancelled them.
+    for (const auto& [attempt, start] : running->waiting)
+        returnExtra(running->route.route.group, start.purpose);
     const std::string& route = running->route.route.name.value();
     use.metrics.observe(Observe::Latency::Query, Clock::now() - running->admitted, route);
     use.metrics.observe(Observe::Share::Coverage, answer.coverage, route);
--- a/Source/Core/Entry/ServerTable.cpp
+++ b/Source/Core/Entry/ServerTable.cpp
@@ -2,6 +2,8 @@
 
 #include "Model/Resources.h"
 
+#include <algorithm>
+
 using Common::BackendServerId;
 using Common::TimePoint;
 
@@ -9,6 +11,9 @@
 
 namespace {
 
+    // A server that is paused for longer can't be counted on when a query is admitted.
+    constexpr Common::Milliseconds longPause { 100 };
+
     std::shared_ptr<const CandidateSet> makeSet(std::vector<Membership::Candidate> servers)
     {
         auto set = std::make_shared<CandidateSet>();
@@ -104,15 +109,54 @@
 {
     auto candidates = look(set, among, now);
     for (size_t at : Routing::rank(candidates, avoid, threadRandom())) {
-        bool taken = false;
-        m_loads.ifPresent(
-            candidates[at].server, [&](Limits::ServerLoad& load) { taken = Limits::tryAcquire(load, now); });
-        if (taken)
+        if (acquireAt(candidates[at].server, now))
             return among[at];
     }
     return std::nullopt;
 }
 
+Placed ServerTable::place(const CandidateSet& set, const std::vector<size_t>& among, const Routing::Avoid& avoid,
+    const PlaceOptions& options, TimePoint now)
+{
+    auto candidates = look(set, among, now);
+    auto order = Routing::rank(candidates, avoid, threadRandom());
+    if (order.empty())
+        return { Placement::NoServer };
+    bool isBestPaused = pausedUntil(candidates[order.front()].server) > now;
+    if (isBestPaused && !options.mayUseOthers)
+        return { Placement::Paused };
+    for (size_t at : order) {
+        if (options.mayTake && acquireAt(candidates[at].server, now))
+            return { Placement::Taken, among[at] };
+    }
+    bool isInTime = std::any_of(
+        order.begin(), order.end(), [&](size_t at) { return availableAt(candidates[at].server) < options.before; });
+    if (!isInTime)
+        return { Placement::NoServer };
+    return { isBestPaused ? Placement::Paused : Placement::NoSlot };
+}
+
+bool ServerTable::acquireAt(const BackendServerId& server, TimePoint now)
+{
+    bool taken = false;
+    m_loads.ifPresent(server, [&](Limits::ServerLoad& load) { taken = Limits::tryAcquire(load, now); });
+    return taken;
+}
+
+TimePoint ServerTable::pausedUntil(const BackendServerId& server)
+{
+    TimePoint until;
+    m_loads.ifPresent(server, [&](Limits::ServerLoad& load) { until = load.pausedUntil; });
+    return until;
+}
+
+TimePoint ServerTable::availableAt(const BackendServerId& server)
+{
+    TimePoint at;
+    m_loads.ifPresent(server, [&](Limits::ServerLoad& load) { at = Limits::availableAt(load); });
+    return at;
+}
+
 void ServerTable::release(
     const BackendServerId& server, Limits::Completion completion, Common::Milliseconds took, TimePoint now)
 {
@@ -123,22 +167,45 @@
     });
 }
 
+bool ServerTable::hasRoom(const BackendServerId& server, TimePoint now)
+{
+    bool room = false;
+    m_loads.ifPresent(server, [&](Limits::ServerLoad& load) { room = Limits::hasRoom(load, now); });
+    return room;
+}
+
 bool ServerTable::hasRoom(const CandidateSet& set, const std::vector<size_t>& among, TimePoint now)
 {
-    for (size_t i : among) {
-        bool room = false;
-        m_loads.ifPresent(set.servers[i].server, [&](Limits::ServerLoad& load) { room = Limits::hasRoom(load, now); });
-        if (room)
-            return true;
+    return std::any_of(among.begin(), among.end(), [&](size_t i) { return hasRoom(set.servers[i].server, now); });
+}
+
+std::vector<size_t> ServerTable::withRoom(const CandidateSet& set, const std::vector<size_t>& among, TimePoint now)
+{
+    auto candidates = look(set, among, now);
+    std::vector<size_t> found;
+    for (size_t at : Routing::rank(candidates, {}, threadRandom())) {
+        if (hasRoom(candidates[at].server, now))
+            found.push_back(among[at]);
     }
-    return false;
+    return found;
+}
+
+Common::Milliseconds ServerTable::expectedLatency(const BackendServerId& server, TimePoint now)
+{
+    Common::Milliseconds latency;
+    m_loads.ifPresent(server, [&](Limits::ServerLoad& load) { latency = Limits::expectedLatency(load, now); });
+    return latency;
 }
 
-double ServerTable::slots(const CandidateSet& set, const std::vector<size_t>& among)
+double ServerTable::slots(const CandidateSet& set, const std::vector<size_t>& among, TimePoint now)
 {
     double sum = 0;
-    for (size_t i : among)
-        m_loads.ifPresent(set.servers[i].server, [&](Limits::ServerLoad& load) { sum += load.limit; });
+    for (size_t i : among) {
+        m_loads.ifPresent(set.servers[i].server, [&](Limits::ServerLoad& load) {
+            if (load.pausedUntil <= now + longPause)
+                sum += load.limit;
+        });
+    }
     return sum;
 }
 
--- a/Source/Core/Entry/ServerTable.h
+++ b/Source/Core/Entry/ServerTable.h
@@ -23,6 +23,26 @@
     const std::vector<size_t>& of(std::optional<Common::ShardId>) const;
 };
 
+// Where an attempt may go now.
+enum class Placement {
+    Taken, // A slot was taken.
+    NoSlot, // All that may be used are full or paused for now.
+    Paused, // Likewise, and the best of them is paused after a trouble.
+    NoServer, // None may be used, or none before the time given.
+};
+
+struct Placed {
+    Placement placement { Placement::NoServer };
+    size_t server { 0 }; // Index into the set's servers, if taken.
+};
+
+// How an attempt is placed.
+struct PlaceOptions {
+    bool mayTake { true }; // False if others wait already.
+    bool mayUseOthers { true }; // Than the best server, if that one is paused.
+    Common::TimePoint before; // The answer is worth nothing after it.
+};
+
 // What this instance knows of backend servers: who is there, from membership, and the load of each as observed here.
 // Loads are in shards with a lock each.
 class ServerTable {
@@ -39,12 +59,23 @@
     // Takes a slot at the best of the servers given; nothing if none has room.
     std::optional<size_t> acquire(
         const CandidateSet&, const std::vector<size_t>& among, const Routing::Avoid&, Common::TimePoint now);
+    // The same with the reason why none was taken.
+    Placed place(const CandidateSet&, const std::vector<size_t>& among, const Routing::Avoid&, const PlaceOptions&,
+        Common::TimePoint now);
+    // Takes a slot at this server, if it has one.
+    bool acquireAt(const Common::BackendServerId&, Common::TimePoint now);
     void release(const Common::BackendServerId&, Limits::Completion, Common::Milliseconds took, Common::TimePoint now);
+    bool hasRoom(const Common::BackendServerId&, Common::TimePoint now);
     bool hasRoom(const CandidateSet&, const std::vector<size_t>& among, Common::TimePoint now);
-    // Sum of the limits of the servers given.
-    double slots(const CandidateSet&, const std::vector<size_t>& among);
+    // The servers given that have room, best first.
+    std::vector<size_t> withRoom(const CandidateSet&, const std::vector<size_t>& among, Common::TimePoint now);
+    Common::Milliseconds expectedLatency(const Common::BackendServerId&, Common::TimePoint now);
+    // Sum of the limits of the servers given, less those that are paused for longer than a moment.
+    double slots(const CandidateSet&, const std::vector<size_t>& among, Common::TimePoint now);
 
 private:
+    Common::TimePoint pausedUntil(const Common::BackendServerId&);
+    Common::TimePoint availableAt(const Common::BackendServerId&);
     std::vector<Routing::Candidate> look(const CandidateSet&, const std::vector<size_t>& among, Common::TimePoint now);
 
     Common::ShardedMap<Common::BackendServerId, Limits::ServerLoad> m_loads;
--- a/Source/Core/Entry/WaitingAttempts.cpp
+++ b/Source/Core/Entry/WaitingAttempts.cpp
@@ -42,28 +42,32 @@
 }
 
 std::vector<WaitingAttempts::Started> WaitingAttempts::drain(
-    const QueueKey& key, const CandidateSet& set, Common::Milliseconds needed, Common::TimePoint now)
+    const QueueKey& key, const CandidateSet& set, Common::TimePoint now)
 {
     std::vector<Started> started;
-    const auto& among = set.of(key.shard);
     m_queues.ifPresent(key, [&](Limits::WaitQueue& queue) {
         size_t before = Limits::size(queue);
-        while (m_servers.hasRoom(set, among, now)) {
-            auto waiter = Limits::pop(queue, now, needed);
-            if (!waiter)
-                break;
-            auto server = m_servers.acquire(set, among, {}, now);
-            if (server) {
-                started.push_back({ *std::move(waiter), *server });
-                continue;
-            }
-            // Somebody else took the slot between the two calls.
-            Limits::push(queue, *std::move(waiter));
-            break;
+        for (size_t server : m_servers.withRoom(set, set.of(key.shard), now)) {
+            while (auto waiter = takeFor(queue, set.servers[server].server, now))
+                started.push_back({ *std::move(waiter), server });
         }
         m_size -= before - Limits::size(queue);
     });
     return started;
 }
 
+// Takes a slot at the server for the next waiter that may use it.
+std::optional<Limits::Waiter> WaitingAttempts::takeFor(
+    Limits::WaitQueue& queue, const Common::BackendServerId& server, Common::TimePoint now)
+{
+    if (!m_servers.hasRoom(server, now))
+        return std::nullopt;
+    auto waiter = Limits::pop(queue, now, m_servers.expectedLatency(server, now), server);
+    if (!waiter || m_servers.acquireAt(server, now))
+        return waiter;
+    // Somebody else took the slot between the two calls.
+    Limits::push(queue, *std::move(waiter));
+    return std::nullopt;
+}
+
 } // namespace Entry
--- a/Source/Core/Entry/WaitingAttempts.h
+++ b/Source/Core/Entry/WaitingAttempts.h
@@ -48,12 +48,13 @@
     bool remove(const QueueKey&, Common::QueryId, Common::AttemptId, const Common::RouteName&);
     size_t ahead(const QueueKey&, const Common::RouteName&);
     bool isEmpty(const QueueKey&);
-    // Takes slots for those whose turn it is. needed: how long a request takes at least.
-    std::vector<Started> drain(
-        const QueueKey&, const CandidateSet&, Common::Milliseconds needed, Common::TimePoint now);
+    // Takes slots for those whose turn it is. Waiters that a server could not answer in time are dropped.
+    std::vector<Started> drain(const QueueKey&, const CandidateSet&, Common::TimePoint now);
     size_t size() const { return m_size; }
 
 private:
+    std::optional<Limits::Waiter> takeFor(Limits::WaitQueue&, const Common::BackendServerId&, Common::TimePoint now);
+
     ServerTable& m_servers;
     Common::ShardedMap<QueueKey, Limits::WaitQueue> m_queues;
     std::atomic<size_t> m_size { 0 };
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -113,6 +113,7 @@
         entry.gossipInterval = readTime(section, "gossip_interval_ms", entry.gossipInterval, 10);
         entry.announcementTimeout = readTime(section, "announcement_timeout_ms", entry.announcementTimeout, 100);
         entry.connectionSettle = readTime(section, "connection_settle_ms", entry.connectionSettle, 0);
+        entry.hedging = section.flag("hedging", entry.hedging);
         entry.attempts = readCount(section, "attempts", entry.attempts, 1, 10);
         entry.returnMargin = readTime(section, "return_margin_ms", entry.returnMargin, 0);
         section.close();
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -46,6 +46,7 @@
     Common::Milliseconds announcementTimeout { 5'000 }; // A backend server silent for that long is taken as lost.
     // How long others may take to learn that an instance joined, and to give up connections to backend servers.
     Common::Milliseconds connectionSettle { 5'000 };
+    bool hedging { true }; // False: lookups are sent once to each shard, without hedges and retries.
     int attempts { 2 }; // Sub-requests of a shard one after another, hedges aside.
     Common::Milliseconds returnMargin { 5 }; // Kept back from a deadline for the way to the caller.
 };
