Keep the timer of the earliest wake of a query

Cause: the timer of a query was replaced by whichever effect was carried out last. start() asks for the deadline after its first sends, so the hedge's wake, asked for in between, was lost: hedges came only by luck. And a timer that fired before it was stored took the place of its successor, which was cancelled: the query then never ended (seen: queries that hung until the caller's timeout, entry instances that did not stop). Ruled out: a deadlock (all threads of the hung instance were idle). Change: a timer is kept only if it is for the query's next wake.

--- a/Source/Core/Entry/QueryEngine.cpp
+++ b/Source/Core/Entry/QueryEngine.cpp
@@ -509,10 +509,15 @@
         if (auto self = weak.lock())
             self->drive(id, [](Running& r) { return Gather::wake(r.query, Clock::now()); });
     });
-    std::optional<Common::TimerId> old = timer;
-    queries.ifPresent(id, [&](std::unique_ptr<Running>& r) { std::swap(old, r->timer); });
-    if (old)
-        use.timers.cancel(*old);
+    std::optional<Common::TimerId> unused = timer;
+    queries.ifPresent(id, [&](std::unique_ptr<Running>& r) {
+        // Another time may have been asked for since, by a call in between or on another thread, or this timer has
+        // fired already. That call's timer must stay: a query without one would never end.
+        if (r->query.nextWake == when)
+            std::swap(unused, r->timer);
+    });
+    if (unused)
+        use.timers.cancel(*unused);
 }
 
 void QueryEngine::Private::finish(QueryId, std::unique_ptr<Running> running, Gather::Answer answer)
