Send a search once, and tell a dead connection from a crash

Cause: cpprestsdk sent a search again when a pooled connection closed without an answer. The resend met a closed port, so the loss of a server under a request read as a failed connect: nobody reported it, and a request that crashes servers was never quarantined (seen: 20 s of resends without a refusal). On the other side a request that met a connection whose server had died before counted as in flight at the loss: it became suspect, was not retried, and its answer was partial (seen after a kill). Ruled out: telling them apart by the time taken. Admission counts whole slots.

--- a/Source/Core/Entry/ServerTable.cpp
+++ b/Source/Core/Entry/ServerTable.cpp
@@ -3,6 +3,7 @@
 #include "Model/Resources.h"
 
 #include <algorithm>
+#include <cmath>
 
 using Common::BackendServerId;
 using Common::TimePoint;
@@ -14,6 +15,14 @@
     // A server that is paused for longer can't be counted on when a query is admitted.
     constexpr Common::Milliseconds longPause { 100 };
 
+    // A limit between whole numbers admits the lower one; below 1 it is a duty cycle.
+    double runsAtOnce(const Limits::ServerLoad& load)
+    {
+        if (load.cold || load.troubles > 0)
+            return std::min(load.limit, 1.0);
+        return load.limit < 1 ? load.limit : std::floor(load.limit);
+    }
+
     std::shared_ptr<const CandidateSet> makeSet(std::vector<Membership::Candidate> servers)
     {
         auto set = std::make_shared<CandidateSet>();
@@ -203,7 +212,7 @@
     for (size_t i : among) {
         m_loads.ifPresent(set.servers[i].server, [&](Limits::ServerLoad& load) {
             if (load.pausedUntil <= now + longPause)
-                sum += load.limit;
+                sum += runsAtOnce(load);
         });
     }
     return sum;
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -2,6 +2,7 @@
 
 #define _TURN_OFF_PLATFORM_STRING
 #include <cpprest/http_client.h>
+#include <cpprest/producerconsumerstream.h>
 
 #include "Http/Connection.h"
 
@@ -40,6 +41,16 @@
         return text;
     }
 
+    // On a pooled connection that closes without an answer, cpprestsdk sends a request again by itself: a request that
+    // crashed its server would hide that, and find a second one. It can't do so with a body that it can't rewind.
+    concurrency::streams::istream bodyStream(const std::string& body)
+    {
+        concurrency::streams::producer_consumer_buffer<uint8_t> buffer;
+        buffer.putn_nocopy(reinterpret_cast<const uint8_t*>(body.data()), body.size()).wait();
+        buffer.close(std::ios_base::out).wait();
+        return buffer.create_istream();
+    }
+
     web::http::http_request toMessage(Request request)
     {
         web::http::http_request message(request.method);
@@ -51,7 +62,7 @@
             message.headers().add(name, value);
         if (request.method != "GET" && request.method != "DELETE") {
             std::string type = headerOf(request.headers, "content-type");
-            message.set_body(std::move(request.body), type.empty() ? "application/json" : type);
+            message.set_body(bodyStream(request.body), request.body.size(), type.empty() ? "application/json" : type);
         }
         return message;
     }
