--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -55,6 +55,7 @@
 
     void leadershipChanged(bool leading, Common::Term);
     void configurationChanged();
+    void noteRevision() const;
     void answer(const Peer::Reply&, Control::Reply) const;
     Control::LeaderHint hint(LogShardId id = configurationShard) const { return state->leaderOf(id); }
 
@@ -92,9 +93,20 @@
     return changes;
 }
 
+// In a process with both roles the gauge tells what the entry role has applied.
+void ControlRole::Private::noteRevision() const
+{
+    if (use.settings.isEntry)
+        return;
+    state->withConfiguration([this](const Control::Configuration& c) {
+        use.metrics.set(Observe::Gauge::RevisionApplied, static_cast<double>(c.revision.value()));
+    });
+}
+
 // Answers the watchers that now have something to be told.
 void ControlRole::Private::configurationChanged()
 {
+    noteRevision();
     std::vector<Watcher> ready;
     {
         std::lock_guard lock(watchMutex);
@@ -357,6 +369,7 @@
     };
     BOOST_OUTCOME_TRY(state, ReplicatedState::open(use.settings, use.peers, use.metrics, std::move(hooks)));
     p->state = std::move(state);
+    p->noteRevision(); // Of what the folder held: no change may follow.
     p->sweepLater();
     return std::unique_ptr<ControlRole>(new ControlRole(p));
 }
--- /dev/null
+++ b/Source/UnitTests/Processes/control_cost.py
@@ -0,0 +1,185 @@
+#!/usr/bin/env python3
+"""Prints what control costs: processor time, bytes on the loopback, memory. Not part of CI.
+
+Bytes are read from the sockets of each process by `ss`, if it is there, and are left out otherwise.
+"""
+import argparse
+import json
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "../../.."))
+sys.path.insert(0, os.path.join(ROOT, "Tools"))
+from loopback import Cluster, http  # noqa: E402
+
+TICK = os.sysconf("SC_CLK_TCK")
+
+
+def pid(cluster, name):
+    return cluster.processes[name].child.pid
+
+
+def processor_seconds(process):
+    with open(f"/proc/{process}/stat", encoding="utf-8") as stat:
+        fields = stat.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICK
+
+
+def thread_seconds(process):
+    """Processor seconds by thread id."""
+    found = {}
+    for thread in os.listdir(f"/proc/{process}/task"):
+        with open(f"/proc/{process}/task/{thread}/stat", encoding="utf-8") as stat:
+            fields = stat.read().rsplit(")", 1)[1].split()
+        found[thread] = (int(fields[11]) + int(fields[12])) / TICK
+    return found
+
+
+def switches(process):
+    """Context switches of all threads: how often the process woke."""
+    total = 0
+    for thread in os.listdir(f"/proc/{process}/task"):
+        with open(f"/proc/{process}/task/{thread}/status", encoding="utf-8") as status:
+            total += int(re.search(r"^voluntary_ctxt_switches:\s+(\d+)", status.read(), re.M).group(1))
+    return total
+
+
+def written_calls(process):
+    """(read calls, write calls, bytes written) of the process, files and sockets alike."""
+    with open(f"/proc/{process}/io", encoding="utf-8") as counts:
+        values = dict(line.split(": ") for line in counts.read().splitlines())
+    return int(values["syscr"]), int(values["syscw"]), int(values["wchar"])
+
+
+def resident_kb(process):
+    with open(f"/proc/{process}/status", encoding="utf-8") as status:
+        return int(re.search(r"VmRSS:\s+(\d+)", status.read()).group(1))
+
+
+def sent_bytes(process):
+    """Bytes that were acknowledged on the open TCP connections of a process, or None without `ss`."""
+    if not shutil.which("ss"):
+        return None
+    text = subprocess.run(["ss", "-tinpH"], capture_output=True, text=True, timeout=10, check=False).stdout
+    total = 0
+    for connection in re.split(r"\n(?=\S)", text):
+        if f"pid={process}," in connection:
+            total += sum(int(n) for n in re.findall(r"bytes_acked:(\d+)", connection))
+    return total
+
+
+def loopback_bytes():
+    with open("/proc/net/dev", encoding="utf-8") as devices:
+        line = next(line for line in devices if line.strip().startswith("lo:"))
+    return int(line.split(":")[1].split()[8])
+
+
+def sample(cluster):
+    rows = {}
+    for name in cluster.controls + cluster.entries:
+        process = pid(cluster, name)
+        rows[name] = (processor_seconds(process), switches(process), written_calls(process), sent_bytes(process),
+                      thread_seconds(process))
+    return time.monotonic(), rows
+
+
+def print_idle(cluster, seconds):
+    """Costs of each process over some seconds without load; the averages of both roles."""
+    began, first = sample(cluster)
+    time.sleep(seconds)
+    ended, last = sample(cluster)
+    span = ended - began
+    leader = cluster.leader()
+    for role, names in (("control", cluster.controls), ("entry", cluster.entries)):
+        shares = []
+        for name in names:
+            a, b = first[name], last[name]
+            share = 100 * (b[0] - a[0]) / span
+            shares.append(share)
+            if role == "entry" and name != names[0]:
+                continue
+            sent = "not measured" if a[3] is None else f"{(b[3] - a[3]) / span:.0f} bytes/s"
+            threads = sorted((100 * (t - a[4].get(k, 0)) / span for k, t in b[4].items()), reverse=True)[:6]
+            print(f"  {name}{' (leads)' if name == leader else ''}: {share:.2f} % of a core, wakes "
+                  f"{(b[1] - a[1]) / span:.0f}/s, reads {(b[2][0] - a[2][0]) / span:.0f}/s, writes "
+                  f"{(b[2][1] - a[2][1]) / span:.0f}/s, written {(b[2][2] - a[2][2]) / span:.0f} bytes/s, TCP sent "
+                  f"{sent}, busiest threads {[round(t, 2) for t in threads]} %, RSS "
+                  f"{resident_kb(pid(cluster, name))} KB")
+        print(f"  {role} on average: {sum(shares) / len(shares):.2f} % of a core")
+
+
+def watchers(counts, seconds):
+    for count in counts:
+        folder = tempfile.mkdtemp(prefix="control-cost-")
+        cluster = Cluster(folder, 3, count)
+        try:
+            cluster.start()
+            time.sleep(3)
+            print(f"{count} entry instances, {seconds} s idle:", flush=True)
+            print_idle(cluster, seconds)
+        finally:
+            cluster.stop()
+            shutil.rmtree(folder)
+
+
+def put_group(address, name, number, version):
+    body = {"change_id": f"cost-{name}-{number}", "made_from": version,
+            "resource": {"kind": "backend-group", "name": name, "slots": 2, "connection_limit": 1 + number % 1000}}
+    status, _, text = http(address, "PUT", f"/v1/resources/backend-group/{name}", body)
+    if status != 200:
+        raise RuntimeError(f"{name} was answered {status}: {text}")
+    return json.loads(text)["revision"]
+
+
+def add_groups(cluster, begin, end, workers=16):
+    addresses = [cluster.addresses[n] for n in cluster.entries]
+    with ThreadPoolExecutor(workers) as pool:
+        list(pool.map(lambda i: put_group(addresses[i % 3], f"group-{i}", i, 0), range(begin, end)))
+
+
+def changes_and_memory(steps):
+    folder = tempfile.mkdtemp(prefix="control-cost-")
+    cluster = Cluster(folder, 3, 3)
+    try:
+        cluster.start()
+        leader = cluster.leader()
+        print(f"no resources: leader RSS {resident_kb(pid(cluster, leader))} KB", flush=True)
+        at = 0
+        for step in steps:
+            everyone = cluster.controls + cluster.entries
+            before = {n: processor_seconds(pid(cluster, n)) for n in everyone}
+            lo, written, began = loopback_bytes(), written_calls(pid(cluster, leader))[2], time.monotonic()
+            add_groups(cluster, at, step)
+            took, made = time.monotonic() - began, step - at
+            spent = {n: processor_seconds(pid(cluster, n)) - before[n] for n in everyone}
+            print(f"{step} resources: {made / took:.0f} changes/s from 16 clients; a change: "
+                  f"{(loopback_bytes() - lo) / made:.0f} bytes on the whole loopback (other programs too), "
+                  f"{(written_calls(pid(cluster, leader))[2] - written) / made:.0f} bytes written by the leader, "
+                  f"{1000 * spent[leader] / made:.2f} ms of the leader, {1000 * sum(spent.values()) / made:.2f} ms of "
+                  f"all; RSS leader {resident_kb(pid(cluster, leader))} KB, entry-1 "
+                  f"{resident_kb(pid(cluster, 'entry-1'))} KB", flush=True)
+            at = step
+    finally:
+        cluster.stop()
+        shutil.rmtree(folder)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--entries", type=int, nargs="*", default=[3, 10, 30])
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--resources", type=int, nargs="*", default=[100, 1000, 5000])
+    options = parser.parse_args()
+    print(f"{os.cpu_count()} cores, load {os.getloadavg()}")
+    changes_and_memory(options.resources)
+    watchers(options.entries, options.seconds)
+
+
+if __name__ == "__main__":
+    main()
