Measure what control costs and write it down

Ruled out: housekeeping (entry instances cost 0.4 %), rounds for each renewal (LogShard lets renewals share them).

--- a/Source/UnitTests/Processes/control_cost.py
+++ b/Source/UnitTests/Processes/control_cost.py
@@ -114,6 +114,33 @@
         print(f"  {role} on average: {sum(shares) / len(shares):.2f} % of a core")
 
 
+def set_control(cluster, settings):
+    """Adds lines to the control section of all settings files."""
+    for name in cluster.controls + cluster.entries:
+        path = f"{cluster.folder}/{name}.yaml"
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text.replace("control:\n", "control:\n" + "".join(f"  {s}\n" for s in settings)))
+
+
+def attribute(seconds):
+    """What of the idle cost goes with the number of log shards and with their heartbeats."""
+    for settings in ([], ["claim_shards: 1"], ["heartbeat_ms: 200"], ["claim_shards: 1", "heartbeat_ms: 200"],
+                     ["renewal_ms: 2000"]):
+        folder = tempfile.mkdtemp(prefix="control-cost-")
+        cluster = Cluster(folder)
+        set_control(cluster, settings)
+        try:
+            cluster.start()
+            time.sleep(3)
+            print(f"{settings or 'defaults'}, {seconds} s idle:", flush=True)
+            print_idle(cluster, seconds)
+        finally:
+            cluster.stop()
+            shutil.rmtree(folder)
+
+
 def watchers(counts, seconds):
     for count in counts:
         folder = tempfile.mkdtemp(prefix="control-cost-")
@@ -175,8 +202,12 @@
     parser.add_argument("--entries", type=int, nargs="*", default=[3, 10, 30])
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--resources", type=int, nargs="*", default=[100, 1000, 5000])
+    parser.add_argument("--attribute", action="store_true", help="only vary the settings that idle costs hang on")
     options = parser.parse_args()
     print(f"{os.cpu_count()} cores, load {os.getloadavg()}")
+    if options.attribute:
+        attribute(options.seconds)
+        return
     changes_and_memory(options.resources)
     watchers(options.entries, options.seconds)
 
