Don't wait for a stream's tasks while sending

Cause: the request body's stream was waited for on the library's threads; under overload all of them waited and entry instances hung (seen in the experiment at twice the load; stacks of all threads in event_impl::wait). Change: the calls are done when they return, so nobody waits.

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -43,11 +43,12 @@
 
     // On a pooled connection that closes without an answer, cpprestsdk sends a request again by itself: a request that
     // crashed its server would hide that, and find a second one. It can't do so with a body that it can't rewind.
+    // Both calls below are done when they return; waiting for their tasks would take a thread of the library.
     concurrency::streams::istream bodyStream(const std::string& body)
     {
         concurrency::streams::producer_consumer_buffer<uint8_t> buffer;
-        buffer.putn_nocopy(reinterpret_cast<const uint8_t*>(body.data()), body.size()).wait();
-        buffer.close(std::ios_base::out).wait();
+        buffer.putn_nocopy(reinterpret_cast<const uint8_t*>(body.data()), body.size());
+        buffer.close(std::ios_base::out);
         return buffer.create_istream();
     }
 
