--- a/Source/Core/Backend/Client.cpp
+++ b/Source/Core/Backend/Client.cpp
@@ -276,12 +276,14 @@
         self->timers.after(Milliseconds(0), [done = std::move(done), error = lease.error()] { done(error); });
         return id;
     }
+    self->metrics.change(Observe::Gauge::InFlight, 1, target.server.value());
     self->calls.insert(id, Call { lease.value(), request.queryId, request.shard });
     self->closeAt(id, request.timeLeft + answerGrace);
     self->exchange(
         lease.value(), makeSearch(request),
         [self, id, done = std::move(done), peer = target.server.value()](const Result<Http::Response>& result) {
             auto call = self->calls.take(id);
+            self->metrics.change(Observe::Gauge::InFlight, -1, peer);
             if (call && call->cancelled) {
                 done(Common::makeError(Reason::Cancelled, "search", "cancelled", peer));
                 return;
@@ -321,6 +323,7 @@
         return;
     }
     CallId id(self->nextId++);
+    self->metrics.change(Observe::Gauge::InFlight, 1, target.server.value());
     self->calls.insert(id, Call { lease.value(), {}, {} });
     self->closeAt(id, request.timeLeft);
     Http::Request out;
@@ -334,6 +337,7 @@
         lease.value(), std::move(out),
         [self, id, done = std::move(done), peer = target.server.value()](const Result<Http::Response>& result) {
             self->calls.take(id);
+            self->metrics.change(Observe::Gauge::InFlight, -1, peer);
             auto answer = toRunAnswer(result, peer);
             if (!answer && answer.error().reason == Reason::Cancelled)
                 answer = Common::makeError(Reason::DeadlineExceeded, "run", "no whole answer in time", peer);
@@ -386,6 +390,7 @@
 {
     m_private->peers.take(server);
     m_private->metrics.remove(Observe::Gauge::Connections, server.value());
+    m_private->metrics.remove(Observe::Gauge::InFlight, server.value());
 }
 
 void Client::checkProgress(Common::TimePoint now)
--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -74,6 +74,7 @@
     void orphan(LogShardId, const Once::Orphan&);
     // Moves log time on, so that old claims are forgotten and new ones are settled at the right time.
     void keepLogTime(LogShardId);
+    void countState();
 };
 
 void ControlRole::Private::leadershipChanged(bool leading, Common::Term term)
@@ -292,6 +293,7 @@
         self->sweep();
         for (uint32_t i = 1; i <= self->state->claimShards(); ++i)
             self->keepLogTime(LogShardId(i));
+        self->countState();
         self->sweepLater();
     });
 }
@@ -346,6 +348,22 @@
         state->propose(shard, Once::Expire { now }, [](const auto&) {});
 }
 
+// Sets the gauges of what is replicated here.
+void ControlRole::Private::countState()
+{
+    size_t claims = 0;
+    for (uint32_t i = 1; i <= state->claimShards(); ++i)
+        state->withClaims(LogShardId(i), [&](const Once::Claims& c) { claims += c.records.size(); });
+    use.metrics.set(Observe::Gauge::Claims, static_cast<double>(claims), "kept");
+    Common::Revision revision;
+    state->withConfiguration([&](const Control::Configuration& c) { revision = c.revision; });
+    std::lock_guard lock(leaseMutex);
+    bool inForce
+        = leases && Control::revisionStatus(*leases, revision, Clock::now()).state == Control::RevisionState::InForce;
+    if (inForce)
+        use.metrics.set(Observe::Gauge::RevisionInForce, static_cast<double>(revision.value()));
+}
+
 ControlRole::ControlRole(std::shared_ptr<Private> p)
     : m_private(std::move(p))
 {
--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -231,6 +231,7 @@
             return Common::makeError(Reason::StorageFailed, "run", "storage has failed", m_settings.instance.value());
         LOG_INFO(Part::Daemon, "Stopping. The balancer has " << m_settings.stop.balancerWait << " ms to notice.");
         m_draining = true;
+        m_metrics.set(Observe::Gauge::Draining, 1);
         m_timeline.record(EventKind::ProcessDraining, m_settings.instance.value());
         if (m_control)
             m_control->handOver();
--- a/Source/Core/Daemon/ReplicatedState.cpp
+++ b/Source/Core/Daemon/ReplicatedState.cpp
@@ -210,13 +210,17 @@
         done(Common::makeError(Reason::InvalidInput, "propose", "there is no log shard " + std::to_string(id.value())));
         return;
     }
-    shard->log->propose(Wire::encode(command), [done = std::move(done)](const Result<std::string>& result) {
-        if (!result) {
-            done(result.error());
-            return;
-        }
-        done(Wire::decodeCommandOutcome(result.value()));
-    });
+    auto proposed = Common::Clock::now();
+    auto& metrics = m_private->metrics;
+    shard->log->propose(
+        Wire::encode(command), [done = std::move(done), proposed, &metrics, id](const Result<std::string>& result) {
+            if (!result) {
+                done(result.error());
+                return;
+            }
+            metrics.observe(Observe::Latency::Commit, Common::Clock::now() - proposed, std::to_string(id.value()));
+            done(Wire::decodeCommandOutcome(result.value()));
+        });
 }
 
 void ReplicatedState::confirmConfiguration(std::function<void(Result<void>)> done)
--- a/Source/Core/Entry/MembershipService.cpp
+++ b/Source/Core/Entry/MembershipService.cpp
@@ -79,6 +79,7 @@
     void round(bool repeat);
     void send(const std::vector<Membership::Outgoing>&);
     void publish(const std::vector<Change>&);
+    void countKnown(const Membership::Directory&) const;
 };
 
 void MembershipService::Private::scheduleRound(Milliseconds delay, bool repeat)
@@ -110,6 +111,7 @@
     for (const Membership::Outgoing& out : messages) {
         std::string bytes = Wire::encodeGossip({ out.message, use.timeline.stamp() });
         use.metrics.count(Observe::Counter::GossipBytesSent, {}, bytes.size());
+        use.metrics.count(Observe::Counter::GossipMessages, "sent");
         use.peers.call(out.address, Peer::Service::Gossip, std::move(bytes), callTimeout, [](const auto&) {});
     }
 }
@@ -125,11 +127,25 @@
         // Published under the lock, so that an older directory never replaces a newer one.
         std::lock_guard lock(mutex);
         use.servers.publish(std::make_shared<const Membership::Directory>(state.directory));
+        countKnown(state.directory);
     }
     if (changed)
         changed();
 }
 
+void MembershipService::Private::countKnown(const Membership::Directory& directory) const
+{
+    auto isGone = [](const auto& pair) { return pair.second.record.life == Membership::Life::Gone; };
+    auto servers = std::count_if(directory.servers.begin(), directory.servers.end(), isGone);
+    auto instances = std::count_if(directory.instances.begin(), directory.instances.end(), isGone);
+    auto set = [&](Observe::Gauge gauge, size_t all, auto gone) {
+        use.metrics.set(gauge, static_cast<double>(gone), "gone");
+        use.metrics.set(gauge, static_cast<double>(all) - static_cast<double>(gone), "there");
+    };
+    set(Observe::Gauge::ServersKnown, directory.servers.size(), servers);
+    set(Observe::Gauge::InstancesKnown, directory.instances.size(), instances);
+}
+
 MembershipService::MembershipService(
     Membership::GossipSettings settings, Membership::InstanceRecord self, MembershipDependencies use)
     : m_private(std::make_shared<Private>(use))
@@ -171,6 +187,7 @@
         return;
     }
     m_private->use.metrics.count(Observe::Counter::GossipBytesReceived, {}, bytes.size());
+    m_private->use.metrics.count(Observe::Counter::GossipMessages, "received");
     m_private->use.timeline.observe(envelope.value().time);
     Membership::GossipReceipt receipt;
     {
--- a/Source/Core/Observe/MetricNames.cpp
+++ b/Source/Core/Observe/MetricNames.cpp
@@ -39,10 +39,7 @@
         { "corianderlock_query_milliseconds", "Time from a query's arrival to its answer.", "route" },
         { "corianderlock_booking_milliseconds", "Time from a run-once request's arrival to its answer.", "route" },
         { "corianderlock_sub_request_milliseconds", "Time from a sub-request's sending to its answer.", "group" },
-        { "corianderlock_connect_milliseconds", "Time to open a connection to a backend server.", "group" },
         { "corianderlock_commit_milliseconds", "Time from a proposal to its commit.", "log_shard" },
-        { "corianderlock_sync_milliseconds", "Time to sync the log to disk.", "" },
-        { "corianderlock_accepted_to_in_force_milliseconds", "Time from a change's acceptance until in force.", "" },
     } };
 
     constexpr std::array<MetricText, static_cast<size_t>(Share::Count)> shares { {
--- a/Source/Core/Observe/MetricNames.h
+++ b/Source/Core/Observe/MetricNames.h
@@ -42,10 +42,7 @@
     Query, // route
     Booking, // route
     SubRequest, // group
-    Connect, // group
     Commit, // log shard
-    Sync,
-    AcceptedToInForce,
     Count,
 };
 
