--- /dev/null
+++ b/Source/UnitTests/Entry/TwoReplicas.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Entry/ServerTable.h"
+
+// One shard with two replicas of one slot each.
+struct TwoReplicas {
+    TwoReplicas()
+    {
+        set.servers.resize(2);
+        for (size_t i = 0; i < set.servers.size(); ++i) {
+            set.servers[i].server = Common::BackendServerId("server-" + std::to_string(i));
+            set.servers[i].domain = Common::FailureDomain("domain-" + std::to_string(i));
+            set.servers[i].shards = { shard };
+            set.all.push_back(i);
+            set.byShard[shard].push_back(i);
+            table.configure(set.servers[i].server, { Common::Slots(1), Common::Ratio(1) }, now);
+        }
+    }
+
+    const Common::BackendServerId& id(size_t i) const { return set.servers[i].server; }
+
+    // Fails so often that the server is left alone for seconds.
+    void pause(size_t i)
+    {
+        for (int n = 0; n < 4; ++n) {
+            now = now + Common::Milliseconds(10'000);
+            if (table.acquireAt(id(i), now))
+                table.release(id(i), Limits::Completion::Failed, Common::Milliseconds(1), now);
+        }
+    }
+
+    Entry::Placed place(const Routing::Avoid& avoid, const Entry::PlaceOptions& options)
+    {
+        return table.place(set, set.of(shard), avoid, options, now);
+    }
+
+    Common::ShardId shard { 3 };
+    Common::TimePoint now { Common::Milliseconds(1000) };
+    Entry::CandidateSet set;
+    Entry::ServerTable table;
+};
