--- a/Source/UnitTests/Processes/lookups_test.py
+++ b/Source/UnitTests/Processes/lookups_test.py
@@ -130,6 +130,16 @@
         self.expect_refusal(413, "invalid-input", "POST", "/v1/query/lookup", b'{"q": "' + b"a" * (2 << 20) + b'"}')
         self.expect_refusal(400, "invalid-input", "POST", "/v1/query/lookup", b"{no json")
 
+    def test_2_the_load_command_tells_whether_all_was_answered(self):
+        options = ("--rate", "50", "--duration-ms", "1000", "--seed", "3", "--output", "json")
+        done = self.cluster.cli("load", "lookup", *options)
+        report = json.loads(done.stdout)
+        self.assertEqual(done.returncode, 0, done.stdout)
+        self.assertGreater(report["sent"], 0)
+        self.assertEqual(report["done"], report["scheduled"])
+        self.assertEqual(report["complete_share"], 1)
+        self.assertEqual(self.cluster.cli("load", "nowhere", *options).returncode, 5)
+
     def test_3_a_version_changes_under_load(self):
         def change():
             time.sleep(0.3)
