--- a/Source/Core/Observe/MetricNames.cpp
+++ b/Source/Core/Observe/MetricNames.cpp
@@ -40,6 +40,7 @@
         { "corianderlock_booking_milliseconds", "Time from a run-once request's arrival to its answer.", "route" },
         { "corianderlock_sub_request_milliseconds", "Time from a sub-request's sending to its answer.", "group" },
         { "corianderlock_commit_milliseconds", "Time from a proposal to its commit.", "log_shard" },
+        { "corianderlock_accepted_to_in_force_milliseconds", "Time from a change's acceptance until in force.", "" },
     } };
 
     constexpr std::array<MetricText, static_cast<size_t>(Share::Count)> shares { {
--- a/Source/Core/Observe/MetricNames.h
+++ b/Source/Core/Observe/MetricNames.h
@@ -43,6 +43,7 @@
     Booking, // route
     SubRequest, // group
     Commit, // log shard
+    AcceptedToInForce,
     Count,
 };
 
