Hold slow and huge senders to the limits of time and size

Cause: ServerOptions::bodyTimeout was unused, and the library sends no answer before it has read the whole request: a body that never ended held its request for ever, and one over the limit was buffered without a bound. Ruled out: reply() alone (held back until the body is in); closing the body's stream without an error (the library would go on putting bytes into it). Change: Http::Server answers 408 to a body that is late and 413 to one over the limit, gives up the rest of the body and closes the connection. A body somewhat over the limit is read to its end first, so that the 413 arrives. These refusals say "unknown", since the id is not looked at here.

--- a/Source/Core/Daemon/EntryRole.cpp
+++ b/Source/Core/Daemon/EntryRole.cpp
@@ -1,7 +1,6 @@
 #include "Daemon/EntryRole.h"
 
 #include "Entry/ServerShares.h"
-#include "Observe/Log.h"
 
 #include <algorithm>
 #include <atomic>
@@ -10,7 +9,6 @@
 using Common::Clock;
 using Common::Milliseconds;
 using Common::Reason;
-using Observe::Part;
 
 namespace Daemon {
 
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -1,16 +1,19 @@
 #include <utility>
 
-#define _TURN_OFF_PLATFORM_STRING
+#define _TURN_OFF_PLATFORM_STRING // NOLINT(bugprone-reserved-identifier): the library's own switch.
 #include <cpprest/http_listener.h>
 #include <pplx/threadpool.h>
 
 #include "Http/Server.h"
 
+#include "Common/Timers.h"
+
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
+#include <stdexcept>
 
 using Common::Reason;
 
@@ -18,7 +21,7 @@
 
 namespace {
 
-    constexpr size_t bodyChunk = 16 * 1024;
+    constexpr size_t bodyChunk = 16'384;
 
     std::string lowerCase(std::string text)
     {
@@ -39,36 +42,76 @@
         return request;
     }
 
+    // The request was not handed on now, but it may be the resend of one that ran: of that nothing is known here.
     Response errorResponse(int status, const std::string& reason, const std::string& message)
     {
         Response response;
         response.status = status;
-        response.body = R"({"error":{"reason":")" + reason + R"(","message":")" + message + R"(","ran":"not-run"}})";
+        response.body = R"({"error":{"reason":")" + reason + R"(","message":")" + message + R"(","ran":"unknown"}})";
         return response;
     }
 
-    // A body as it arrives in pieces, up to a limit.
+    // A body of a caller who is over the limit is read on and thrown away up to so many times the limit: if the
+    // connection were closed with unread bytes, the caller's system would drop the answer.
+    constexpr size_t discardFactor = 4;
+
+    enum class BodyEnd {
+        Whole,
+        TooLarge, // Read to its end, or to the bound on what is thrown away.
+    };
+
+    // A body as it arrives in pieces, kept up to a limit.
     struct BodyReader : std::enable_shared_from_this<BodyReader> {
         concurrency::streams::istream stream;
         concurrency::streams::container_buffer<std::string> buffer;
         size_t limit { 0 };
         size_t total { 0 };
 
-        // True if the whole body came, false if it is over the limit.
-        pplx::task<bool> read()
+        size_t discardLimit() const { return limit * discardFactor; }
+
+        pplx::task<BodyEnd> read()
         {
+            if (total > limit)
+                buffer = concurrency::streams::container_buffer<std::string>();
             auto self = shared_from_this();
             return stream.read(buffer, bodyChunk).then([self](size_t n) {
                 self->total += n;
-                if (self->total > self->limit)
-                    return pplx::task_from_result(false);
-                if (!n)
-                    return pplx::task_from_result(true);
+                bool isOver = self->total > self->limit;
+                if (!n || self->total > self->discardLimit())
+                    return pplx::task_from_result(isOver ? BodyEnd::TooLarge : BodyEnd::Whole);
                 return self->read();
             });
         }
     };
 
+    // One request and the way back to its caller.
+    struct Exchange {
+        explicit Exchange(const web::http::http_request& m)
+            : message(m)
+        {
+        }
+
+        web::http::http_request message;
+        // Set once: by whoever hands the request to the handler, or refuses it before.
+        std::atomic<bool> settled { false };
+    };
+
+    // The library sends no answer before the request has been read. Here the rest of the body is given up: the answer
+    // goes out, and whatever still arrives is an error that closes the connection.
+    void abandonBody(const web::http::http_request& message)
+    {
+        auto error = std::make_exception_ptr(std::runtime_error("the body is given up"));
+        const auto& impl = message._get_impl();
+        impl->outstream().close(error).then([](const pplx::task<void>& closed) {
+            try {
+                closed.get();
+            } catch (const std::exception&) {
+                // The error is the one from above.
+            }
+        });
+        impl->_get_data_available().set(0);
+    }
+
 } // namespace
 
 struct Server::Private : std::enable_shared_from_this<Server::Private> {
@@ -80,69 +123,107 @@
     std::condition_variable idle;
     size_t inFlight { 0 };
 
-    void accept(web::http::http_request message);
-    void readBody(const web::http::http_request& message, Request request);
-    void answer(const web::http::http_request& message, Response response);
+    // Limits the time of bodies that do not come at once. Stopped by close(), so that no function outlives the server.
+    Common::Timers timers { 1 };
+
+    void accept(const web::http::http_request& message);
+    void readBody(const std::shared_ptr<Exchange>&, Request request);
+    void limitTime(const std::shared_ptr<Exchange>&);
+    void bodyEnded(const std::shared_ptr<Exchange>&, Request request);
+    void refuse(const std::shared_ptr<Exchange>&, int status, const std::string& message);
+    void answer(const std::shared_ptr<Exchange>&, Response response, bool keepOpen);
     void finished();
 };
 
-void Server::Private::accept(web::http::http_request message)
+void Server::Private::accept(const web::http::http_request& message)
 {
     {
         std::lock_guard lock(mutex);
         ++inFlight;
     }
+    auto exchange = std::make_shared<Exchange>(message);
     try {
-        readBody(message, convertHead(message));
+        readBody(exchange, convertHead(message));
     } catch (const std::exception& e) {
-        answer(message, errorResponse(400, "invalid-input", "the request line or a header can not be read"));
+        refuse(exchange, 400, "the request line or a header can not be read");
     }
 }
 
-void Server::Private::readBody(const web::http::http_request& message, Request request)
+void Server::Private::readBody(const std::shared_ptr<Exchange>& exchange, Request request)
 {
-    auto limit = static_cast<size_t>(options.maximumBody.value());
-    if (message.headers().content_length() > limit) {
-        answer(message,
-            errorResponse(413, "invalid-input", "the body is larger than " + std::to_string(limit) + " bytes"));
+    auto reader = std::make_shared<BodyReader>();
+    reader->stream = exchange->message.body();
+    reader->limit = static_cast<size_t>(options.maximumBody.value());
+    if (exchange->message.headers().content_length() > reader->discardLimit()) {
+        refuse(exchange, 413, "the body is too large");
         return;
     }
-    auto reader = std::make_shared<BodyReader>();
-    reader->stream = message.body();
-    reader->limit = limit;
     auto self = shared_from_this();
-    reader->read().then([self, message, reader, request = std::move(request)](const pplx::task<bool>& done) mutable {
-        try {
-            if (!done.get()) {
-                self->answer(message, errorResponse(413, "invalid-input", "the body is too large"));
+    auto ended = reader->read().then(
+        [self, exchange, reader, request = std::move(request)](const pplx::task<BodyEnd>& done) mutable {
+            try {
+                if (done.get() == BodyEnd::TooLarge) {
+                    self->refuse(exchange, 413, "the body is too large");
+                    return;
+                }
+            } catch (const std::exception&) {
+                self->refuse(exchange, 400, "the body did not arrive whole");
                 return;
             }
-        } catch (const std::exception&) {
-            self->answer(message, errorResponse(400, "invalid-input", "the body did not arrive whole"));
-            return;
-        }
-        request.body = std::move(reader->buffer.collection());
-        // The buffer grows ahead of what is written.
-        request.body.resize(reader->total);
-        try {
-            self->handler(
-                std::move(request), [self, message](Response response) { self->answer(message, std::move(response)); });
-        } catch (const std::exception& e) {
-            self->answer(message, errorResponse(500, "internal", "the request could not be handled"));
-        }
+            request.body = std::move(reader->buffer.collection());
+            // The buffer grows ahead of what is written.
+            request.body.resize(reader->total);
+            self->bodyEnded(exchange, std::move(request));
+        });
+    if (!ended.is_done())
+        limitTime(exchange);
+}
+
+void Server::Private::limitTime(const std::shared_ptr<Exchange>& exchange)
+{
+    std::weak_ptr<Private> weak = weak_from_this();
+    std::weak_ptr<Exchange> weakExchange = exchange;
+    timers.after(options.bodyTimeout, [weak, weakExchange] {
+        auto self = weak.lock();
+        auto late = weakExchange.lock();
+        if (self && late && !late->settled)
+            self->refuse(late, 408, "the body did not arrive in time");
     });
 }
 
-void Server::Private::answer(const web::http::http_request& message, Response response)
+void Server::Private::bodyEnded(const std::shared_ptr<Exchange>& exchange, Request request)
+{
+    // The time limit may have answered just now: then nothing may run.
+    if (exchange->settled.exchange(true))
+        return;
+    auto self = shared_from_this();
+    try {
+        handler(std::move(request),
+            [self, exchange](Response response) { self->answer(exchange, std::move(response), true); });
+    } catch (const std::exception& e) {
+        answer(exchange, errorResponse(500, "internal", "the request could not be handled"), true);
+    }
+}
+
+// Refuses a request that was not handed to the handler.
+void Server::Private::refuse(const std::shared_ptr<Exchange>& exchange, int status, const std::string& message)
+{
+    if (exchange->settled.exchange(true))
+        return;
+    answer(exchange, errorResponse(status, "invalid-input", message), false);
+    abandonBody(exchange->message);
+}
+
+void Server::Private::answer(const std::shared_ptr<Exchange>& exchange, Response response, bool keepOpen)
 {
     web::http::http_response out(static_cast<web::http::status_code>(response.status));
     for (auto& [name, value] : response.headers)
         out.headers().add(name, value);
-    if (closing)
+    if (closing || !keepOpen)
         out.headers().add("Connection", "close");
     out.set_body(std::move(response.body), response.contentType);
     auto self = shared_from_this();
-    message.reply(out).then([self](const pplx::task<void>& sent) {
+    exchange->message.reply(out).then([self](const pplx::task<void>& sent) {
         try {
             sent.get();
         } catch (const std::exception&) {
@@ -207,6 +288,7 @@
 
 void Server::close()
 {
+    m_private->timers.stop();
     auto listener = std::move(m_private->listener);
     if (!listener)
         return;
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -14,7 +14,7 @@
 struct ServerOptions {
     Common::Address listen;
     Common::Bytes maximumBody { 1 << 20 };
-    // A body that has not arrived whole by then is answered 408.
+    // A body that has not arrived whole by then is answered 408, and its connection closed.
     Common::Milliseconds bodyTimeout { 10'000 };
 };
 
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -1,5 +1,6 @@
 #include "Http/Server.h"
 #include "Http/Connection.h"
+#include "Http/TestServer.h"
 
 #include <gtest/gtest.h>
 
@@ -11,19 +12,12 @@
 namespace {
 
 constexpr Milliseconds timeout { 5'000 };
-constexpr int firstPort = 47'100;
-
-// The library can't let the kernel choose a port, so the first free one of a range is taken.
 std::unique_ptr<Http::Server> openServer(const Http::Handler& handler, Common::Address& address)
 {
-    for (int port = firstPort; port < firstPort + 200; ++port) {
-        address = Common::Address("127.0.0.1:" + std::to_string(port));
-        Http::ServerOptions options { address, Common::Bytes(1'000), timeout };
-        auto server = Http::Server::open(options, handler);
-        if (server)
-            return std::move(server).value();
-    }
-    return nullptr;
+    Http::ServerOptions options { {}, Common::Bytes(1'000), timeout };
+    auto server = HttpTest::openServer(options, handler);
+    address = options.listen;
+    return server;
 }
 
 std::future<Common::Result<Http::Response>> post(Http::Connection& connection, const std::string& body)
