Say "unknown" of a change when control answered something else

Cause: a reply of another kind to an operator's change was reported as "not run", but the change may have been committed. Seen by reading. Ruled out: dropping the field; operators resend by it. Change: these two answers say "unknown". Conclusion: "not run" is left to places that know it.

--- a/Source/Core/Daemon/Front.cpp
+++ b/Source/Core/Daemon/Front.cpp
@@ -88,8 +88,8 @@
         }
         auto reply = std::get_if<Expected>(&result.value());
         if (!reply) {
-            respondWith(
-                refuse(Common::makeError(Reason::Corrupt, "read-reply", "control sent a reply of another kind")));
+            respondWith(refuse(Common::makeError(Reason::Corrupt, "read-reply", "control sent a reply of another kind"),
+                Ran::Unknown));
             return;
         }
         if (auto error = std::get_if<Common::Error>(&reply->result)) {
@@ -241,7 +241,8 @@
                     else if (auto refused = std::get_if<Control::CommandRefused>(&outcome))
                         done(refuse(refused->error));
                     else
-                        done(refuse(Common::makeError(Reason::Internal, "propose", "control did not take the change")));
+                        done(refuse(Common::makeError(Reason::Internal, "propose", "control answered another command"),
+                            Ran::Unknown));
                 });
             });
     }
