Make a send that reached no server again without budget

Cause: after a kill the first sends that met a dead connection were retried from the extra budget, which hedges had used: answers stayed partial (seen in LookupsProcessTest, 2 of 7 failed). Ruled out: giving budget back for them, which the budget's invariant bars. Change: such a send is made again as a first send; attempts stay bounded. Both sends count as first sends in the metric.

--- a/Source/Core/Entry/QueryEngine.cpp
+++ b/Source/Core/Entry/QueryEngine.cpp
@@ -19,7 +19,6 @@
 using Common::TimePoint;
 using Observe::Counter;
 using Observe::EventKind;
-using Observe::Part;
 
 namespace Entry {
 
@@ -48,6 +47,7 @@
         std::unordered_map<AttemptId, Sent> sent;
         std::unordered_map<AttemptId, Gather::StartAttempt> waiting; // Whoever takes one out answers for its budget.
         std::optional<Common::TimerId> timer;
+        size_t unreached { 0 }; // First sends that reached no server and have not been made again.
     };
 
     // An attempt for which a slot was taken.
@@ -221,8 +221,9 @@
     return Limits::admit(backlogs, running.query.options.deadline, now);
 }
 
-void QueryEngine::Private::perform(QueryId id, const Gather::StartAttempt& start)
+void QueryEngine::Private::perform(QueryId id, const Gather::StartAttempt& wanted)
 {
+    Gather::StartAttempt start = wanted;
     std::shared_ptr<const CandidateSet> candidates;
     QueueKey key;
     TimePoint before;
@@ -230,6 +231,11 @@
         candidates = r->candidates;
         key = { r->route.route.group, r->route.route.version, start.shard };
         before = Gather::answerBy(r->query);
+        // A send that reached no server was no load: made again it is still the first, and needs no budget.
+        if (start.purpose == Gather::Purpose::Retry && r->unreached > 0) {
+            --r->unreached;
+            start.purpose = Gather::Purpose::First;
+        }
     });
     if (!found)
         return;
@@ -446,6 +452,8 @@
 {
     drive(sending.query, [&](Running& r) {
         r.sent.erase(sending.attempt);
+        if (error.reason == Reason::ConnectionFailed && sending.purpose == Gather::Purpose::First)
+            ++r.unreached;
         if (!use.membership.mayRetry(r.fingerprint))
             Gather::barExtras(r.query);
         return Gather::attemptFailed(r.query, sending.attempt, error, Clock::now());
