--- a/Source/Core/CommandLine/ResourceFile.cpp
+++ b/Source/Core/CommandLine/ResourceFile.cpp
@@ -45,14 +45,14 @@
         return group;
     }
 
-    // Equal ranges: the last one takes what is left over.
+    // Equal ranges, as nearly as whole numbers allow; the backend servers' protocol divides the same way.
     std::vector<Model::Shard> equalShards(uint64_t count)
     {
         std::vector<Model::Shard> shards;
-        uint64_t size = Common::keySpaceSize / count;
+        shards.reserve(count);
         for (uint64_t i = 0; i < count; ++i) {
-            uint64_t end = i + 1 == count ? Common::keySpaceSize : (i + 1) * size;
-            shards.push_back({ Common::ShardId(static_cast<uint32_t>(i)), { i * size, end } });
+            Common::KeyRange range { Common::keySpaceSize * i / count, Common::keySpaceSize * (i + 1) / count };
+            shards.push_back({ Common::ShardId(static_cast<uint32_t>(i)), range });
         }
         return shards;
     }
--- a/Source/Core/Entry/QueryEngine.h
+++ b/Source/Core/Entry/QueryEngine.h
@@ -40,7 +40,7 @@
 // maps in shards, each under its own lock.
 class QueryEngine {
 public:
-    explicit QueryEngine(QueryDependencies);
+    explicit QueryEngine(const QueryDependencies&);
     ~QueryEngine();
 
     // done is called once, from any thread. An error means that the query got no answer at all; Overloaded,
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -51,7 +51,7 @@
         return buffer.create_istream();
     }
 
-    web::http::http_request toMessage(Request request)
+    web::http::http_request toMessage(const Request& request)
     {
         web::http::http_request message(request.method);
         web::uri_builder uri(web::uri::encode_uri(request.path, web::uri::components::path));
@@ -115,7 +115,7 @@
         token = self->cancellation.get_token();
     }
     auto response = std::make_shared<Response>();
-    client->request(toMessage(std::move(request)), token)
+    client->request(toMessage(request), token)
         .then([response](web::http::http_response message) {
             response->status = message.status_code();
             for (auto& [name, value] : message.headers())
