--- a/Source/Core/Backend/Client.cpp
+++ b/Source/Core/Backend/Client.cpp
@@ -140,7 +140,7 @@
     void giveBack(const Lease&, Ended, Milliseconds took, bool keep);
     void closeAt(CallId, Milliseconds);
     void requestServerCancel(const Target&, const Call&);
-    void exchange(const Lease&, Http::Request, std::function<void(Result<Http::Response>)>, bool keep);
+    void exchange(const Lease&, const Http::Request&, std::function<void(Result<Http::Response>)>, bool keep);
     void dropConnections(const BackendServerId&, const std::vector<ConnectionId>&);
 };
 
@@ -198,16 +198,15 @@
 }
 
 void Client::Private::exchange(
-    const Lease& lease, Http::Request request, std::function<void(Result<Http::Response>)> done, bool keep)
+    const Lease& lease, const Http::Request& request, std::function<void(Result<Http::Response>)> done, bool keep)
 {
     auto sentAt = Common::Clock::now();
     peers.ifPresent(lease.server, [&](Peer& peer) { Membership::requestSent(peer.health, lease.id, sentAt); });
     auto self = shared_from_this();
-    lease.connection->send(
-        std::move(request), [self, lease, sentAt, keep, done = std::move(done)](Result<Http::Response> result) {
-            self->giveBack(lease, result ? Ended::Answered : Ended::Broken, Common::Clock::now() - sentAt, keep);
-            done(std::move(result));
-        });
+    lease.connection->send(request, [self, lease, sentAt, keep, done = std::move(done)](Result<Http::Response> result) {
+        self->giveBack(lease, result ? Ended::Answered : Ended::Broken, Common::Clock::now() - sentAt, keep);
+        done(std::move(result));
+    });
 }
 
 // Closes a call's connection if its answer has not come by then.
@@ -334,7 +333,7 @@
     out.headers["content-type"] = request.contentType;
     out.body = std::move(request.body);
     self->exchange(
-        lease.value(), std::move(out),
+        lease.value(), out,
         [self, id, done = std::move(done), peer = target.server.value()](const Result<Http::Response>& result) {
             self->calls.take(id);
             self->metrics.change(Observe::Gauge::InFlight, -1, peer);
@@ -351,7 +350,7 @@
     auto connection = std::make_shared<Http::Connection>(target.address, Http::Reuse::Never, probeTimeout);
     Http::Request request;
     request.path = "/health";
-    connection->send(std::move(request), [connection, done = std::move(done)](const Result<Http::Response>& result) {
+    connection->send(request, [connection, done = std::move(done)](const Result<Http::Response>& result) {
         done(result || result.error().reason != Reason::ConnectionFailed);
     });
 }
@@ -382,7 +381,7 @@
         Http::Request request;
         request.path = "/health";
         m_private->exchange(
-            lease, std::move(request), [](const Result<Http::Response>&) {}, true);
+            lease, request, [](const Result<Http::Response>&) {}, true);
     }
 }
 
--- a/Source/Core/Entry/BookingEngine.cpp
+++ b/Source/Core/Entry/BookingEngine.cpp
@@ -2,7 +2,6 @@
 
 #include "Common/Hash.h"
 #include "Common/ShardedMap.h"
-#include "Observe/Log.h"
 #include "Once/Claims.h"
 
 #include <atomic>
@@ -12,7 +11,6 @@
 using Common::Reason;
 using Common::TimePoint;
 using Observe::EventKind;
-using Observe::Part;
 
 namespace Entry {
 
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -103,7 +103,7 @@
 
 Connection::~Connection() = default;
 
-void Connection::send(Request request, Done done)
+void Connection::send(const Request& request, Done done)
 {
     auto self = m_private;
     std::shared_ptr<web::http::client::http_client> client;
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -30,7 +30,7 @@
     ~Connection();
 
     // done is called once, on a thread of the library. Only one request may be under way.
-    void send(Request, Done done);
+    void send(const Request&, Done done);
     // Closes the connection under a request; done still gets its error.
     void cancel();
     // True once an answer has come back, so that the connection is likely open.
