Take only a 400 of a backend server as a proof that a booking did not run

Cause, found by reading: any 4xx was recorded as refused by the backend server, though docs/BACKEND-PROTOCOL.md promises for 400 alone that nothing ran. A 404, 408, 409 or 429 is now kept and replayed as its answer. The decision moved to Once, where a test holds it.

Ruled out: "outcome unknown" for them, since the whole answer is known.

--- a/Source/Core/Entry/BookingEngine.cpp
+++ b/Source/Core/Entry/BookingEngine.cpp
@@ -29,13 +29,6 @@
         TimePoint admitted;
     };
 
-    Once::DispatchAnswered toEvent(const Backend::RunAnswer& answer)
-    {
-        if (answer.status >= 400)
-            return { Once::RefusedByBackend { answer.status, answer.contentType, answer.body, false } };
-        return { Once::Completed { answer.status, answer.contentType, answer.body, false } };
-    }
-
     Limits::Completion completionOf(const Common::Result<Backend::RunAnswer>& answer)
     {
         if (answer)
@@ -233,7 +226,8 @@
             auto now = Clock::now();
             self->use.servers.release(name, completionOf(result), now - sentAt, now);
             if (result)
-                self->step(id, toEvent(result.value()));
+                self->step(
+                    id, Once::answeredWith(result.value().status, result.value().contentType, result.value().body));
             else if (result.error().reason == Reason::Overloaded)
                 self->later(slotPause, [id](Private& p) { p.dispatch(id); });
             else
--- a/Source/Core/Once/Booking.cpp
+++ b/Source/Core/Once/Booking.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+    constexpr int declinedStatus = 400;
+
     // The moment at which an event is taken.
     struct Moment {
         TimePoint now;
@@ -252,6 +254,13 @@
     return std::visit(EventVisitor { booking, at }, event);
 }
 
+DispatchAnswered answeredWith(int status, std::string contentType, std::string body)
+{
+    if (status == declinedStatus)
+        return { RefusedByBackend { status, std::move(contentType), std::move(body), false } };
+    return { Completed { status, std::move(contentType), std::move(body), false } };
+}
+
 bool provesNotRun(Reason reason)
 {
     switch (reason) {
--- a/Source/Core/Once/Booking.h
+++ b/Source/Core/Once/Booking.h
@@ -5,6 +5,7 @@
 #include "Once/Commands.h"
 
 #include <optional>
+#include <string>
 #include <variant>
 
 // One request that may not be repeated, on the entry instance that took it: claim, dispatch, record, answer.
@@ -86,6 +87,10 @@
 // record may still be under way after the answer was given.
 Next step(Booking&, const Event&, Common::TimePoint now, bool mayTakeWork);
 
+// What a backend server's whole answer means. Its protocol promises for 400 alone that nothing ran; any other status is
+// its answer to a request that may have run, and is replayed as such.
+DispatchAnswered answeredWith(int status, std::string contentType, std::string body);
+
 // Whether the error of a dispatch proves that no backend server ran the request.
 bool provesNotRun(Common::Reason);
 
--- a/Source/Core/Once/Commands.h
+++ b/Source/Core/Once/Commands.h
@@ -32,7 +32,7 @@
     friend bool operator==(const Claim&, const Claim&) = default;
 };
 
-// The backend server ran the request; this is its whole answer.
+// The backend server's whole answer to a request that ran, or may have.
 struct Completed {
     int status { 200 };
     std::string contentType;
@@ -42,8 +42,8 @@
     friend bool operator==(const Completed&, const Completed&) = default;
 };
 
-// The backend server answered with a 4xx status: it declined the request for good. By its protocol only 400 proves that
-// nothing ran, so the caller is given the answer as it is and never "not run".
+// The backend server answered 400: it declined the request for good, and by its protocol nothing ran. The caller is
+// given the answer as it is.
 struct RefusedByBackend {
     int status { 400 };
     std::string contentType;
--- a/Source/UnitTests/Once/BookingTest.cpp
+++ b/Source/UnitTests/Once/BookingTest.cpp
@@ -400,3 +400,16 @@
     EXPECT_FALSE(step(booking, RecordAnswered { RecordResult::Recorded }, early, true).answer);
     EXPECT_EQ(booking.stage, Stage::Finished);
 }
+
+TEST(Booking, OnlyABadRequestProvesThatTheBackendServerRanNothing)
+{
+    auto declined = Once::answeredWith(400, "text/plain", "no");
+    EXPECT_TRUE(std::holds_alternative<Once::RefusedByBackend>(declined.outcome));
+    for (int status : { 200, 201, 404, 408, 409, 429 }) {
+        auto answered = Once::answeredWith(status, "text/plain", "body");
+        auto completed = std::get_if<Once::Completed>(&answered.outcome);
+        ASSERT_TRUE(completed) << status;
+        EXPECT_EQ(completed->status, status);
+        EXPECT_EQ(completed->body, "body");
+    }
+}
