Take a server that drops the probe's connection as lost

Cause, found by reading after LookupsProcessTest had lost a third server to a crashing request once in four runs: a process that is ending may still take the probe's connection and drop it, and any answer but a refused connection counted as alive. Then the loss is not reported, and the request is retried at another server. Whether that was the cause of the run seen is not shown.

Change: a dropped probe is repeated, three times 20 ms apart, and then means lost; a server that is merely slow stays. Ruled out: taking a time-out as a loss, since slow servers would bar retries.

--- a/Source/Core/Backend/Client.cpp
+++ b/Source/Core/Backend/Client.cpp
@@ -28,6 +28,8 @@
     // How long a server may take to say that it cancelled a request.
     constexpr Milliseconds cancelGrace { 500 };
     constexpr Milliseconds probeTimeout { 300 };
+    constexpr Milliseconds probePause { 20 };
+    constexpr int probeTries = 3;
     constexpr double slowShare = 0.99;
 
     // One connection in use.
@@ -138,6 +140,7 @@
     Lease open(Peer&, const Target&, Http::Reuse);
     Result<Lease> acquire(const Target&, Http::Reuse);
     void giveBack(const Lease&, Ended, Milliseconds took, bool keep);
+    void probe(const Target&, std::function<void(bool)>, int triesLeft);
     void closeAt(CallId, Milliseconds);
     void requestServerCancel(const Target&, const Call&);
     void exchange(const Lease&, const Http::Request&, std::function<void(Result<Http::Response>)>, bool keep);
@@ -209,6 +212,27 @@
     });
 }
 
+// A process that is ending may still take a connection and drop it, so that is asked about again. One that answers
+// nothing in time is slow, not gone.
+void Client::Private::probe(const Target& target, std::function<void(bool)> done, int triesLeft)
+{
+    auto connection = std::make_shared<Http::Connection>(target.address, Http::Reuse::Never, probeTimeout);
+    Http::Request request;
+    request.path = "/health";
+    auto self = shared_from_this();
+    connection->send(request, [self, connection, target, done = std::move(done), triesLeft](const auto& result) {
+        if (result || result.error().reason == Reason::DeadlineExceeded) {
+            done(true);
+            return;
+        }
+        if (result.error().reason == Reason::ConnectionFailed || triesLeft <= 1) {
+            done(false);
+            return;
+        }
+        self->timers.after(probePause, [self, target, done, triesLeft] { self->probe(target, done, triesLeft - 1); });
+    });
+}
+
 // Closes a call's connection if its answer has not come by then.
 void Client::Private::closeAt(CallId id, Milliseconds delay)
 {
@@ -347,12 +371,7 @@
 
 void Client::probe(const Target& target, std::function<void(bool)> done)
 {
-    auto connection = std::make_shared<Http::Connection>(target.address, Http::Reuse::Never, probeTimeout);
-    Http::Request request;
-    request.path = "/health";
-    connection->send(request, [connection, done = std::move(done)](const Result<Http::Response>& result) {
-        done(result || result.error().reason != Reason::ConnectionFailed);
-    });
+    m_private->probe(target, std::move(done), probeTries);
 }
 
 void Client::setConnectionShare(const Target& target, Common::Connections share)
