Say "not run" of a suspect's trial only if nothing was sent

Cause, found on reading the whole change: when a suspected request's trial on one shard failed, the caller got "quarantined", which the front end takes as a proof that nothing ran, though the trial had been sent and had lost a server. Change: the trial's own error is given.

--- a/Source/Core/Entry/QueryEngine.cpp
+++ b/Source/Core/Entry/QueryEngine.cpp
@@ -24,6 +24,11 @@
             Common::hash64(request.text, Common::hash64(request.route.value(), version.value())));
     }
 
+    Common::Error trialError(const Gather::MissingPart& part)
+    {
+        return Common::makeError(part.reason, "try-one-shard", part.detail);
+    }
+
 } // namespace
 
 Common::Result<std::unique_ptr<RunningQuery>> QueryEngine::Private::admit(QueryRequest& request, Done& done)
@@ -194,8 +199,8 @@
             self->launch(std::move(*whole));
             return;
         }
-        (*whole)->done(Common::makeError(
-            Reason::Quarantined, "try-one-shard", "the request is suspected to crash servers, and a trial failed"));
+        // The trial was sent, so the error must not be one that says that nothing was.
+        (*whole)->done(answer ? trialError(answer.value().missing.front()) : answer.error());
     };
     launch(std::move(trial));
 }
--- a/Source/UnitTests/Processes/lookups_test.py
+++ b/Source/UnitTests/Processes/lookups_test.py
@@ -182,8 +182,11 @@
         while len(refused) < len(self.cluster.entries) and time.time() < sent_at + 20:
             for entry in self.cluster.entries:
                 time.sleep(RESEND_PAUSE)
+                alive = sum(p.alive() for p in fleet)
                 status, answer = self.query(entry, "invoices", CRASHING)
                 self.assertNotEqual(status, 200, answer)
+                if sum(p.alive() for p in fleet) < alive:
+                    self.assertNotEqual(answer["error"]["ran"], "not-run", answer)
                 if answer["error"]["reason"] == "quarantined":
                     refused.add(entry)
             if first_loss is None and sum(not p.alive() for p in fleet) >= 2:
