Make one piece serve where two stood, and drop what nobody calls

Found on reading the whole change: the stand-in had a timer queue of its own beside Common::Timers; Http lower-cased header names in two sources; the front end set Retry-After in two places; idle connections were dropped in four, one of which left their health records behind; a field, a parameter and six functions had no caller. Behaviour stays, but for those records.

--- a/Source/Core/Api/ResourceJson.cpp
+++ b/Source/Core/Api/ResourceJson.cpp
@@ -163,10 +163,6 @@
 
 } // namespace
 
-std::string encodeResource(const Model::Resource& resource) { return resourceJson(resource).serialize(); }
-
-std::string encodeStored(const Control::StoredResource& stored) { return storedJson(stored).serialize(); }
-
 std::string encodeList(const Control::ReadFound& found)
 {
     std::vector<Value> items;
@@ -179,16 +175,6 @@
     return value.serialize();
 }
 
-Result<Model::Resource> decodeResource(const std::string& body)
-{
-    BOOST_OUTCOME_TRY(value, Json::parseObject(body, Reason::InvalidInput, readStep));
-    Json::Problem problem;
-    Json::Reader reader(value, "", problem);
-    Model::Resource resource = readResource(reader);
-    BOOST_OUTCOME_TRYV(Json::check(problem, Reason::InvalidInput, readStep));
-    return resource;
-}
-
 Result<Control::Change> decodePut(const std::string& body, const Model::ResourceKey& key)
 {
     BOOST_OUTCOME_TRY(value, Json::parseObject(body, Reason::InvalidInput, readStep));
--- a/Source/Core/Api/ResourceJson.h
+++ b/Source/Core/Api/ResourceJson.h
@@ -11,15 +11,11 @@
 // The JSON of the administration API.
 namespace Api {
 
-// {"kind": "query-route", "name": ..., ...}; see docs/OPERATING.md for the fields of each kind.
-std::string encodeResource(const Model::Resource&);
-std::string encodeStored(const Control::StoredResource&);
+// {"revision", "resources": [{"resource", "version", "changed_by"}]}; docs/OPERATING.md has each kind's fields.
 std::string encodeList(const Control::ReadFound&);
 
-// Errors: InvalidInput, naming the field.
-Common::Result<Model::Resource> decodeResource(const std::string& body);
-
 // A PUT's body: {"change_id": ..., "made_from": n, "resource": {...}}. made_from 0 or absent creates.
+// Errors: InvalidInput, naming the field.
 Common::Result<Control::Change> decodePut(const std::string& body, const Model::ResourceKey&);
 std::string encodePut(const Control::Change&);
 
--- a/Source/Core/Backend/Client.cpp
+++ b/Source/Core/Backend/Client.cpp
@@ -55,6 +55,14 @@
         bool cancelled { false };
     };
 
+    // Closes one of the idle connections.
+    void dropIdle(Peer& peer, size_t at)
+    {
+        Membership::connectionClosed(peer.health, peer.idle[at].id);
+        peer.idle.erase(peer.idle.begin() + static_cast<long>(at));
+        --peer.open;
+    }
+
     // Why a connection's request ended, as far as the pool has to know.
     enum class Ended {
         Answered,
@@ -162,19 +170,18 @@
     return peers.withValue(target.server, [&](Peer& peer) -> Result<Lease> {
         if (peer.target.address != target.address) {
             // The server has started anew elsewhere; its old connections lead nowhere.
-            peer.open -= static_cast<int64_t>(peer.idle.size());
-            peer.idle.clear();
+            while (!peer.idle.empty())
+                dropIdle(peer, peer.idle.size() - 1);
         }
         peer.target = target;
-        if (!peer.idle.empty()) {
+        if (!peer.idle.empty() && reuse == Http::Reuse::Allowed) {
             Lease lease = peer.idle.back();
             peer.idle.pop_back();
-            if (reuse == Http::Reuse::Allowed)
-                return lease;
-            // A fresh connection takes the place of an idle one.
-            Membership::connectionClosed(peer.health, lease.id);
-            --peer.open;
+            return lease;
         }
+        // A fresh connection takes the place of an idle one.
+        if (!peer.idle.empty())
+            dropIdle(peer, peer.idle.size() - 1);
         if (peer.open >= peer.share.value())
             return Common::makeError(
                 Reason::Overloaded, "connect", "no connection left in the budget", target.server.value());
@@ -268,9 +275,7 @@
             auto it = std::find_if(peer.idle.begin(), peer.idle.end(), [&](const Lease& l) { return l.id == id; });
             if (it == peer.idle.end())
                 continue;
-            Membership::connectionClosed(peer.health, id);
-            --peer.open;
-            peer.idle.erase(it);
+            dropIdle(peer, static_cast<size_t>(it - peer.idle.begin()));
         }
     });
     calls.forEach([&](CallId, Call& call) {
@@ -380,11 +385,8 @@
         if (peer.target.address.value().empty())
             peer.target = target;
         peer.share = share;
-        while (!peer.idle.empty() && peer.open > share.value()) {
-            Membership::connectionClosed(peer.health, peer.idle.back().id);
-            peer.idle.pop_back();
-            --peer.open;
-        }
+        while (!peer.idle.empty() && peer.open > share.value())
+            dropIdle(peer, peer.idle.size() - 1);
     });
 }
 
--- a/Source/Core/Daemon/EntryRole.cpp
+++ b/Source/Core/Daemon/EntryRole.cpp
@@ -168,8 +168,6 @@
     return m_private->membership.announce(announcement);
 }
 
-Common::Revision EntryRole::revision() const { return m_private->configuration.revision(); }
-
 std::shared_ptr<const Membership::Directory> EntryRole::directory() const { return m_private->servers.directory(); }
 
 std::vector<Membership::InstanceRecord> EntryRole::instances() const
--- a/Source/Core/Daemon/EntryRole.h
+++ b/Source/Core/Daemon/EntryRole.h
@@ -43,7 +43,6 @@
     void run(Entry::BookingRequest, Entry::BookingEngine::Done);
     Membership::Verdict announce(const Membership::Announcement&);
 
-    Common::Revision revision() const;
     std::shared_ptr<const Membership::Directory> directory() const;
     // All instances that are known, this one among them.
     std::vector<Membership::InstanceRecord> instances() const;
--- a/Source/Core/Daemon/Front.cpp
+++ b/Source/Core/Daemon/Front.cpp
@@ -37,13 +37,19 @@
         return response;
     }
 
-    Http::Response refuse(
-        const Common::Error& error, Ran ran = Ran::NotRun, std::optional<Milliseconds> retryAfter = {})
+    // The header counts whole seconds.
+    void setRetryAfter(Http::Response& response, std::optional<Milliseconds> retryAfter)
     {
-        auto response = respond(Api::statusOf(error.reason), Api::encodeError(error, ran, retryAfter));
         if (retryAfter)
             response.headers["Retry-After"]
                 = std::to_string(static_cast<int64_t>(std::ceil(retryAfter->value() / millisecondsInSecond)));
+    }
+
+    Http::Response refuse(
+        const Common::Error& error, Ran ran = Ran::NotRun, std::optional<Milliseconds> retryAfter = {})
+    {
+        auto response = respond(Api::statusOf(error.reason), Api::encodeError(error, ran, retryAfter));
+        setRetryAfter(response, retryAfter);
         return response;
     }
 
@@ -137,9 +143,7 @@
         Http::Response response;
         response.status = Once::statusOf(answer);
         response.headers["X-Outcome"] = Once::answerCode(answer);
-        if (auto retryAfter = Once::retryAfterOf(answer))
-            response.headers["Retry-After"]
-                = std::to_string(static_cast<int64_t>(std::ceil(retryAfter->value() / millisecondsInSecond)));
+        setRetryAfter(response, Once::retryAfterOf(answer));
         auto take = [&](const auto& outcome) {
             response.contentType = outcome.contentType;
             response.body = outcome.body;
--- a/Source/Core/Entry/LeaseKeeper.cpp
+++ b/Source/Core/Entry/LeaseKeeper.cpp
@@ -235,12 +235,6 @@
     return m_private->use.self.incarnation;
 }
 
-TimePoint LeaseKeeper::heldUntil() const
-{
-    std::lock_guard lock(m_private->mutex);
-    return m_private->lease.until;
-}
-
 void LeaseKeeper::release(Milliseconds bound, std::function<void()> done)
 {
     {
--- a/Source/Core/Entry/LeaseKeeper.h
+++ b/Source/Core/Entry/LeaseKeeper.h
@@ -36,8 +36,6 @@
     bool mayTakeWork() const;
     // The incarnation that holds or asks for the lease. It rises when control has ended the lease.
     Common::Incarnation incarnation() const;
-    // When the lease runs out, or ran out.
-    Common::TimePoint heldUntil() const;
     // Gives the lease back and ends the renewals; done is called when control knows, or after the time given.
     void release(Common::Milliseconds bound, std::function<void()> done);
 
--- a/Source/Core/Entry/QueryAttempts.cpp
+++ b/Source/Core/Entry/QueryAttempts.cpp
@@ -200,7 +200,7 @@
     });
     if (!wanted)
         return false;
-    r.sent[attempt] = { {}, chosen.server };
+    r.sent[attempt] = {};
     sending.request = { .queryId = r.wireId,
         .version = r.query.plan.version,
         .shard = beginning.start.shard,
@@ -225,7 +225,6 @@
             sending.purpose == Gather::Purpose::Hedge ? EventKind::SubRequestHedged : EventKind::SubRequestRetried,
             sending.request.queryId, "to " + sending.target.server.value());
     auto self = shared_from_this();
-
     Backend::CallId call = use.backend.search(sending.target, sending.request,
         [self, sending](Common::Result<Backend::SearchAnswer> answer) { self->answered(sending, std::move(answer)); });
     bool cancel = true; // Unless the query still wants it.
--- a/Source/Core/Entry/QueryEngine.cpp
+++ b/Source/Core/Entry/QueryEngine.cpp
@@ -137,7 +137,7 @@
         use.timers.cancel(*unused);
 }
 
-void QueryEngine::Private::finish(QueryId, std::unique_ptr<RunningQuery> running, Gather::Answer answer)
+void QueryEngine::Private::finish(std::unique_ptr<RunningQuery> running, Gather::Answer answer)
 {
     if (running->timer)
         use.timers.cancel(*running->timer);
--- a/Source/Core/Entry/QueryEnginePrivate.h
+++ b/Source/Core/Entry/QueryEnginePrivate.h
@@ -17,7 +17,6 @@
 // A request that was sent and has not come back.
 struct Sent {
     Backend::CallId call;
-    Common::BackendServerId server;
     bool cancelled { false };
 };
 
@@ -78,7 +77,7 @@
     void perform(Common::QueryId, const Gather::StartAttempt&);
     void perform(Common::QueryId, const Gather::CancelAttempt&, RunningQuery* finished);
     void wakeAt(Common::QueryId, Common::TimePoint);
-    void finish(Common::QueryId, std::unique_ptr<RunningQuery>, Gather::Answer);
+    void finish(std::unique_ptr<RunningQuery>, Gather::Answer);
 
     bool takeExtra(const Common::GroupName&);
     void returnExtra(const Common::GroupName&, Gather::Purpose);
@@ -121,7 +120,7 @@
         return;
     for (Gather::Effect& effect : effects) {
         if (auto end = std::get_if<Gather::Finish>(&effect)) {
-            finish(id, std::move(finished), std::move(end->answer));
+            finish(std::move(finished), std::move(end->answer));
             return;
         }
     }
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -34,12 +34,6 @@
         return Common::makeError(Reason::ConnectionLost, "request", message, peer);
     }
 
-    std::string lowerCase(std::string text)
-    {
-        std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
-        return text;
-    }
-
     // On a pooled connection that closes without an answer, cpprestsdk sends a request again by itself: a request that
     // crashed its server would hide that, and find a second one. It can't do so with a body that it can't rewind.
     // Both calls below are done when they return; waiting for their tasks would take a thread of the library.
@@ -157,6 +151,4 @@
     m_private->cancellation.cancel();
 }
 
-bool Connection::isWarm() const { return m_private->warm; }
-
 } // namespace Http
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -33,8 +33,6 @@
     void send(const Request&, Done done);
     // Closes the connection under a request; done still gets its error.
     void cancel();
-    // True once an answer has come back, so that the connection is likely open.
-    bool isWarm() const;
 
 private:
     struct Private;
--- a/Source/Core/Http/Message.cpp
+++ b/Source/Core/Http/Message.cpp
@@ -1,5 +1,8 @@
 #include "Http/Message.h"
 
+#include <algorithm>
+#include <cctype>
+
 namespace Http {
 
 std::vector<std::string> splitPath(const std::string& path)
@@ -20,6 +23,12 @@
     return parts;
 }
 
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
 std::string headerOf(const Headers& headers, const std::string& name)
 {
     auto it = headers.find(name);
--- a/Source/Core/Http/Message.h
+++ b/Source/Core/Http/Message.h
@@ -30,6 +30,9 @@
 // The path's parts between slashes: "/v1/query/a" gives {"v1", "query", "a"}.
 std::vector<std::string> splitPath(const std::string& path);
 
+// Header names as Headers keeps them.
+std::string lowerCase(std::string);
+
 // The header's value or "".
 std::string headerOf(const Headers&, const std::string& name);
 
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -22,12 +22,6 @@
 
     constexpr size_t bodyChunk = 16'384;
 
-    std::string lowerCase(std::string text)
-    {
-        std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
-        return text;
-    }
-
     Request convertHead(const web::http::http_request& message)
     {
         Request request;
--- a/Source/StandIn/Backend.cpp
+++ b/Source/StandIn/Backend.cpp
@@ -63,7 +63,7 @@
 } // namespace
 
 struct Backend::Private : std::enable_shared_from_this<Backend::Private> {
-    Private(BackendOptions o, const DataSet& d, TimerQueue& t, RunLog& l)
+    Private(BackendOptions o, const DataSet& d, Common::Timers& t, RunLog& l)
         : options(std::move(o))
         , data(d)
         , timers(t)
@@ -84,7 +84,7 @@
 
     const BackendOptions options;
     const DataSet& data;
-    TimerQueue& timers;
+    Common::Timers& timers;
     RunLog& runLog;
     Common::ShardedMap<std::string, WorkPtr> searches;
 
@@ -193,7 +193,7 @@
     start(next);
 }
 
-Backend::Backend(BackendOptions options, const DataSet& data, TimerQueue& timers, RunLog& runLog)
+Backend::Backend(BackendOptions options, const DataSet& data, Common::Timers& timers, RunLog& runLog)
 {
     if (!options.crash)
         options.crash = [] { std::_Exit(crashExitCode); };
--- a/Source/StandIn/Backend.h
+++ b/Source/StandIn/Backend.h
@@ -3,12 +3,12 @@
 #include "Common/Clock.h"
 #include "Common/Error.h"
 #include "Common/Ids.h"
+#include "Common/Timers.h"
 #include "Common/Units.h"
 #include "StandIn/DataSet.h"
 #include "StandIn/Faults.h"
 #include "StandIn/Messages.h"
 #include "StandIn/RunLog.h"
-#include "StandIn/TimerQueue.h"
 
 #include <cstdint>
 #include <functional>
@@ -49,7 +49,7 @@
     using RunDone = std::function<void(Verdict)>;
 
     // The references must outlive the Backend and all its work.
-    Backend(BackendOptions, const DataSet&, TimerQueue&, RunLog&);
+    Backend(BackendOptions, const DataSet&, Common::Timers&, RunLog&);
     ~Backend();
     Backend(const Backend&) = delete;
     Backend& operator=(const Backend&) = delete;
--- a/Source/StandIn/Program.cpp
+++ b/Source/StandIn/Program.cpp
@@ -75,7 +75,7 @@
     Common::TimePoint startedAt;
     std::unique_ptr<RunLog> runLog;
     std::unique_ptr<GateThreads> gateThreads;
-    std::optional<TimerQueue> timers;
+    std::optional<Common::Timers> timers;
     std::vector<Server> servers;
     std::unique_ptr<Announcer> announcer;
 };
--- a/Source/UnitTests/StandIn/BackendTest.cpp
+++ b/Source/UnitTests/StandIn/BackendTest.cpp
@@ -48,7 +48,7 @@
 
     StandIn::BackendOptions m_options;
     StandIn::DataSet m_data;
-    StandIn::TimerQueue m_timers;
+    Common::Timers m_timers;
     std::unique_ptr<StandIn::RunLog> m_runLog;
 };
 
