--- a/Source/Core/Api/ResourceJson.cpp
+++ b/Source/Core/Api/ResourceJson.cpp
@@ -67,6 +67,14 @@
         return value;
     }
 
+    Value toJson(const Model::RouteTable& table)
+    {
+        Value value = Value::object();
+        value["number"] = Value(table.number.value());
+        value["document"] = Value(table.document);
+        return value;
+    }
+
     Value resourceJson(const Model::Resource& resource)
     {
         Value value = std::visit([](const auto& r) { return toJson(r); }, resource);
@@ -136,12 +144,17 @@
         return instance;
     }
 
+    Model::RouteTable readRouteTable(Json::Reader& reader)
+    {
+        return { Common::TableNumber(reader.whole("number")), reader.text("document") };
+    }
+
     Model::Resource readResource(Json::Reader& reader)
     {
         std::string name = reader.text("kind");
         Model::Kind kind = Model::Kind::QueryRoute;
         if (!Model::parseKind(name, kind))
-            reader.note("kind", "'" + name + "'", "query-route, backend-group, index-version or instance");
+            reader.note("kind", "'" + name + "'", "query-route, backend-group, index-version, instance or route-table");
         Model::Resource resource;
         switch (kind) {
         case Model::Kind::QueryRoute:
@@ -156,6 +169,9 @@
         case Model::Kind::Instance:
             resource = readInstance(reader);
             break;
+        case Model::Kind::RouteTable:
+            resource = readRouteTable(reader);
+            break;
         }
         reader.close();
         return resource;
--- a/Source/Core/CommandLine/ResourceFile.cpp
+++ b/Source/Core/CommandLine/ResourceFile.cpp
@@ -89,12 +89,18 @@
         return instance;
     }
 
+    Model::RouteTable readRouteTable(Section& section)
+    {
+        return { Common::TableNumber(static_cast<uint64_t>(section.whole("number", 0, 1, highestVersion))),
+            section.text("document") };
+    }
+
     Model::Resource readResource(Section& section)
     {
         std::string name = section.text("kind");
         Model::Kind kind = Model::Kind::QueryRoute;
         if (!Model::parseKind(name, kind)) {
-            section.note("kind", "'" + name + "'", "query-route, backend-group, index-version or instance");
+            section.note("kind", "'" + name + "'", "query-route, backend-group, index-version, instance or route-table");
             return {};
         }
         Model::Resource resource;
@@ -104,8 +110,10 @@
             resource = readGroup(section);
         else if (kind == Model::Kind::IndexVersion)
             resource = readIndexVersion(section);
-        else
+        else if (kind == Model::Kind::Instance)
             resource = readInstance(section);
+        else
+            resource = readRouteTable(section);
         section.close();
         return resource;
     }
--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -27,6 +27,9 @@
 using IndexVersion = Quantity<struct IndexVersionTag, uint64_t>;
 using ShardId = StrongId<struct ShardIdTag, uint32_t>;
 
+// The number that operators give to one declaration of all routes; a later one has a higher number.
+using TableNumber = Quantity<struct TableNumberTag, uint64_t>;
+
 // Counts one start of a process after another; a later start has a higher one.
 using Incarnation = Quantity<struct IncarnationTag, uint64_t>;
 
--- a/Source/Core/Consensus/Commit.cpp
+++ b/Source/Core/Consensus/Commit.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-    // The highest index that a quorum of voters holds durably.
+    // The highest index that a quorum of voters, and the least number of copies, hold durably.
     LogIndex quorumMatch(const State& state)
     {
         std::vector<LogIndex> matches;
@@ -30,7 +30,7 @@
         if (matches.empty())
             return LogIndex(0);
         std::sort(matches.begin(), matches.end(), std::greater<>());
-        return matches[quorum(membership(state)) - 1];
+        return matches[commitQuorum(membership(state), state.options.minimumCopies) - 1];
     }
 
     void forgetMembershipsBelow(State& state, LogIndex index)
--- a/Source/Core/Consensus/Founding.cpp
+++ b/Source/Core/Consensus/Founding.cpp
@@ -88,7 +88,9 @@
 void sendAnnouncements(Context& c)
 {
     State& state = c.state;
-    std::set<InstanceId> others(state.options.initialVoters.begin(), state.options.initialVoters.end());
+    std::set<InstanceId> others = state.knownInstances;
+    others.insert(state.options.initialVoters.begin(), state.options.initialVoters.end());
+    others.insert(state.options.contacts.begin(), state.options.contacts.end());
     for (const Member& member : membership(state).members)
         others.insert(member.id.instance);
     others.erase(state.options.self.instance);
@@ -98,13 +100,17 @@
 
 void handleAnnounce(Context& c, const Message& message)
 {
-    send(c, message.from, AnnounceReply { isInGroup(c.state) });
+    AnnounceReply reply { isInGroup(c.state), {} };
+    for (const Member& member : membership(c.state).members)
+        reply.members.push_back(member.id.instance);
+    send(c, message.from, std::move(reply));
     if (isLeading(c.state))
         considerLearner(c, message.from);
 }
 
 void handleAnnounceReply(Context& c, const Message& message, const AnnounceReply& reply)
 {
+    c.state.knownInstances = { reply.members.begin(), reply.members.end() };
     if (reply.inGroup)
         c.state.freshMembers.erase(message.from.instance);
     else
--- a/Source/Core/Consensus/Membership.cpp
+++ b/Source/Core/Consensus/Membership.cpp
@@ -43,6 +43,11 @@
 
 size_t quorum(const Membership& membership) { return voterCount(membership) / 2 + 1; }
 
+size_t commitQuorum(const Membership& membership, size_t minimumCopies)
+{
+    return std::max(quorum(membership), std::min(minimumCopies, voterCount(membership)));
+}
+
 bool quorumOf(const Membership& membership, const std::function<bool(const MemberId&)>& condition)
 {
     auto n = std::count_if(membership.members.begin(), membership.members.end(),
--- a/Source/Core/Consensus/Membership.h
+++ b/Source/Core/Consensus/Membership.h
@@ -13,6 +13,8 @@
 size_t voterCount(const Membership&);
 // Voters that make a majority.
 size_t quorum(const Membership&);
+// Voters that must hold an entry before it is committed; never more than there are.
+size_t commitQuorum(const Membership&, size_t minimumCopies);
 // True if more than half of the voters fulfil the condition; false if there are none.
 bool quorumOf(const Membership&, const std::function<bool(const MemberId&)>& condition);
 
--- a/Source/Core/Consensus/MembershipChange.cpp
+++ b/Source/Core/Consensus/MembershipChange.cpp
@@ -28,7 +28,7 @@
     bool isKnownInstance(const State& state, const Common::InstanceId& instance)
     {
         const auto& voters = state.options.initialVoters;
-        return std::find(voters.begin(), voters.end(), instance) != voters.end()
+        return state.options.targetVoters || std::find(voters.begin(), voters.end(), instance) != voters.end()
             || findVoterOf(membership(state), instance) || findLearnerOf(membership(state), instance);
     }
 
@@ -39,6 +39,25 @@
         return it != c.state.leading.progress.end() && isActive(c, id) && it->second.match >= it->second.catchUpTarget;
     }
 
+    // A voter that was not heard for so long that another may take its place; nullptr if there is none.
+    const Member* silentVoter(const Context& c)
+    {
+        const std::vector<Member>& members = membership(c.state).members;
+        auto isSilent = [&](const Member& member) {
+            auto it = c.state.leading.progress.find(member.id);
+            return member.voter && member.id != c.state.options.self && it != c.state.leading.progress.end()
+                && c.now - it->second.heardAt > c.state.options.replaceAfter;
+        };
+        auto it = std::find_if(members.begin(), members.end(), isSilent);
+        return it == members.end() ? nullptr : &*it;
+    }
+
+    bool isFull(const State& state)
+    {
+        size_t target = state.options.targetVoters;
+        return target && voterCount(membership(state)) >= target;
+    }
+
     // Returns true if it proposed a change.
     bool advanceLearner(Context& c, const MemberId& learner)
     {
@@ -53,6 +72,11 @@
         }
         if (!caughtUp(c, learner))
             return false;
+        if (!voter && isFull(c.state)) {
+            voter = silentVoter(c);
+            if (!voter)
+                return false;
+        }
         propose(c, voter ? without(current, voter->id) : withPromoted(current, learner));
         return true;
     }
--- a/Source/Core/Consensus/Message.h
+++ b/Source/Core/Consensus/Message.h
@@ -51,6 +51,7 @@
 
 struct AnnounceReply {
     bool inGroup { false }; // The sender has a log, so the first membership has been formed already.
+    std::vector<Common::InstanceId> members; // Of the sender's membership.
 };
 
 using MessageBody = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest, TimeoutNow,
--- a/Source/Core/Consensus/State.h
+++ b/Source/Core/Consensus/State.h
@@ -23,7 +23,15 @@
 
 struct Options {
     MemberId self;
-    std::vector<Common::InstanceId> initialVoters; // The same on each member; the lowest one founds the group.
+    // The same on each member; the lowest one founds the group. Empty: this member only joins a group that exists.
+    std::vector<Common::InstanceId> initialVoters;
+    std::vector<Common::InstanceId> contacts; // May belong to the group; a member outside it asks them.
+    // 0: only initial voters are members. Otherwise any instance that asks is admitted, and gets a vote while there are
+    // fewer voters than that, or in the place of one that is silent.
+    size_t targetVoters { 0 };
+    size_t minimumCopies { 1 }; // Voters that hold an entry before it is committed, if there are so many.
+    // A voter that is silent for so long may be replaced by a member that has caught up.
+    Common::Milliseconds replaceAfter { 2'500 };
     Common::Milliseconds electionTimeout { 400 };
     Common::Milliseconds heartbeat { 100 };
     size_t maximumBatchEntries { 1024 };
@@ -105,6 +113,7 @@
     LeaderState leading;
     CandidateState candidate;
     std::map<Common::InstanceId, FreshMember> freshMembers;
+    std::set<Common::InstanceId> knownInstances; // Learnt from others while this member was outside the group.
     bool storageFailed { false };
 };
 
--- a/Source/Core/Control/Change.cpp
+++ b/Source/Core/Control/Change.cpp
@@ -65,6 +65,11 @@
             hasher.add(instance.address.value());
             hasher.add(uint64_t { instance.draining });
         }
+        void operator()(const Model::RouteTable& table) const
+        {
+            hasher.add(table.number.value());
+            hasher.add(table.document);
+        }
     };
 
 } // namespace
@@ -78,6 +83,8 @@
         return "replace";
     case Action::Delete:
         return "delete";
+    case Action::Raise:
+        return "raise";
     }
     return "";
 }
--- a/Source/Core/Control/Change.h
+++ b/Source/Core/Control/Change.h
@@ -13,10 +13,11 @@
     Create,
     Replace,
     Delete,
+    Raise, // Of a route table: in force if its number is higher than that of the stored one; else nothing changes.
 };
 
 // What an operator wants changed. madeFrom is the version of the resource that the change was made from, 0 for a
-// create.
+// create and a raise.
 struct Change {
     Common::ChangeId id;
     Action action { Action::Create };
@@ -37,7 +38,7 @@
 };
 
 struct Accepted {
-    Common::Revision revision; // Also the new version of the resource.
+    Common::Revision revision; // Also the version of the resource, old if a raise was overtaken.
 
     friend bool operator==(const Accepted&, const Accepted&) = default;
 };
@@ -51,7 +52,7 @@
 
 using ChangeOutcome = std::variant<Accepted, Rejected>;
 
-// "create", "replace", "delete".
+// "create", "replace", "delete", "raise".
 const char* actionName(Action);
 
 // The same for equal changes on every machine.
--- a/Source/Core/Control/Configuration.cpp
+++ b/Source/Core/Control/Configuration.cpp
@@ -36,9 +36,14 @@
             return fieldError("name", std::to_string(change.key.name.size()) + " characters",
                 "1 to " + std::to_string(maximumKeyLength));
         bool isDelete = change.action == Action::Delete;
-        if (change.action == Action::Create && change.madeFrom.value())
-            return fieldError("made_from", std::to_string(change.madeFrom.value()), "0 for a create");
-        if (change.action != Action::Create && !change.madeFrom.value())
+        bool isRaise = change.action == Action::Raise;
+        bool isUnconditional = change.action == Action::Create || isRaise;
+        if (isUnconditional && change.madeFrom.value())
+            return fieldError("made_from", std::to_string(change.madeFrom.value()),
+                std::string("0 for a ") + actionName(change.action));
+        if (isRaise != (change.key.kind == Model::Kind::RouteTable))
+            return fieldError("action", actionName(change.action), "raise for a route table, and only for one");
+        if (!isUnconditional && !change.madeFrom.value())
             return fieldError(
                 "made_from", "0", std::string("the version that the ") + actionName(change.action) + " was made from");
         if (isDelete == change.resource.has_value())
@@ -82,6 +87,8 @@
     std::optional<Rejected> checkVersion(const Configuration& configuration, const Change& change)
     {
         const StoredResource* stored = find(configuration, change.key);
+        if (change.action == Action::Raise)
+            return std::nullopt;
         if (change.action == Action::Create)
             return stored ? std::optional(showWinner(*stored)) : std::nullopt;
         if (!stored)
@@ -91,8 +98,28 @@
         return std::nullopt;
     }
 
+    // Older versions of a route table are never asked for, and may be large.
+    void forgetOldTables(Configuration& configuration)
+    {
+        for (Delta& delta : configuration.history) {
+            auto* table = delta.stored ? std::get_if<Model::RouteTable>(&delta.stored->resource) : nullptr;
+            if (table)
+                table->document.clear();
+        }
+    }
+
+    bool isOvertaken(const Configuration& configuration, const Change& change)
+    {
+        const StoredResource* stored = find(configuration, change.key);
+        return stored
+            && std::get<Model::RouteTable>(stored->resource).number
+            >= std::get<Model::RouteTable>(*change.resource).number;
+    }
+
     void store(Configuration& configuration, const Change& change)
     {
+        if (change.key.kind == Model::Kind::RouteTable)
+            forgetOldTables(configuration);
         configuration.revision += Common::Revision(1);
         Delta delta { change.key, std::nullopt, configuration.revision, change.id };
         if (change.resource) {
@@ -110,6 +137,8 @@
     {
         if (auto form = checkForm(change); !form)
             return Rejected { form.error(), std::nullopt, std::nullopt };
+        if (change.action == Action::Raise && isOvertaken(configuration, change))
+            return Accepted { find(configuration, change.key)->version };
         if (auto rejected = checkVersion(configuration, change))
             return *rejected;
         auto references = change.resource ? checkReferences(configuration, *change.resource)
--- a/Source/Core/Control/References.cpp
+++ b/Source/Core/Control/References.cpp
@@ -54,6 +54,7 @@
         }
         Result<void> operator()(const Model::BackendGroup&) const { return Common::success(); }
         Result<void> operator()(const Model::Instance&) const { return Common::success(); }
+        Result<void> operator()(const Model::RouteTable&) const { return Common::success(); }
     };
 
     // The field of a resource that names the used one; empty if none does.
--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -158,8 +158,8 @@
     {
         m_front.reset(new FrontDependencies { m_entry.get(), m_control.get(), m_controlClient, m_collector, m_metrics,
             m_draining, [this] { return otherProcesses(); } });
-        Http::ServerOptions options { m_settings.http.listen, m_settings.http.maximumBody,
-            m_settings.http.bodyTimeout };
+        Http::ServerOptions options { m_settings.http.listen, { m_settings.http.maximumBody,
+            m_settings.http.bodyTimeout } };
         BOOST_OUTCOME_TRY(
             server, Http::Server::open(options, [this](const Http::Request& request, const Http::Responder& done) {
                 answer(*m_front, request, done);
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -1,154 +1,358 @@
 #include "Http/Connection.h"
 
-#include <utility>
+#include "Http/Loops.h"
 
-#include <cpprest/http_client.h>
-#include <cpprest/producerconsumerstream.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
-#include <algorithm>
 #include <atomic>
-#include <mutex>
+#include <charconv>
+#include <netinet/tcp.h>
 #include <optional>
+#include <sys/socket.h>
 
+using Common::Clock;
+using Common::Milliseconds;
 using Common::Reason;
+using boost::asio::ip::tcp;
 
 namespace Http {
 
 namespace {
 
-    // cpprestsdk tells a connect that failed from later errors by its message only; a test holds it to this.
-    bool isConnectFailure(const std::string& message)
-    {
-        return message.rfind("Failed to connect", 0) == 0 || message.rfind("Error resolving address", 0) == 0;
-    }
+    namespace Beast = boost::beast::http;
 
-    Common::Error toError(const web::http::http_exception& e, const std::string& peer, bool cancelled)
-    {
-        std::string message = e.what();
-        if (isConnectFailure(message))
-            return Common::makeError(Reason::ConnectionFailed, "connect", message, peer);
-        if (cancelled)
-            return Common::makeError(Reason::Cancelled, "request", "cancelled", peer);
-        if (e.error_code() == std::errc::timed_out)
-            return Common::makeError(Reason::DeadlineExceeded, "request", "no whole answer in time", peer);
-        return Common::makeError(Reason::ConnectionLost, "request", message, peer);
-    }
+    constexpr size_t readSize = 8'192;
+    constexpr uint64_t maximumBody = 64 << 20;
+    constexpr uint32_t maximumHead = 64 << 10;
+    // Unacknowledged bytes for so long end a connection: a peer without power sends no reset.
+    constexpr int unacknowledgedMs = 4'000;
+    // A kept connection is given up that long before the peer would close it, so that a request does not cross that.
+    constexpr Milliseconds idleMargin { 500 };
 
-    // On a pooled connection that closes without an answer, cpprestsdk sends a request again by itself: a request that
-    // crashed its server would hide that, and find a second one. It can't do so with a body that it can't rewind.
-    // Both calls below are done when they return; waiting for their tasks would take a thread of the library.
-    concurrency::streams::istream bodyStream(const std::string& body)
+    std::string encode(const Request& request, const std::string& peer)
     {
-        concurrency::streams::producer_consumer_buffer<uint8_t> buffer;
-        buffer.putn_nocopy(reinterpret_cast<const uint8_t*>(body.data()), body.size());
-        buffer.close(std::ios_base::out);
-        return buffer.create_istream();
+        std::string target = request.target.empty() ? makeTarget(request.path, request.query) : request.target;
+        std::string out = request.method + " " + target + " HTTP/1.1\r\n";
+        bool hasHost = false;
+        bool hasType = false;
+        auto append = [&](const std::string& name, const std::string& value) {
+            std::string lower = lowerCase(name);
+            hasHost = hasHost || lower == "host";
+            hasType = hasType || lower == "content-type";
+            out.append(name).append(": ").append(value).append("\r\n");
+        };
+        for (auto& [name, value] : request.headers)
+            append(name, value);
+        for (auto& [name, value] : request.fields)
+            append(name, value);
+        if (!hasHost)
+            out += "Host: " + peer + "\r\n";
+        if (!request.body.empty() && !hasType && request.fields.empty())
+            out += "Content-Type: application/json\r\n";
+        if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+            out += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+        out += "\r\n";
+        return out + request.body;
     }
 
-    web::http::http_request toMessage(const Request& request)
+    std::optional<tcp::endpoint> endpointOf(const std::string& peer)
     {
-        web::http::http_request message(request.method);
-        web::uri_builder uri(web::uri::encode_uri(request.path, web::uri::components::path));
-        for (auto& [name, value] : request.query)
-            uri.append_query(web::uri::encode_data_string(name), web::uri::encode_data_string(value), false);
-        message.set_request_uri(uri.to_uri());
-        for (auto& [name, value] : request.headers)
-            message.headers().add(name, value);
-        if (request.method != "GET" && request.method != "DELETE") {
-            std::string type = headerOf(request.headers, "content-type");
-            message.set_body(bodyStream(request.body), request.body.size(), type.empty() ? "application/json" : type);
-        }
-        return message;
+        size_t colon = peer.rfind(':');
+        if (colon == std::string::npos)
+            return std::nullopt;
+        unsigned short port = 0;
+        boost::system::error_code error;
+        auto ip = boost::asio::ip::make_address(peer.substr(0, colon), error);
+        const char* end = peer.data() + peer.size();
+        auto read = std::from_chars(peer.data() + colon + 1, end, port);
+        if (error || read.ec != std::errc() || read.ptr != end)
+            return std::nullopt;
+        return tcp::endpoint(ip, port);
     }
 
 } // namespace
 
 struct Connection::Private : std::enable_shared_from_this<Connection::Private> {
-    std::string peer;
-    Reuse reuse { Reuse::Allowed };
-    Common::Milliseconds timeout;
-    std::atomic<bool> warm { false };
-    std::mutex mutex; // Guards what follows.
-    std::shared_ptr<web::http::client::http_client> client;
-    pplx::cancellation_token_source cancellation;
-
-    std::shared_ptr<web::http::client::http_client> currentClient();
-    void finish(const pplx::task<std::string>& body, Response& response, const pplx::cancellation_token& token,
-        const Done& done);
+    using Parser = Beast::response_parser<Beast::string_body>;
+
+    Private(std::string p, Reuse r, Milliseconds t)
+        : peer(std::move(p))
+        , reuse(r)
+        , timeout(t)
+        , loop(Loops::currentOrNext())
+        , socket(loop)
+        , timer(loop)
+    {
+    }
+
+    const std::string peer;
+    const Reuse reuse;
+    const Milliseconds timeout;
+    boost::asio::io_context& loop;
+    std::atomic<bool> open { false };
+
+    // On the loop's thread.
+    tcp::socket socket;
+    boost::asio::steady_timer timer;
+    boost::beast::flat_buffer buffer;
+    std::optional<Parser> parser;
+    std::string out;
+    Done done;
+    uint64_t socketNumber { 0 }; // Handlers of an earlier socket are ignored.
+    bool isWriting { false };
+    bool isReading { false };
+    bool isHead { false };
+    bool wasSent { false }; // A byte may have gone out.
+
+    void begin(std::string text, bool head, Done fn);
+    void connect();
+    void write();
+    void newParser();
+    void read();
+    void arrived(const boost::system::error_code&, size_t bytes);
+    void parse(bool atEnd);
+    void finishAnswer();
+    void keep(const Parser::value_type&);
+    void startTimer(Milliseconds);
+    void fail(Reason, const char* step, const std::string& message);
+    void closeSocket();
 };
 
-std::shared_ptr<web::http::client::http_client> Connection::Private::currentClient()
+void Connection::Private::begin(std::string text, bool head, Done fn)
 {
-    if (client && reuse == Reuse::Allowed)
-        return client;
-    web::http::client::http_client_config config;
-    config.set_timeout(Common::Clock::toChrono(timeout));
-    client = std::make_shared<web::http::client::http_client>("http://" + peer, config);
-    return client;
+    done = std::move(fn);
+    out = std::move(text);
+    isHead = head;
+    wasSent = false;
+    startTimer(timeout);
+    if (open && reuse == Reuse::Allowed)
+        write();
+    else
+        connect();
 }
 
-Connection::Connection(const Common::Address& peer, Reuse reuse, Common::Milliseconds timeout)
-    : m_private(std::make_shared<Private>())
+void Connection::Private::connect()
 {
-    m_private->peer = peer.value();
-    m_private->reuse = reuse;
-    m_private->timeout = timeout;
+    closeSocket();
+    auto endpoint = endpointOf(peer);
+    boost::system::error_code error;
+    if (endpoint)
+        socket.open(endpoint->protocol(), error);
+    if (!endpoint || error) {
+        fail(Reason::ConnectionFailed, "connect", endpoint ? error.message() : "expected an IP address and a port");
+        return;
+    }
+    boost::system::error_code ignored; // Without them answers and failures are only later.
+    socket.set_option(tcp::no_delay(true), ignored);
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof unacknowledgedMs);
+    socket.async_connect(
+        *endpoint, [self = shared_from_this(), number = socketNumber](const boost::system::error_code& failure) {
+            if (number != self->socketNumber)
+                return;
+            if (failure) {
+                self->fail(Reason::ConnectionFailed, "connect", failure.message());
+                return;
+            }
+            self->open = true;
+            self->write();
+        });
 }
 
-Connection::~Connection() = default;
+void Connection::Private::write()
+{
+    newParser();
+    isWriting = true;
+    wasSent = true;
+    boost::asio::async_write(socket, boost::asio::buffer(out),
+        [self = shared_from_this(), number = socketNumber](const boost::system::error_code&, size_t) {
+            // An error shows at the read, after an answer that came before it.
+            if (number == self->socketNumber)
+                self->isWriting = false;
+        });
+    read();
+}
 
-void Connection::send(const Request& request, Done done)
+void Connection::Private::newParser()
 {
-    auto self = m_private;
-    std::shared_ptr<web::http::client::http_client> client;
-    pplx::cancellation_token token = pplx::cancellation_token::none();
-    {
-        std::lock_guard lock(self->mutex);
-        client = self->currentClient();
-        self->cancellation = pplx::cancellation_token_source();
-        token = self->cancellation.get_token();
+    parser.emplace();
+    parser->eager(true);
+    parser->body_limit(maximumBody);
+    parser->header_limit(maximumHead);
+    parser->skip(isHead);
+}
+
+// A read is under way while the connection is kept, too: what comes then ends it.
+void Connection::Private::read()
+{
+    if (isReading)
+        return;
+    isReading = true;
+    socket.async_read_some(buffer.prepare(readSize),
+        [self = shared_from_this(), number = socketNumber](const boost::system::error_code& error, size_t bytes) {
+            if (number != self->socketNumber)
+                return;
+            self->isReading = false;
+            self->arrived(error, bytes);
+        });
+}
+
+void Connection::Private::arrived(const boost::system::error_code& error, size_t bytes)
+{
+    if (!done) {
+        closeSocket();
+        return;
+    }
+    buffer.commit(bytes);
+    if (error && error != boost::asio::error::eof) {
+        fail(Reason::ConnectionLost, "request", error.message());
+        return;
     }
-    auto response = std::make_shared<Response>();
-    client->request(toMessage(request), token)
-        .then([response](web::http::http_response message) {
-            response->status = message.status_code();
-            for (auto& [name, value] : message.headers())
-                response->headers[lowerCase(name)] = value;
-            response->contentType = headerOf(response->headers, "content-type");
-            return message.extract_utf8string(true);
-        })
-        .then([self, response, token, done = std::move(done), client](
-                  const pplx::task<std::string>& body) { self->finish(body, *response, token, done); });
-}
-
-void Connection::Private::finish(
-    const pplx::task<std::string>& body, Response& response, const pplx::cancellation_token& token, const Done& done)
-{
-    std::optional<Common::Error> error;
-    try {
-        response.body = body.get();
-    } catch (const web::http::http_exception& e) {
-        error = toError(e, peer, token.is_canceled());
-    } catch (const pplx::task_canceled&) {
-        error = Common::makeError(Reason::Cancelled, "request", "cancelled", peer);
-    } catch (const std::exception& e) {
-        error = Common::makeError(Reason::ConnectionLost, "request", e.what(), peer);
+    parse(error == boost::asio::error::eof);
+}
+
+void Connection::Private::parse(bool atEnd)
+{
+    boost::system::error_code error;
+    while (buffer.size() && !parser->is_done()) {
+        size_t used = parser->put(buffer.data(), error);
+        buffer.consume(used);
+        if (error && error != Beast::error::need_more) {
+            fail(Reason::ConnectionLost, "request", "the answer can not be read: " + error.message());
+            return;
+        }
+        bool isInterim = parser->is_header_done() && parser->get().result_int() < 200;
+        if (isInterim)
+            newParser();
+        else if (!used || error == Beast::error::need_more)
+            break;
     }
-    // On a connection that was open already, the library may have sent the request once before it failed to connect.
-    if (error && warm && reuse == Reuse::Allowed && error->reason == Reason::ConnectionFailed)
-        error->reason = Reason::ConnectionLost;
-    warm = !error;
-    if (error) {
-        done(*std::move(error));
+    if (parser->is_done()) {
+        finishAnswer();
         return;
     }
-    done(std::move(response));
+    if (!atEnd) {
+        read();
+        return;
+    }
+    if (parser->is_header_done() && parser->need_eof()) {
+        parser->put_eof(error);
+        if (!error && parser->is_done()) {
+            finishAnswer();
+            return;
+        }
+    }
+    fail(Reason::ConnectionLost, "request", "the connection ended before the whole answer had come");
+}
+
+void Connection::Private::finishAnswer()
+{
+    auto message = parser->release();
+    Response response;
+    response.status = static_cast<int>(message.result_int());
+    for (auto& field : message) {
+        response.fields.emplace_back(field.name_string(), field.value());
+        response.headers[lowerCase(std::string(field.name_string()))] = std::string(field.value());
+    }
+    response.contentType = headerOf(response.headers, "content-type");
+    response.body = std::move(message.body());
+    // Bytes that follow belong to no request, and a request that is still being written goes on as another's answer.
+    bool isClean = message.keep_alive() && !message.need_eof() && !buffer.size() && !isWriting;
+    Done fn = std::exchange(done, nullptr);
+    if (isClean && reuse == Reuse::Allowed)
+        keep(message);
+    else
+        closeSocket();
+    fn(std::move(response));
+}
+
+void Connection::Private::keep(const Parser::value_type& message)
+{
+    timer.cancel();
+    read();
+    auto text = message["Keep-Alive"];
+    auto start = text.find("timeout=");
+    if (start == boost::beast::string_view::npos)
+        return;
+    int seconds = 0;
+    text.remove_prefix(start + 8);
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
+    startTimer(std::max(Milliseconds(seconds * 1'000.0) - idleMargin, Milliseconds(0)));
+}
+
+void Connection::Private::startTimer(Milliseconds time)
+{
+    timer.expires_after(Clock::toChrono(time));
+    timer.async_wait([weak = weak_from_this(), number = socketNumber](const boost::system::error_code& error) {
+        auto self = weak.lock();
+        if (error || !self)
+            return;
+        if (self->done)
+            self->fail(self->wasSent ? Reason::DeadlineExceeded : Reason::ConnectionFailed, "request",
+                "no whole answer in time");
+        else if (number == self->socketNumber)
+            self->closeSocket();
+    });
+}
+
+void Connection::Private::fail(Reason reason, const char* step, const std::string& message)
+{
+    Done fn = std::exchange(done, nullptr);
+    closeSocket();
+    if (fn)
+        fn(Common::makeError(reason, step, message, peer));
+}
+
+void Connection::Private::closeSocket()
+{
+    ++socketNumber;
+    open = false;
+    isReading = false;
+    isWriting = false;
+    buffer.consume(buffer.size());
+    boost::system::error_code ignored; // It is gone either way.
+    socket.close(ignored);
+    if (!done)
+        timer.cancel();
+}
+
+Connection::Connection(const Common::Address& peer, Reuse reuse, Common::Milliseconds timeout)
+    : m_private(std::make_shared<Private>(peer.value(), reuse, timeout))
+{
+}
+
+Connection::~Connection()
+{
+    boost::asio::post(m_private->loop, [self = m_private] {
+        if (self->done)
+            self->fail(Reason::Cancelled, "request", "cancelled");
+        self->closeSocket();
+    });
+}
+
+void Connection::send(const Request& request, Done done)
+{
+    auto self = m_private;
+    boost::asio::post(self->loop,
+        [self, text = encode(request, self->peer), head = request.method == "HEAD", done = std::move(done)]() mutable {
+            self->begin(std::move(text), head, std::move(done));
+        });
 }
 
 void Connection::cancel()
 {
-    std::lock_guard lock(m_private->mutex);
-    m_private->cancellation.cancel();
+    boost::asio::post(m_private->loop, [self = m_private] {
+        if (self->done)
+            self->fail(Reason::Cancelled, "request", "cancelled");
+    });
 }
 
+bool Connection::isOpen() const { return m_private->open; }
+
 } // namespace Http
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -10,9 +10,7 @@
 
 namespace Http {
 
-// Whether the client library may use a connection that an earlier request left open.
-// On a reused one the library sends a request again by itself if the connection closes before the status line,
-// so what may not be repeated goes out on a fresh one.
+// Whether a request may use the connection that an earlier one left open. Nothing is ever sent twice.
 enum class Reuse {
     Allowed,
     Never,
@@ -27,12 +25,15 @@
 public:
     // timeout bounds each request; whoever has an earlier deadline calls cancel().
     Connection(const Common::Address& peer, Reuse, Common::Milliseconds timeout);
+    // A request under way is cancelled.
     ~Connection();
 
-    // done is called once, on a thread of the library. Only one request may be under way.
+    // done is called once, on a thread of the library and never from inside send(). Only one request may be under way.
     void send(const Request&, Done done);
     // Closes the connection under a request; done still gets its error.
     void cancel();
+    // Whether the next request can go out without a new connection.
+    bool isOpen() const;
 
 private:
     struct Private;
--- /dev/null
+++ b/Source/Core/Http/Loops.h
@@ -0,0 +1,18 @@
+#pragma once
+
+// Boost.Asio 1.74 needs it under C++20, and does not include it.
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+
+// Event loops that all HTTP servers and clients of the process share, a thread each. Private to this library.
+namespace Http::Loops {
+
+// Starts the threads at the first call.
+boost::asio::io_context& next();
+// The loop whose thread calls, or the next one.
+boost::asio::io_context& currentOrNext();
+
+} // namespace Http::Loops
--- a/Source/Core/Http/Message.cpp
+++ b/Source/Core/Http/Message.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstring>
+#include <iterator>
 
 namespace Http {
 
@@ -35,4 +37,92 @@
     return it == headers.end() ? std::string() : it->second;
 }
 
+namespace {
+
+    bool isUnreserved(unsigned char c)
+    {
+        return std::isalnum(c) || c == '-' || c == '.' || c == '_' || c == '~';
+    }
+
+    std::string encode(const std::string& text, const char* keep)
+    {
+        static const char digits[] = "0123456789ABCDEF";
+        std::string out;
+        for (unsigned char c : text) {
+            if (isUnreserved(c) || std::strchr(keep, c)) {
+                out += static_cast<char>(c);
+                continue;
+            }
+            out += '%';
+            out += digits[c >> 4];
+            out += digits[c & 15];
+        }
+        return out;
+    }
+
+    int digitOf(char c)
+    {
+        if (c >= '0' && c <= '9')
+            return c - '0';
+        if (c >= 'a' && c <= 'f')
+            return c - 'a' + 10;
+        if (c >= 'A' && c <= 'F')
+            return c - 'A' + 10;
+        return -1;
+    }
+
+} // namespace
+
+std::string encodePath(const std::string& path) { return encode(path, "/!$&'()*+,;=:@"); }
+
+std::string encodeQueryText(const std::string& text) { return encode(text, ""); }
+
+std::string decodePercent(const std::string& text, bool plusIsSpace)
+{
+    std::string out;
+    for (size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size() && digitOf(text[i + 1]) >= 0 && digitOf(text[i + 2]) >= 0) {
+            out += static_cast<char>(digitOf(text[i + 1]) * 16 + digitOf(text[i + 2]));
+            i += 2;
+        } else {
+            out += plusIsSpace && text[i] == '+' ? ' ' : text[i];
+        }
+    }
+    return out;
+}
+
+void readTarget(const std::string& target, std::string& path, std::map<std::string, std::string>& query)
+{
+    size_t mark = target.find('?');
+    path = decodePercent(target.substr(0, mark), false);
+    query.clear();
+    while (mark != std::string::npos) {
+        size_t next = target.find('&', mark + 1);
+        std::string pair = target.substr(mark + 1, next == std::string::npos ? next : next - mark - 1);
+        size_t equal = pair.find('=');
+        if (!pair.empty())
+            query[decodePercent(pair.substr(0, equal), true)]
+                = equal == std::string::npos ? "" : decodePercent(pair.substr(equal + 1), true);
+        mark = next;
+    }
+}
+
+std::string makeTarget(const std::string& path, const std::map<std::string, std::string>& query)
+{
+    std::string target = path.empty() ? "/" : encodePath(path);
+    char separator = '?';
+    for (auto& [name, value] : query) {
+        target += separator + encodeQueryText(name) + "=" + encodeQueryText(value);
+        separator = '&';
+    }
+    return target;
+}
+
+bool isHopByHop(const std::string& name)
+{
+    static const char* const names[] = { "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+        "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect" };
+    return std::find(std::begin(names), std::end(names), name) != std::end(names);
+}
+
 } // namespace Http
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -11,11 +11,20 @@
 
 namespace Http {
 
-struct ServerOptions {
-    Common::Address listen;
+// What a caller may send, and how long it may take.
+struct CallerLimits {
     Common::Bytes maximumBody { 1 << 20 };
     // A body that has not arrived whole by then is answered 408, and its connection closed.
     Common::Milliseconds bodyTimeout { 10'000 };
+    Common::Bytes maximumHead { 64 << 10 };
+    Common::Milliseconds headTimeout { 10'000 };
+    // A connection without a request is closed after that.
+    Common::Milliseconds idleTimeout { 60'000 };
+};
+
+struct ServerOptions {
+    Common::Address listen;
+    CallerLimits limits;
 };
 
 // Sends the answer to one request. Called once, from any thread.
@@ -23,24 +32,29 @@
 // Called on a thread of the library: must not block.
 using Handler = std::function<void(Request, Responder)>;
 
-// An HTTP listener that counts its requests, so that a planned stop can wait for the last answer.
+// An HTTP/1.1 listener. Pipelined requests are answered in their order. It counts its requests, so that a planned stop
+// can wait for the last answer.
 class Server {
 public:
     static Common::Result<std::unique_ptr<Server>> open(ServerOptions, Handler);
     ~Server();
 
+    // For what arrives from now on.
+    void setLimits(const CallerLimits&);
     // Requests whose answer has not been handed to the connection.
     size_t inFlight() const;
     // From now on each answer closes its connection.
     void closeAfterAnswers();
+    // Closes the connections that have no request.
+    void closeIdle();
     // Waits until nothing is in flight or the bound is over; returns how many were still in flight.
     size_t waitForAnswers(Common::Milliseconds bound);
-    // Stops listening. Requests in flight are lost, so wait for them first.
+    // Stops listening and closes all connections. Requests in flight are lost, so wait for them first.
     void close();
 
 private:
     struct Private;
-    explicit Server(std::unique_ptr<Private>);
+    explicit Server(std::shared_ptr<Private>);
     std::shared_ptr<Private> m_private;
 };
 
--- /dev/null
+++ b/Source/Core/Limits/RepeatBudget.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Units.h"
+
+#include <cstdint>
+#include <deque>
+
+namespace Limits {
+
+// What all instances together may send to one group beyond the first send of each request, in any window of time.
+struct RepeatRule {
+    Common::Ratio ratio { 0.2 }; // Of the first sends.
+    double minimum { 0 }; // Repeats that are allowed whatever was sent, over all instances.
+    Common::Milliseconds window { 10'000 };
+};
+
+// One instance's part in it. Each instance counts on its own first sends, and takes its part of the minimum.
+struct RepeatBudget {
+    struct Slice {
+        Common::TimePoint begin;
+        int64_t firstSends { 0 };
+        int64_t repeats { 0 };
+    };
+
+    std::deque<Slice> slices; // Oldest first.
+};
+
+void countFirstSend(RepeatBudget&, const RepeatRule&, Common::TimePoint now);
+// Takes a repeat out of the budget, if it has one.
+bool tryTakeRepeat(RepeatBudget&, const RepeatRule&, size_t instances, Common::TimePoint now);
+
+} // namespace Limits
--- a/Source/Core/Model/Resources.cpp
+++ b/Source/Core/Model/Resources.cpp
@@ -13,6 +13,8 @@
         return "index-version";
     case Kind::Instance:
         return "instance";
+    case Kind::RouteTable:
+        return "route-table";
     }
     return "";
 }
@@ -43,6 +45,7 @@
             return { Kind::IndexVersion, indexVersionName(map.group, map.version) };
         }
         ResourceKey operator()(const Instance& instance) const { return { Kind::Instance, instance.id.value() }; }
+        ResourceKey operator()(const RouteTable&) const { return { Kind::RouteTable, routeTableName }; }
     };
     return std::visit(Visitor {}, resource);
 }
--- a/Source/Core/Model/Resources.h
+++ b/Source/Core/Model/Resources.h
@@ -66,18 +66,31 @@
     friend bool operator==(const Instance&, const Instance&) = default;
 };
 
-using Resource = std::variant<QueryRoute, BackendGroup, IndexVersionMap, Instance>;
+// All routes and services of a front end, declared as one document. The front end that took it can read it; here only
+// its number counts: the highest one is in force.
+struct RouteTable {
+    Common::TableNumber number;
+    std::string document;
+
+    friend bool operator==(const RouteTable&, const RouteTable&) = default;
+};
+
+inline constexpr const char* routeTableName = "routes"; // There is one.
+
+using Resource = std::variant<QueryRoute, BackendGroup, IndexVersionMap, Instance, RouteTable>;
 
 enum class Kind {
     QueryRoute,
     BackendGroup,
     IndexVersion,
     Instance,
+    RouteTable,
 };
 
-inline constexpr Kind allKinds[] = { Kind::QueryRoute, Kind::BackendGroup, Kind::IndexVersion, Kind::Instance };
+inline constexpr Kind allKinds[]
+    = { Kind::QueryRoute, Kind::BackendGroup, Kind::IndexVersion, Kind::Instance, Kind::RouteTable };
 
-// "query-route", "backend-group", "index-version", "instance".
+// "query-route", "backend-group", "index-version", "instance", "route-table".
 const char* kindName(Kind);
 // Returns false if no kind has this name.
 bool parseKind(const std::string&, Kind&);
--- a/Source/Core/Model/Validation.cpp
+++ b/Source/Core/Model/Validation.cpp
@@ -85,6 +85,14 @@
         return validateName("address", instance.address.value());
     }
 
+    Result<void> validateRouteTable(const RouteTable& table)
+    {
+        if (!table.document.empty() && table.document.size() <= maximumDocument)
+            return Common::success();
+        return fieldError("document", std::to_string(table.document.size()) + " bytes",
+            "1 to " + std::to_string(maximumDocument));
+    }
+
 } // namespace
 
 Result<void> validateName(const std::string& field, const std::string& value)
@@ -106,6 +114,7 @@
         Result<void> operator()(const BackendGroup& group) const { return validateGroup(group); }
         Result<void> operator()(const IndexVersionMap& map) const { return validateIndexVersion(map); }
         Result<void> operator()(const Instance& instance) const { return validateInstance(instance); }
+        Result<void> operator()(const RouteTable& table) const { return validateRouteTable(table); }
     };
     return std::visit(Visitor {}, resource);
 }
--- a/Source/Core/Model/Validation.h
+++ b/Source/Core/Model/Validation.h
@@ -8,6 +8,7 @@
 inline constexpr size_t maximumNameLength = 128;
 inline constexpr Common::Milliseconds maximumDeadline { 60'000 };
 inline constexpr size_t maximumShards = 4096;
+inline constexpr size_t maximumDocument = size_t { 8 } << 20; // Bytes; one replicated entry has to hold it.
 
 // Checks a resource by itself, without the others. The error's message names the field, what was found, and what
 // was expected; its step is "validate" and its reason InvalidInput.
--- /dev/null
+++ b/Source/Core/Relay/Load.cpp
@@ -0,0 +1,93 @@
+#include "Relay/Load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Relay {
+
+using Common::Milliseconds;
+using Common::TimePoint;
+
+namespace {
+
+    constexpr double averageWindow = 12; // Samples.
+    constexpr double outlierRatio = 4; // A sample counts as at most this many times the average.
+    constexpr Milliseconds unknownLatency { 10 };
+    // A request that takes longer than usual by this factor, and than this time, shows a server that stands still.
+    constexpr double stallRatio = 2.5;
+    constexpr Milliseconds stallFloor { 25 };
+    constexpr int maximumDoublings = 8;
+
+    // How long a server is left alone, as long as there is another, after the first trouble; doubled after each
+    // further one in a row.
+    struct Backoff {
+        Milliseconds first;
+        Milliseconds longest;
+    };
+    constexpr Backoff shed { Milliseconds(15), Milliseconds(500) };
+    constexpr Backoff failed { Milliseconds(40), Milliseconds(2'000) };
+    constexpr Backoff unreachable { Milliseconds(100), Milliseconds(3'000) };
+    constexpr Backoff misdirected { Milliseconds(5'000), Milliseconds(5'000) };
+
+    void pause(Load& load, const Backoff& backoff, TimePoint now)
+    {
+        double factor = std::exp2(std::min(load.troubles, maximumDoublings));
+        ++load.troubles;
+        load.pausedUntil = std::max(load.pausedUntil, now + std::min(backoff.longest, backoff.first * factor));
+    }
+
+    void sample(Load& load, Milliseconds took)
+    {
+        if (load.latency.value() <= 0) {
+            load.latency = took;
+            return;
+        }
+        Milliseconds bounded = std::min(took, load.latency * outlierRatio);
+        load.latency += (bounded - load.latency) / averageWindow;
+    }
+
+} // namespace
+
+void begin(Load& load, TimePoint now) { load.live.push_back(now); }
+
+void end(Load& load, TimePoint sentAt, const Outcome& outcome, TimePoint now)
+{
+    auto it = std::find(load.live.begin(), load.live.end(), sentAt);
+    if (it != load.live.end())
+        load.live.erase(it);
+    switch (outcome.kind) {
+    case Outcome::Kind::Answered:
+        load.troubles = 0;
+        load.pausedUntil = now;
+        sample(load, outcome.took);
+        return;
+    case Outcome::Kind::GivenUp:
+        sample(load, std::max(outcome.took, load.latency));
+        return;
+    case Outcome::Kind::Shed:
+        pause(load, shed, now);
+        return;
+    case Outcome::Kind::Failed:
+        pause(load, failed, now);
+        return;
+    case Outcome::Kind::Unreachable:
+        pause(load, unreachable, now);
+        return;
+    case Outcome::Kind::Misdirected:
+        pause(load, misdirected, now);
+        return;
+    }
+}
+
+Milliseconds expectedLatency(const Load& load, TimePoint now)
+{
+    Milliseconds expected = load.latency.value() > 0 ? load.latency : unknownLatency;
+    if (load.live.empty())
+        return expected;
+    Milliseconds oldest = now - *std::min_element(load.live.begin(), load.live.end());
+    if (oldest > std::max(expected * stallRatio, stallFloor))
+        expected += oldest;
+    return expected;
+}
+
+} // namespace Relay
--- /dev/null
+++ b/Source/Core/Relay/Load.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Common/Clock.h"
+
+#include <vector>
+
+namespace Relay {
+
+// How a request to a server ended, for the choice of later ones.
+struct Outcome {
+    enum class Kind {
+        Answered,
+        Failed, // The server ran it and failed.
+        Shed, // The server had no room.
+        Unreachable, // No connection, or it was lost.
+        Misdirected, // Another server has the address.
+        GivenUp, // By us; the time taken is a lower bound.
+    };
+
+    Kind kind { Kind::Answered };
+    Common::Milliseconds took;
+};
+
+// One backend server as this instance observes it. Plain data: the caller keeps it under a lock.
+struct Load {
+    std::vector<Common::TimePoint> live; // When the requests under way were sent.
+    Common::Milliseconds latency; // Moving average; 0 before the first answer.
+    int troubles { 0 }; // In a row.
+    Common::TimePoint pausedUntil;
+};
+
+void begin(Load&, Common::TimePoint now);
+void end(Load&, Common::TimePoint sentAt, const Outcome&, Common::TimePoint now);
+
+// What a request sent now would take, as far as is known: a server that has not answered for long is expected to take
+// as long again.
+Common::Milliseconds expectedLatency(const Load&, Common::TimePoint now);
+
+} // namespace Relay
--- /dev/null
+++ b/Source/Core/Relay/Query.cpp
@@ -0,0 +1,322 @@
+#include "Relay/Query.h"
+
+#include "Relay/Merge.h"
+
+#include <algorithm>
+
+namespace Relay {
+
+using Common::AttemptId;
+using Common::Error;
+using Common::Milliseconds;
+using Common::Reason;
+using Common::TimePoint;
+
+namespace {
+
+    // Sends that the servers did not run are made again so often beyond the route's attempts.
+    constexpr int extraSends = 2;
+    // A caller is told to come back that much later. Another instance may have room at once.
+    constexpr Milliseconds retryAfter { 40 };
+    // Wakes closer than that to the one that is set are left out.
+    constexpr Milliseconds wakeSlack { 0.5 };
+
+    bool mayRepeat(const Query& query) { return query.route->repeat == Routes::Repeat::Allowed; }
+
+    size_t neededParts(const Query& query)
+    {
+        if (!query.route->fan)
+            return 1;
+        double all = static_cast<double>(query.parts.size());
+        size_t needed = 1;
+        // Counted up, since a product may round to either side of a whole number.
+        while (static_cast<double>(needed) / all < query.route->fan->minimumShare.value() && needed < query.parts.size())
+            ++needed;
+        return needed;
+    }
+
+    bool hasRunNowhere(const Query& query)
+    {
+        return std::all_of(query.parts.begin(), query.parts.end(), [](const Part& part) {
+            bool isPending = std::any_of(part.attempts.begin(), part.attempts.end(),
+                [](const Attempt& attempt) { return attempt.sentAt.has_value(); });
+            return !part.mayHaveRun && !isPending && part.state != Part::State::In;
+        });
+    }
+
+    Part* findPart(Query& query, AttemptId id, size_t& index)
+    {
+        for (Part& part : query.parts) {
+            for (size_t i = 0; i < part.attempts.size(); ++i) {
+                if (part.attempts[i].id == id) {
+                    index = i;
+                    return &part;
+                }
+            }
+        }
+        return nullptr;
+    }
+
+    void abandonAll(Query& query, Effects& effects)
+    {
+        for (Part& part : query.parts) {
+            for (const Attempt& attempt : part.attempts)
+                effects.push_back(Abandon { attempt.id });
+            part.attempts.clear();
+        }
+    }
+
+    Answer successOf(Query& query)
+    {
+        if (!query.route->fan)
+            return Forwarded { std::move(*query.parts.front().answer) };
+        Merged merged;
+        std::vector<const std::string*> bodies;
+        for (Part& part : query.parts) {
+            if (part.state != Part::State::In) {
+                ++merged.missing;
+                continue;
+            }
+            merged.signatures.push_back(std::move(part.answer->signature));
+            bodies.push_back(&part.answer->body);
+        }
+        merged.body = greatestRecords(bodies, query.route->fan->topRecords);
+        return merged;
+    }
+
+    // A failure that a server answered with goes to the caller as it came, if there is nothing better.
+    Answer failureOf(Query& query)
+    {
+        if (!query.route->fan && query.parts.front().answer)
+            return Forwarded { std::move(*query.parts.front().answer) };
+        bool notRun = hasRunNowhere(query);
+        return Refusal { query.lastError, notRun, notRun ? retryAfter : Milliseconds(0) };
+    }
+
+    void finish(Query& query, Answer answer, Effects& effects)
+    {
+        query.finished = true;
+        abandonAll(query, effects);
+        effects.push_back(Finish { std::move(answer) });
+    }
+
+    void ask(Query& query, size_t index, Purpose purpose, bool isRepeat, Effects& effects)
+    {
+        Part& part = query.parts[index];
+        ++part.asked;
+        Attempt attempt;
+        attempt.id = AttemptId(query.nextAttempt++);
+        attempt.purpose = purpose;
+        part.attempts.push_back(attempt);
+        effects.push_back(Send { attempt.id, index, purpose, isRepeat, part.used });
+    }
+
+    bool canAskAgain(const Query& query, const Part& part, TimePoint now)
+    {
+        if (now >= query.times.end || part.asked >= query.route->maximumAttempts + extraSends)
+            return false;
+        return part.mayHaveRun == 0 || (mayRepeat(query) && part.mayHaveRun < query.route->maximumAttempts);
+    }
+
+    // Answers if the answer can't get better, or must not wait.
+    void concludeIfDue(Query& query, TimePoint now, Effects& effects)
+    {
+        if (query.finished)
+            return;
+        bool isEnough = query.in >= neededParts(query);
+        bool isHopeless = query.in + query.open < neededParts(query);
+        bool isOver = now >= query.times.end;
+        if (isEnough && (!query.open || now >= query.times.aim)) {
+            finish(query, successOf(query), effects);
+        } else if (isHopeless || isOver) {
+            if (isOver)
+                query.lastError = Common::makeError(Reason::DeadlineExceeded, "relay", "no answer in time");
+            finish(query, failureOf(query), effects);
+        }
+    }
+
+    // Sets the wake for the next hedge or the next time at which the answer may have to go out.
+    void setWake(Query& query, TimePoint now, Effects& effects)
+    {
+        if (query.finished)
+            return;
+        TimePoint next = query.times.end;
+        if (query.times.aim > now)
+            next = std::min(next, query.times.aim);
+        for (const Part& part : query.parts) {
+            if (part.state == Part::State::Open && part.hedgeAt && !part.hedged)
+                next = std::min(next, *part.hedgeAt);
+        }
+        if (query.wakeAt > now && query.wakeAt <= next && next - query.wakeAt < wakeSlack)
+            return;
+        query.wakeAt = next;
+        effects.push_back(WakeAt { next });
+    }
+
+    // After an attempt ended without an answer that can be used.
+    void goOn(Query& query, Part& part, TimePoint now, Effects& effects)
+    {
+        if (!part.attempts.empty() || part.state != Part::State::Open)
+            return;
+        size_t index = static_cast<size_t>(&part - query.parts.data());
+        if (canAskAgain(query, part, now)) {
+            ask(query, index, Purpose::Retry, part.arrived > 0, effects);
+            return;
+        }
+        part.state = Part::State::Lost;
+        --query.open;
+    }
+
+    Effects settle(Query& query, TimePoint now, Effects effects)
+    {
+        concludeIfDue(query, now, effects);
+        setWake(query, now, effects);
+        return effects;
+    }
+
+    void takeIn(Query& query, Part& part, SubAnswer answer, Effects& effects)
+    {
+        part.state = Part::State::In;
+        part.answer = std::move(answer);
+        --query.open;
+        ++query.in;
+        for (const Attempt& other : part.attempts)
+            effects.push_back(Abandon { other.id });
+        part.attempts.clear();
+    }
+
+} // namespace
+
+Query makeQuery(Routes::TablePtr table, const Routes::Route& route, const Common::GroupName& chosen, const Times& times)
+{
+    Query query;
+    query.table = std::move(table);
+    query.route = &route;
+    query.times = times;
+    query.lastError = Common::makeError(Reason::Unavailable, "relay", "nothing was sent");
+    std::vector<Common::GroupName> groups { chosen };
+    for (const Common::GroupName& group : route.fan ? route.fan->groups : groups) {
+        Part part;
+        part.group = group;
+        query.parts.push_back(std::move(part));
+    }
+    query.open = query.parts.size();
+    return query;
+}
+
+Effects start(Query& query, TimePoint now)
+{
+    Effects effects;
+    for (size_t i = 0; i < query.parts.size(); ++i)
+        ask(query, i, Purpose::First, false, effects);
+    setWake(query, now, effects);
+    return effects;
+}
+
+bool sent(Query& query, AttemptId id, const Common::BackendServerId& server, TimePoint now,
+    std::optional<Milliseconds> hedgeDelay)
+{
+    size_t index = 0;
+    Part* part = findPart(query, id, index);
+    if (!part || query.finished)
+        return false;
+    part->attempts[index].sentAt = now;
+    part->attempts[index].server = server;
+    part->used.push_back(server);
+    if (hedgeDelay && !part->hedged && mayRepeat(query))
+        part->hedgeAt = now + *hedgeDelay;
+    return true;
+}
+
+Effects notSent(Query& query, AttemptId id, const Error& error, TimePoint now)
+{
+    size_t index = 0;
+    Part* part = findPart(query, id, index);
+    if (!part || query.finished)
+        return {};
+    Effects effects;
+    query.lastError = error;
+    part->attempts.erase(part->attempts.begin() + static_cast<std::ptrdiff_t>(index));
+    if (part->attempts.empty()) {
+        part->state = Part::State::Lost;
+        --query.open;
+    }
+    return settle(query, now, std::move(effects));
+}
+
+Effects answered(Query& query, AttemptId id, SubAnswer answer, TimePoint now)
+{
+    size_t index = 0;
+    Part* part = findPart(query, id, index);
+    if (!part || query.finished)
+        return {};
+    Effects effects;
+    Common::BackendServerId server = part->attempts[index].server;
+    part->attempts.erase(part->attempts.begin() + static_cast<std::ptrdiff_t>(index));
+    ++part->arrived;
+    switch (answer.outcome) {
+    case SubAnswer::Outcome::Success:
+        ++part->mayHaveRun;
+        takeIn(query, *part, std::move(answer), effects);
+        return settle(query, now, std::move(effects));
+    case SubAnswer::Outcome::NotRun:
+    case SubAnswer::Outcome::OtherServer:
+        query.lastError = Common::makeError(
+            Reason::Overloaded, "relay", "status " + std::to_string(answer.status), server.value());
+        break;
+    case SubAnswer::Outcome::Failure:
+    case SubAnswer::Outcome::Unusable:
+        ++part->mayHaveRun;
+        query.lastError = Common::makeError(
+            Reason::Internal, "relay", "status " + std::to_string(answer.status), server.value());
+        if (answer.outcome == SubAnswer::Outcome::Failure && !query.route->fan)
+            part->answer = std::move(answer);
+        break;
+    }
+    goOn(query, *part, now, effects);
+    return settle(query, now, std::move(effects));
+}
+
+Effects lost(Query& query, AttemptId id, Loss loss, const Error& error, TimePoint now)
+{
+    size_t index = 0;
+    Part* part = findPart(query, id, index);
+    if (!part || query.finished)
+        return {};
+    Effects effects;
+    query.lastError = error;
+    part->attempts.erase(part->attempts.begin() + static_cast<std::ptrdiff_t>(index));
+    part->arrived += loss == Loss::NoConnection ? 0 : 1;
+    part->mayHaveRun += loss == Loss::Unknown ? 1 : 0;
+    goOn(query, *part, now, effects);
+    return settle(query, now, std::move(effects));
+}
+
+Effects wake(Query& query, TimePoint now)
+{
+    if (query.finished)
+        return {};
+    Effects effects;
+    for (size_t i = 0; i < query.parts.size(); ++i) {
+        Part& part = query.parts[i];
+        bool isDue = part.state == Part::State::Open && part.hedgeAt && !part.hedged && now >= *part.hedgeAt;
+        if (!isDue)
+            continue;
+        part.hedged = true;
+        int mayRun = part.mayHaveRun + static_cast<int>(part.attempts.size());
+        if (mayRun < query.route->maximumAttempts && part.asked < query.route->maximumAttempts + extraSends)
+            ask(query, i, Purpose::Hedge, true, effects);
+    }
+    return settle(query, now, std::move(effects));
+}
+
+Effects callerGone(Query& query, TimePoint)
+{
+    if (query.finished)
+        return {};
+    Effects effects;
+    finish(query, Abandoned {}, effects);
+    return effects;
+}
+
+} // namespace Relay
--- /dev/null
+++ b/Source/Core/Relay/Query.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Error.h"
+#include "Common/Ids.h"
+#include "Relay/Call.h"
+#include "Routes/Table.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+// One call from admission to its answer: which groups are asked, when one is asked again, when the answer goes out.
+// Pure decisions: events and times come in, effects come out. The caller serialises the events of one query.
+namespace Relay {
+
+enum class Purpose {
+    First,
+    Retry, // An earlier send failed.
+    Hedge, // An earlier send is late.
+};
+
+// Find a server of the part's group that is not avoided, and call sent(); or call notSent().
+struct Send {
+    Common::AttemptId attempt;
+    size_t part { 0 };
+    Purpose purpose { Purpose::First };
+    bool isRepeat { false }; // Needs the budget for repeats.
+    std::vector<Common::BackendServerId> avoid;
+};
+
+// The answer is no longer needed.
+struct Abandon {
+    Common::AttemptId attempt;
+};
+
+// Call wake() then. It replaces the earlier one of this query.
+struct WakeAt {
+    Common::TimePoint when;
+};
+
+// Answer the caller. Once for each query.
+struct Finish {
+    Answer answer;
+};
+
+using Effect = std::variant<Send, Abandon, WakeAt, Finish>;
+using Effects = std::vector<Effect>;
+
+// How the end of an attempt without an answer is to be taken.
+enum class Loss {
+    NoConnection, // No byte left.
+    NotRun, // The server said so.
+    Unknown, // It may have run.
+};
+
+struct Attempt {
+    Common::AttemptId id;
+    Purpose purpose { Purpose::First };
+    std::optional<Common::TimePoint> sentAt; // Nothing while no server was found.
+    Common::BackendServerId server;
+};
+
+struct Part {
+    enum class State {
+        Open,
+        In,
+        Lost,
+    };
+
+    Common::GroupName group;
+    State state { State::Open };
+    std::vector<Attempt> attempts; // Live ones.
+    std::vector<Common::BackendServerId> used;
+    int asked { 0 };
+    int arrived { 0 }; // Sends that may have reached a server.
+    int mayHaveRun { 0 };
+    bool hedged { false };
+    std::optional<Common::TimePoint> hedgeAt; // Looked at when a send is live.
+    std::optional<SubAnswer> answer;
+};
+
+struct Times {
+    Common::TimePoint arrived;
+    Common::TimePoint aim; // An answer that leaves by then is in time.
+    Common::TimePoint end; // The caller, or its route, waits no longer.
+};
+
+struct Query {
+    Routes::TablePtr table; // Keeps the route.
+    const Routes::Route* route { nullptr };
+    Times times;
+    std::vector<Part> parts;
+    size_t open { 0 };
+    size_t in { 0 };
+    uint64_t nextAttempt { 1 };
+    bool finished { false };
+    Common::Error lastError;
+    Common::TimePoint wakeAt;
+};
+
+// The parts are the groups of the route's fan, or the one group that was chosen among its portions.
+Query makeQuery(Routes::TablePtr, const Routes::Route&, const Common::GroupName& chosen, const Times&);
+
+Effects start(Query&, Common::TimePoint now);
+// A server was found and has a free connection. False if the attempt is no longer wanted: then do not send.
+bool sent(Query&, Common::AttemptId, const Common::BackendServerId&, Common::TimePoint now,
+    std::optional<Common::Milliseconds> hedgeDelay);
+// No server can be asked, or no budget is left for a repeat.
+Effects notSent(Query&, Common::AttemptId, const Common::Error&, Common::TimePoint now);
+Effects answered(Query&, Common::AttemptId, SubAnswer, Common::TimePoint now);
+Effects lost(Query&, Common::AttemptId, Loss, const Common::Error&, Common::TimePoint now);
+Effects wake(Query&, Common::TimePoint now);
+Effects callerGone(Query&, Common::TimePoint now);
+
+} // namespace Relay
--- /dev/null
+++ b/Source/Core/Roster/Merged.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Roster/Records.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Roster {
+
+// What an entry instance knows of the backend servers, from all control instances that it follows. Plain data.
+struct Merged {
+    struct Known {
+        Report report; // Of the highest incarnation and sequence.
+        std::set<Common::InstanceId> vouchers; // Control instances that say that it serves.
+        bool isLeaving { false };
+        Common::TimePoint learnedAt;
+        Common::TimePoint warmAt;
+    };
+
+    std::unordered_map<Common::BackendServerId, Known> servers;
+};
+
+// A backend server that may get work.
+struct Usable {
+    Common::BackendServerId server;
+    Common::Address address;
+    Common::FailureDomain domain;
+    Common::Incarnation incarnation;
+    Common::Slots slots;
+    Common::TimePoint warmAt;
+};
+
+// One server's standing after a merge, for the log.
+struct Learned {
+    Common::BackendServerId server;
+    Common::GroupName group;
+    Common::Incarnation incarnation;
+    Standing standing { Standing::Serving };
+};
+
+// Takes in what a control instance said; returns what that changed for this instance.
+std::vector<Learned> merge(Merged&, const Common::InstanceId& source, const Changes&, Common::TimePoint now);
+
+// The control instance is gone: that it vouched for servers counts no more.
+void dropSource(Merged&, const Common::InstanceId& source);
+
+// By group, in the order of their ids. A server whose address was taken over by a later incarnation is left out, and so
+// is one that nobody vouches for.
+std::map<Common::GroupName, std::vector<Usable>> usable(const Merged&);
+
+// Forgets servers that left or were lost before this time.
+void forgetBefore(Merged&, Common::TimePoint);
+
+} // namespace Roster
--- /dev/null
+++ b/Source/Core/Roster/Registry.cpp
@@ -0,0 +1,102 @@
+#include "Roster/Registry.h"
+
+namespace Roster {
+
+using Common::Milliseconds;
+using Common::Revision;
+using Common::TimePoint;
+
+namespace {
+
+    void noteChange(Registry& registry, Registry::Entry& entry)
+    {
+        registry.revision += Revision(1);
+        entry.changedAt = registry.revision;
+    }
+
+    bool isOlder(const Report& report, const Report& known)
+    {
+        if (report.incarnation != known.incarnation)
+            return report.incarnation < known.incarnation;
+        return report.sequence <= known.sequence;
+    }
+
+    // Whether followers have to learn of it. The sequence and the time of warming up go on by themselves.
+    bool isNews(const Report& report, const Report& known)
+    {
+        Report same = report;
+        same.sequence = known.sequence;
+        same.warmupLeft = known.warmupLeft;
+        return !(same == known);
+    }
+
+} // namespace
+
+Verdict renew(Registry& registry, const Report& report, TimePoint now)
+{
+    auto [it, isNew] = registry.entries.try_emplace(report.server);
+    Registry::Entry& entry = it->second;
+    if (!isNew && isOlder(report, entry.report))
+        return Verdict::Outdated;
+    Report next = report;
+    bool sameIncarnation = !isNew && report.incarnation == entry.report.incarnation;
+    if (sameIncarnation && entry.report.standing == Standing::Leaving)
+        next.standing = Standing::Leaving;
+    bool news = isNew || isNews(next, entry.report);
+    entry.report = next;
+    entry.heardAt = now;
+    if (news)
+        noteChange(registry, entry);
+    return Verdict::Taken;
+}
+
+void leave(
+    Registry& registry, const Common::BackendServerId& server, Common::Incarnation incarnation, TimePoint now)
+{
+    auto [it, isNew] = registry.entries.try_emplace(server);
+    Registry::Entry& entry = it->second;
+    if (isNew) {
+        entry.report.server = server;
+        entry.report.incarnation = incarnation;
+    }
+    if (incarnation != Common::Incarnation(0) && incarnation < entry.report.incarnation)
+        return;
+    if (incarnation > entry.report.incarnation)
+        entry.report.incarnation = incarnation;
+    entry.heardAt = now;
+    if (!isNew && entry.report.standing == Standing::Leaving)
+        return;
+    entry.report.standing = Standing::Leaving;
+    noteChange(registry, entry);
+}
+
+void expire(Registry& registry, TimePoint now, Milliseconds silence, Milliseconds forgetAfter)
+{
+    for (auto it = registry.entries.begin(); it != registry.entries.end();) {
+        Registry::Entry& entry = it->second;
+        Milliseconds silent = now - entry.heardAt;
+        if (silent > forgetAfter) {
+            it = registry.entries.erase(it);
+            continue;
+        }
+        if (silent > silence && entry.report.standing == Standing::Serving) {
+            entry.report.standing = Standing::Lost;
+            noteChange(registry, entry);
+        }
+        ++it;
+    }
+}
+
+Changes changesSince(const Registry& registry, Revision from)
+{
+    Changes changes { from == Revision(0) || from > registry.revision, registry.revision, {} };
+    if (!changes.whole && from == registry.revision)
+        return changes;
+    for (auto& [id, entry] : registry.entries) {
+        if (changes.whole || entry.changedAt > from)
+            changes.reports.push_back(entry.report);
+    }
+    return changes;
+}
+
+} // namespace Roster
--- /dev/null
+++ b/Source/Core/Routes/Table.cpp
@@ -0,0 +1,121 @@
+#include "Routes/Table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace Routes {
+
+using Common::Reason;
+using Common::Result;
+
+namespace {
+
+    // Multiples of it, less their whole parts, are spread evenly over [0, 1).
+    constexpr double goldenRatio = 0.618033988749894848;
+
+    Common::Error fieldError(const Route& route, const std::string& field, const std::string& problem)
+    {
+        return Common::makeError(
+            Reason::InvalidInput, "validate-routes", "route '" + route.name.value() + "': " + field + " " + problem);
+    }
+
+    Result<void> checkGroups(const Table& table, const Route& route)
+    {
+        auto unknown = [&](const Common::GroupName& group) { return !findGroup(table, group); };
+        for (const Portion& portion : route.portions) {
+            if (unknown(portion.group))
+                return fieldError(route, "group", "'" + portion.group.value() + "' is unknown");
+        }
+        if (!route.fan)
+            return Common::success();
+        for (const Common::GroupName& group : route.fan->groups) {
+            if (unknown(group))
+                return fieldError(route, "group", "'" + group.value() + "' is unknown");
+        }
+        return Common::success();
+    }
+
+    Result<void> checkTarget(const Route& route)
+    {
+        if (route.fan)
+            return route.fan->groups.empty() ? Result<void>(fieldError(route, "groups", "are none")) : Common::success();
+        double sum = 0;
+        for (const Portion& portion : route.portions) {
+            if (portion.weight < 0 || !std::isfinite(portion.weight))
+                return fieldError(route, "weight", "is below 0");
+            sum += portion.weight;
+        }
+        if (sum <= 0)
+            return fieldError(route, "weights", "add up to 0");
+        return Common::success();
+    }
+
+} // namespace
+
+Result<void> validate(const Table& table)
+{
+    std::set<std::pair<std::string, std::string>> places;
+    for (const Route& route : table.routes) {
+        if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/')
+            return fieldError(route, "prefix", "'" + route.prefix + "' does not begin and end with a slash");
+        if (!places.insert({ route.host, route.prefix }).second)
+            return fieldError(route, "host and prefix", "are those of another route");
+        if (route.timeout.value() <= 0)
+            return fieldError(route, "timeout", "is not above 0");
+        BOOST_OUTCOME_TRYV(checkTarget(route));
+        BOOST_OUTCOME_TRYV(checkGroups(table, route));
+    }
+    return Common::success();
+}
+
+void index(Table& table)
+{
+    table.groupAt.clear();
+    for (size_t i = 0; i < table.groups.size(); ++i)
+        table.groupAt[table.groups[i].name] = i;
+    table.byHost.clear();
+    for (size_t i = 0; i < table.routes.size(); ++i)
+        table.byHost[table.routes[i].host].push_back(i);
+    for (auto& [host, routes] : table.byHost) {
+        std::stable_sort(routes.begin(), routes.end(), [&](size_t a, size_t b) {
+            return table.routes[a].prefix.size() > table.routes[b].prefix.size();
+        });
+    }
+}
+
+const Route* match(const Table& table, const std::string& host, const std::string& path)
+{
+    auto it = table.byHost.find(host);
+    if (it == table.byHost.end())
+        return nullptr;
+    for (size_t i : it->second) {
+        const Route& route = table.routes[i];
+        if (path.compare(0, route.prefix.size(), route.prefix) == 0)
+            return &route;
+    }
+    return nullptr;
+}
+
+const Group* findGroup(const Table& table, const Common::GroupName& name)
+{
+    auto it = table.groupAt.find(name);
+    return it == table.groupAt.end() ? nullptr : &table.groups[it->second];
+}
+
+const Portion& choosePortion(const Route& route, uint64_t n)
+{
+    double sum = 0;
+    for (const Portion& portion : route.portions)
+        sum += portion.weight;
+    double whole = 0;
+    double at = std::modf(static_cast<double>(n) * goldenRatio, &whole) * sum;
+    for (const Portion& portion : route.portions) {
+        at -= portion.weight;
+        if (at < 0)
+            return portion;
+    }
+    return route.portions.back();
+}
+
+} // namespace Routes
--- a/Source/Core/Wire/Consensus.capnp
+++ b/Source/Core/Wire/Consensus.capnp
@@ -77,6 +77,7 @@
 
 struct AnnounceReply {
   inGroup @0 :Bool;
+  members @1 :List(Text); # Instances of the sender's membership.
 }
 
 struct ConsensusMessage {
--- a/Source/Core/Wire/Consensus.capnp.h
+++ b/Source/Core/Wire/Consensus.capnp.h
@@ -215,7 +215,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be0e108ca6337057, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(be0e108ca6337057, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1302,6 +1302,9 @@
 
   inline bool getInGroup() const;
 
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1333,6 +1336,14 @@
   inline bool getInGroup();
   inline void setInGroup(bool value);
 
+  inline bool hasMembers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2414,6 +2425,44 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AnnounceReply::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AnnounceReply::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader AnnounceReply::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AnnounceReply::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AnnounceReply::Builder::setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void AnnounceReply::Builder::setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AnnounceReply::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AnnounceReply::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> AnnounceReply::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool ConsensusMessage::Reader::hasFrom() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Source/Core/Wire/ConsensusCodec.cpp
+++ b/Source/Core/Wire/ConsensusCodec.cpp
@@ -171,7 +171,14 @@
         }
         void operator()(const Consensus::TimeoutNow&) { out.setTimeoutNow(); }
         void operator()(const Consensus::Announce&) { out.setAnnounce(); }
-        void operator()(const Consensus::AnnounceReply& body) { out.initAnnounceReply().setInGroup(body.inGroup); }
+        void operator()(const Consensus::AnnounceReply& body)
+        {
+            auto reply = out.initAnnounceReply();
+            reply.setInGroup(body.inGroup);
+            auto members = reply.initMembers(static_cast<unsigned>(body.members.size()));
+            for (unsigned i = 0; i < members.size(); ++i)
+                members.set(i, body.members[i].value());
+        }
     };
 
     Consensus::AppendRequest read(Schema::AppendRequest::Reader in)
@@ -204,6 +211,14 @@
             Consensus::ReadRound(in.getRound()) };
     }
 
+    Consensus::AnnounceReply readAnnounceReply(Schema::AnnounceReply::Reader in)
+    {
+        Consensus::AnnounceReply reply { in.getInGroup(), {} };
+        for (auto member : in.getMembers())
+            reply.members.emplace_back(std::string(member.cStr(), member.size()));
+        return reply;
+    }
+
     Consensus::MessageBody read(Schema::ConsensusMessage::Body::Reader in)
     {
         switch (in.which()) {
@@ -225,7 +240,7 @@
         case Schema::ConsensusMessage::Body::ANNOUNCE:
             return Consensus::Announce {};
         case Schema::ConsensusMessage::Body::ANNOUNCE_REPLY:
-            return Consensus::AnnounceReply { in.getAnnounceReply().getInGroup() };
+            return readAnnounceReply(in.getAnnounceReply());
         }
         throwMalformed("an unknown kind of message");
     }
--- a/Source/Core/Wire/Control.capnp
+++ b/Source/Core/Wire/Control.capnp
@@ -54,9 +54,15 @@
     backendGroup @1 :BackendGroup;
     indexVersion @2 :IndexVersionMap;
     instance @3 :Instance;
+    routeTable @4 :RouteTable;
   }
 }
 
+struct RouteTable {
+  number @0 :UInt64;
+  document @1 :Text;
+}
+
 struct ResourceKey {
   kind @0 :UInt16;
   name @1 :Text;
--- a/Source/Core/Wire/Control.capnp.h
+++ b/Source/Core/Wire/Control.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(88d8c37d65f8b132);
 CAPNP_DECLARE_SCHEMA(ab8bb5656b371701);
 CAPNP_DECLARE_SCHEMA(b02c810c08d97918);
+CAPNP_DECLARE_SCHEMA(bf92ba91f8e32465);
 CAPNP_DECLARE_SCHEMA(b3101a6c7a4708c7);
 CAPNP_DECLARE_SCHEMA(9d6d9ba91cb90383);
 CAPNP_DECLARE_SCHEMA(f071b44ae0f73172);
@@ -162,6 +163,7 @@
     BACKEND_GROUP,
     INDEX_VERSION,
     INSTANCE,
+    ROUTE_TABLE,
   };
 
   struct _capnpPrivate {
@@ -172,6 +174,21 @@
   };
 };
 
+struct RouteTable {
+  RouteTable() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bf92ba91f8e32465, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ResourceKey {
   ResourceKey() = delete;
 
@@ -1327,6 +1344,10 @@
   inline bool hasInstance() const;
   inline  ::Wire::ControlSchema::Instance::Reader getInstance() const;
 
+  inline bool isRouteTable() const;
+  inline bool hasRouteTable() const;
+  inline  ::Wire::ControlSchema::RouteTable::Reader getRouteTable() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1388,6 +1409,14 @@
   inline void adoptInstance(::capnp::Orphan< ::Wire::ControlSchema::Instance>&& value);
   inline ::capnp::Orphan< ::Wire::ControlSchema::Instance> disownInstance();
 
+  inline bool isRouteTable();
+  inline bool hasRouteTable();
+  inline  ::Wire::ControlSchema::RouteTable::Builder getRouteTable();
+  inline void setRouteTable( ::Wire::ControlSchema::RouteTable::Reader value);
+  inline  ::Wire::ControlSchema::RouteTable::Builder initRouteTable();
+  inline void adoptRouteTable(::capnp::Orphan< ::Wire::ControlSchema::RouteTable>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::RouteTable> disownRouteTable();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1414,6 +1443,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class RouteTable::Reader {
+public:
+  typedef RouteTable Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Text::Reader getDocument() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RouteTable::Builder {
+public:
+  typedef RouteTable Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Text::Builder getDocument();
+  inline void setDocument( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RouteTable::Pipeline {
+public:
+  typedef RouteTable Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ResourceKey::Reader {
 public:
   typedef ResourceKey Reads;
@@ -5579,6 +5694,108 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Resource::Reader::isRouteTable() const {
+  return which() == Resource::ROUTE_TABLE;
+}
+inline bool Resource::Builder::isRouteTable() {
+  return which() == Resource::ROUTE_TABLE;
+}
+inline bool Resource::Reader::hasRouteTable() const {
+  if (which() != Resource::ROUTE_TABLE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Resource::Builder::hasRouteTable() {
+  if (which() != Resource::ROUTE_TABLE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::ControlSchema::RouteTable::Reader Resource::Reader::getRouteTable() const {
+  KJ_IREQUIRE((which() == Resource::ROUTE_TABLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::RouteTable>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Wire::ControlSchema::RouteTable::Builder Resource::Builder::getRouteTable() {
+  KJ_IREQUIRE((which() == Resource::ROUTE_TABLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::RouteTable>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Resource::Builder::setRouteTable( ::Wire::ControlSchema::RouteTable::Reader value) {
+  _builder.setDataField<Resource::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Resource::ROUTE_TABLE);
+  ::capnp::_::PointerHelpers< ::Wire::ControlSchema::RouteTable>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::ControlSchema::RouteTable::Builder Resource::Builder::initRouteTable() {
+  _builder.setDataField<Resource::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Resource::ROUTE_TABLE);
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::RouteTable>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Resource::Builder::adoptRouteTable(
+    ::capnp::Orphan< ::Wire::ControlSchema::RouteTable>&& value) {
+  _builder.setDataField<Resource::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Resource::ROUTE_TABLE);
+  ::capnp::_::PointerHelpers< ::Wire::ControlSchema::RouteTable>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::ControlSchema::RouteTable> Resource::Builder::disownRouteTable() {
+  KJ_IREQUIRE((which() == Resource::ROUTE_TABLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::RouteTable>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RouteTable::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RouteTable::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RouteTable::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RouteTable::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteTable::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RouteTable::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RouteTable::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RouteTable::Builder::setDocument( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RouteTable::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RouteTable::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RouteTable::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint16_t ResourceKey::Reader::getKind() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/ResourceParts.cpp
+++ b/Source/Core/Wire/ResourceParts.cpp
@@ -56,6 +56,13 @@
             part.setAddress(toText(instance.address));
             part.setDraining(instance.draining);
         }
+
+        void operator()(const Model::RouteTable& table) const
+        {
+            auto part = out.initRouteTable();
+            part.setNumber(table.number.value());
+            part.setDocument(table.document);
+        }
     };
 
     Model::QueryRoute readRoute(ControlSchema::QueryRoute::Reader in)
@@ -117,6 +124,9 @@
         return readGroup(in.getBackendGroup());
     case ControlSchema::Resource::INDEX_VERSION:
         return readIndexVersion(in.getIndexVersion());
+    case ControlSchema::Resource::ROUTE_TABLE:
+        return Model::RouteTable { Common::TableNumber(in.getRouteTable().getNumber()),
+            fromText(in.getRouteTable().getDocument()) };
     case ControlSchema::Resource::INSTANCE:
         return readInstance(in.getInstance());
     }
--- a/Source/UnitTests/Http/PipelineTest.cpp
+++ b/Source/UnitTests/Http/PipelineTest.cpp
@@ -21,7 +21,7 @@
 
 TEST(Pipeline, AnswersEachRequestInOrder)
 {
-    Http::ServerOptions options { {}, Common::Bytes(maximumBody), bound };
+    Http::ServerOptions options { {}, { Common::Bytes(maximumBody), bound } };
     auto server = HttpTest::openServer(options, [](const Http::Request& request, const Http::Responder& done) {
         Http::Response response;
         response.body = request.path + " " + request.body;
--- a/Source/UnitTests/Http/SenderTest.cpp
+++ b/Source/UnitTests/Http/SenderTest.cpp
@@ -23,7 +23,7 @@
 protected:
     void SetUp() override
     {
-        Http::ServerOptions options { {}, Common::Bytes(maximumBody), bodyTimeout };
+        Http::ServerOptions options { {}, { Common::Bytes(maximumBody), bodyTimeout } };
         m_server = HttpTest::openServer(
             options, [this](const Http::Request& request, const Http::Responder& done) { handle(request, done); });
         m_address = options.listen;
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -14,7 +14,7 @@
 constexpr Milliseconds timeout { 5'000 };
 std::unique_ptr<Http::Server> openServer(const Http::Handler& handler, Common::Address& address)
 {
-    Http::ServerOptions options { {}, Common::Bytes(1'000), timeout };
+    Http::ServerOptions options { {}, { Common::Bytes(1'000), timeout } };
     auto server = HttpTest::openServer(options, handler);
     address = options.listen;
     return server;
--- a/Tools/install-packages.sh
+++ b/Tools/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs compilers, libraries and checkers from Debian, if any of them is absent.
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache pkg-config git python3 clang-format clang-tidy
-  libcpprest-dev libssl-dev libcapnp-dev prometheus-cpp-dev libyaml-cpp-dev libcli11-dev
+  libcpprest-dev libssl-dev libcapnp-dev capnproto prometheus-cpp-dev libyaml-cpp-dev libcli11-dev
   liblog4cxx-dev libgtest-dev libgmock-dev libbenchmark-dev libxxhash-dev librapidcheck-dev)
 if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
   echo "packages: all present"
