Run on the platform behind an adapter in platform/

Change: platform/ translates callers' requests, heartbeats and the operator's configuration; the product gains the relay role, the roster of backend servers, route tables in the replicated configuration, founding from seeds, and structured events on standard output.

--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -60,6 +60,8 @@
     std::mutex watchMutex;
     std::vector<Watcher> watchers;
     uint64_t nextWatcher { 1 };
+    std::mutex listenerMutex;
+    std::function<void()> listener; // Of changes; under listenerMutex.
 
     void leadershipChanged(bool leading, Common::Term);
     void configurationChanged();
@@ -149,6 +151,11 @@
 void ControlRole::Private::configurationChanged()
 {
     noteRevision();
+    {
+        std::lock_guard lock(listenerMutex);
+        if (listener)
+            listener();
+    }
     std::vector<Watcher> ready;
     {
         std::lock_guard lock(watchMutex);
@@ -444,6 +451,34 @@
 
 std::vector<Replica::Status> ControlRole::status() const { return m_private->state->status(); }
 
+std::vector<Common::Address> ControlRole::memberAddresses() const { return m_private->state->memberAddresses(); }
+
+Model::RouteTable ControlRole::routeTable() const
+{
+    Model::RouteTable table;
+    m_private->state->withConfiguration([&](const Control::Configuration& configuration) {
+        if (auto stored = Control::find(configuration, { Model::Kind::RouteTable, Model::routeTableName }))
+            table = std::get<Model::RouteTable>(stored->resource);
+    });
+    return table;
+}
+
+Common::TableNumber ControlRole::routeTableNumber() const
+{
+    Common::TableNumber number;
+    m_private->state->withConfiguration([&](const Control::Configuration& configuration) {
+        if (auto stored = Control::find(configuration, { Model::Kind::RouteTable, Model::routeTableName }))
+            number = std::get<Model::RouteTable>(stored->resource).number;
+    });
+    return number;
+}
+
+void ControlRole::whenChanged(std::function<void()> fn)
+{
+    std::lock_guard lock(m_private->listenerMutex);
+    m_private->listener = std::move(fn);
+}
+
 bool ControlRole::storageFailed() const
 {
     auto all = status();
--- a/Source/Core/Daemon/ControlRole.h
+++ b/Source/Core/Daemon/ControlRole.h
@@ -31,6 +31,12 @@
     void handle(std::string_view bytes, const Peer::Reply&);
     // What operators see of the log shards.
     std::vector<Replica::Status> status() const;
+    std::vector<Common::Address> memberAddresses() const;
+    // The committed route table; number 0 if there is none.
+    Model::RouteTable routeTable() const;
+    Common::TableNumber routeTableNumber() const;
+    // fn is called, from any thread, after each change of the configuration.
+    void whenChanged(std::function<void()> fn);
     bool storageFailed() const;
     void handOver();
     void stop();
--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -3,10 +3,13 @@
 #include "Daemon/ControlRole.h"
 #include "Daemon/EntryRole.h"
 #include "Daemon/Front.h"
+#include "Daemon/FrontEnd.h"
 #include "Http/Server.h"
-#include "Observe/Log.h"
+#include "Observe/EventLog.h"
 #include "Peer/Server.h"
 
+#include <sys/stat.h>
+
 #include <algorithm>
 #include <atomic>
 #include <csignal>
@@ -24,7 +27,7 @@
 namespace {
 
     constexpr int timerShards = 2;
-    constexpr long signalWaitNanoseconds = 200'000'000;
+    constexpr long signalWaitNanoseconds = 500'000'000;
     constexpr Milliseconds workCheckInterval { 20 };
     // Backend servers' connections linger that long after the last answer, so that cancels go out.
     constexpr Milliseconds farewell { 50 };
@@ -35,13 +38,14 @@
         sigemptyset(&set);
         sigaddset(&set, SIGTERM);
         sigaddset(&set, SIGINT);
+        sigaddset(&set, SIGHUP);
         return set;
     }
 
     // All that runs in one process, in the order in which it is made.
     class Process {
     public:
-        explicit Process(const Settings::Daemon&);
+        Process(const Settings::Daemon&, std::string settingsFile, const FrontEnd*);
         ~Process();
 
         Result<void> start();
@@ -50,6 +54,8 @@
 
     private:
         void servePeers();
+        Result<void> openFrontEnd();
+        void reloadIfChanged();
         Result<void> openHttp();
         std::vector<Common::Address> otherProcesses() const;
         static Entry::ControlClientOptions controlOptions(const Settings::Daemon&);
@@ -58,6 +64,9 @@
         bool waitForWork();
 
         const Settings::Daemon& m_settings;
+        const std::string m_settingsFile;
+        timespec m_settingsChanged {};
+        const FrontEnd* m_frontEnd;
         Common::Incarnation m_incarnation;
         Observe::Metrics m_metrics;
         Observe::Timeline m_timeline;
@@ -68,13 +77,19 @@
         std::unique_ptr<Peer::Server> m_peerServer;
         std::unique_ptr<ControlRole> m_control;
         std::unique_ptr<EntryRole> m_entry;
+        std::unique_ptr<RosterKeeper> m_roster;
+        RouteTables m_routeTables { m_controlClient };
+        std::unique_ptr<RelayRole> m_relay;
+        OpenFrontEnd m_openFrontEnd;
         std::atomic<bool> m_draining { false };
         std::unique_ptr<FrontDependencies> m_front;
         std::unique_ptr<Http::Server> m_http;
     };
 
-    Process::Process(const Settings::Daemon& settings)
+    Process::Process(const Settings::Daemon& settings, std::string settingsFile, const FrontEnd* frontEnd)
         : m_settings(settings)
+        , m_settingsFile(std::move(settingsFile))
+        , m_frontEnd(frontEnd)
         , m_incarnation(static_cast<uint64_t>(Clock::wallClock().value()))
         , m_timeline(settings.instance, m_incarnation, static_cast<size_t>(settings.timelineEvents))
         , m_timers(timerShards)
@@ -87,6 +102,8 @@
     Process::~Process()
     {
         m_timers.stop();
+        if (m_openFrontEnd.close)
+            m_openFrontEnd.close();
         if (m_http)
             m_http->close();
         if (m_peerServer)
@@ -101,6 +118,8 @@
         Entry::ControlClientOptions options;
         for (auto& member : settings.control.members)
             options.members.push_back(member.address);
+        for (auto& seed : Settings::seedPeers(settings))
+            options.members.push_back(seed);
         return options;
     }
 
@@ -109,6 +128,8 @@
         Peer::ClientOptions options;
         options.self = m_settings.instance;
         options.threads = m_settings.peer.threads;
+        options.heartbeat = m_settings.peer.heartbeat;
+        options.silence = m_settings.peer.silence;
         options.logicalTime.stamp = [this] { return m_timeline.stamp().value(); };
         options.logicalTime.observe = [this](uint64_t time) { m_timeline.observe(Observe::LogicalTime(time)); };
         return options;
@@ -140,9 +161,53 @@
             [this](const Common::InstanceId&, std::string_view bytes, const Peer::Reply& reply) {
                 m_collector.serve(bytes, reply);
             });
+        m_peerServer->handle(Peer::Service::Roster,
+            [this](const Common::InstanceId&, std::string_view bytes, const Peer::Reply& reply) {
+                if (m_roster)
+                    m_roster->handle(bytes, reply);
+                else
+                    reply(Common::makeError(Reason::NotFound, "roster", "this instance is not a control instance"));
+            });
         m_peerServer->start();
     }
 
+    Result<void> Process::openFrontEnd()
+    {
+        if (!m_frontEnd)
+            return Common::success();
+        BOOST_OUTCOME_TRY(open,
+            m_frontEnd->open({ m_settings, m_relay.get(), m_roster.get(), m_control ? &m_routeTables : nullptr,
+                m_metrics }));
+        m_openFrontEnd = std::move(open);
+        if (m_relay)
+            m_relay->whenTableChanges(m_openFrontEnd.setLimits);
+        return Common::success();
+    }
+
+    // The settings may change with or without a signal. Only the seeds are taken over while running.
+    void Process::reloadIfChanged()
+    {
+        struct stat status {};
+        if (m_settingsFile.empty() || ::stat(m_settingsFile.c_str(), &status))
+            return;
+        bool isSame = status.st_mtim.tv_sec == m_settingsChanged.tv_sec
+            && status.st_mtim.tv_nsec == m_settingsChanged.tv_nsec;
+        bool isFirst = !m_settingsChanged.tv_sec;
+        m_settingsChanged = status.st_mtim;
+        if (isSame || isFirst)
+            return;
+        auto changed = Settings::load(m_settingsFile);
+        if (!changed) {
+            Observe::logEvent(
+                Part::Daemon, "reload-refused", { { "why", Common::describe(changed.error()) } });
+            return;
+        }
+        auto seeds = Settings::seedPeers(changed.value());
+        if (m_relay)
+            m_relay->setSeeds(seeds);
+        Observe::logEvent(Part::Daemon, "reloaded", { { "seeds", std::to_string(seeds.size()) } });
+    }
+
     std::vector<Common::Address> Process::otherProcesses() const
     {
         std::vector<Common::Address> addresses = m_entry ? m_entry->otherInstances() : std::vector<Common::Address> {};
@@ -176,6 +241,14 @@
             BOOST_OUTCOME_TRY(
                 control, ControlRole::open({ m_settings, m_peers, m_controlClient, m_timers, m_metrics, m_timeline }));
             m_control = std::move(control);
+            m_roster = std::make_unique<RosterKeeper>(
+                RosterDependencies { m_settings, m_incarnation, *m_control, m_controlClient, m_timers });
+        }
+        if (m_settings.isRelay) {
+            if (!m_frontEnd)
+                return Common::makeError(Reason::InvalidInput, "start", "role relay: this program has no front end");
+            m_relay = std::make_unique<RelayRole>(RelayDependencies {
+                m_settings, m_peers, m_timers, m_metrics, m_frontEnd->dialect, m_frontEnd->decodeTable });
         }
         if (m_settings.isEntry)
             m_entry = std::make_unique<EntryRole>(EntryDependencies { m_settings, m_incarnation,
@@ -184,10 +257,17 @@
         if (m_entry)
             m_entry->start();
         BOOST_OUTCOME_TRYV(openHttp());
+        BOOST_OUTCOME_TRYV(openFrontEnd());
+        if (m_relay)
+            m_relay->start();
+        reloadIfChanged();
         m_timeline.record(EventKind::ProcessStarted, m_settings.instance.value());
-        LOG_INFO(Part::Daemon,
-            "Instance " << m_settings.instance << " runs. HTTP " << m_settings.http.listen << ", peers "
-                        << m_peerServer->address() << ".");
+        Observe::logEvent(Part::Daemon, "started",
+            { { "instance", m_settings.instance.value() }, { "domain", m_settings.failureDomain.value() },
+                { "http", m_settings.http.listen.value() }, { "peers", m_peerServer->address().value() },
+                { "callers", m_settings.frontEnd.callers.value() },
+                { "control", m_settings.frontEnd.control.value() },
+                { "founds", m_settings.control.found ? "yes" : "no" } });
         return Common::success();
     }
 
@@ -195,7 +275,11 @@
     {
         sigset_t set = stopSignals();
         timespec wait { 0, signalWaitNanoseconds };
-        while (sigtimedwait(&set, nullptr, &wait) < 0) {
+        for (;;) {
+            int signal = sigtimedwait(&set, nullptr, &wait);
+            if (signal == SIGTERM || signal == SIGINT)
+                return;
+            reloadIfChanged();
             if (m_control && m_control->storageFailed()) {
                 LOG_ERROR(Part::Daemon, "Storage has failed. The process ends.");
                 return;
@@ -215,6 +299,8 @@
     {
         auto until = Clock::now() + m_settings.stop.finishBound;
         size_t answers = m_http->waitForAnswers(m_settings.stop.finishBound);
+        if (m_openFrontEnd.waitForAnswers)
+            answers += m_openFrontEnd.waitForAnswers(until - Clock::now());
         while (m_entry && m_entry->inFlight() && Clock::now() < until)
             sleepFor(workCheckInterval);
         size_t work = m_entry ? m_entry->inFlight() : 0;
@@ -229,7 +315,10 @@
     {
         if (m_control && m_control->storageFailed())
             return Common::makeError(Reason::StorageFailed, "run", "storage has failed", m_settings.instance.value());
-        LOG_INFO(Part::Daemon, "Stopping. The balancer has " << m_settings.stop.balancerWait << " ms to notice.");
+        Observe::logEvent(Part::Daemon, "stopping",
+            { { "balancer_wait_ms", std::to_string(m_settings.stop.balancerWait.value()) } });
+        if (m_relay)
+            m_relay->drain();
         m_draining = true;
         m_metrics.set(Observe::Gauge::Draining, 1);
         m_timeline.record(EventKind::ProcessDraining, m_settings.instance.value());
@@ -237,9 +326,13 @@
             m_control->handOver();
         // Callers that the balancer still sends here are served meanwhile, and lose their connection after the answer.
         m_http->closeAfterAnswers();
+        if (m_openFrontEnd.closeAfterAnswers)
+            m_openFrontEnd.closeAfterAnswers();
         sleepFor(m_settings.stop.balancerWait);
         if (m_entry)
             m_entry->drain();
+        if (m_openFrontEnd.closeIdle)
+            m_openFrontEnd.closeIdle();
         bool whole = waitForWork();
         if (m_entry)
             m_entry->stop();
@@ -247,13 +340,13 @@
         whole = waitForWork() && whole;
         sleepFor(farewell);
         m_timeline.record(EventKind::ProcessStopped, m_settings.instance.value());
-        LOG_INFO(Part::Daemon, "Stopped" << (whole ? "." : " with requests cut off."));
+        Observe::logEvent(Part::Daemon, "stopped", { { "whole", whole ? "yes" : "no" } });
         return Common::success();
     }
 
 } // namespace
 
-Result<void> run(const Settings::Daemon& settings)
+Result<void> run(const Settings::Daemon& settings, const std::string& settingsFile, const FrontEnd* frontEnd)
 {
     sigset_t set = stopSignals();
     // Blocked before the first thread starts, so that the signals come to waitForStop() alone.
@@ -263,7 +356,7 @@
     Observe::parseLogLevel(settings.log.level, level);
     Observe::setUpLog(level, settings.log.file);
     Http::setThreadCount(settings.http.threads);
-    Process process(settings);
+    Process process(settings, settingsFile, frontEnd);
     BOOST_OUTCOME_TRYV(process.start());
     process.waitForStop();
     return process.stopGracefully();
--- /dev/null
+++ b/Source/Core/Daemon/RelayRole.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Common/Timers.h"
+#include "Observe/Metrics.h"
+#include "Peer/Client.h"
+#include "Relay/Engine.h"
+#include "Settings/Settings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Daemon {
+
+struct RelayDependencies {
+    const Settings::Daemon& settings;
+    Peer::Client& peers;
+    Common::Timers& timers;
+    Observe::Metrics& metrics;
+    Relay::Dialect dialect;
+    std::function<Common::Result<Routes::Table>(const std::string& document)> decodeTable;
+};
+
+// An instance that relays callers' requests: follows all control instances for route tables and backend servers.
+class RelayRole {
+public:
+    explicit RelayRole(RelayDependencies);
+    ~RelayRole();
+
+    void start();
+    // Calls fn with the limits of each route table that comes in force here.
+    void whenTableChanges(std::function<void(const Routes::CallerLimits&)> fn);
+    void relay(Relay::CallPtr, Relay::Engine::Done);
+    // Whether callers should be sent here.
+    bool isReady() const;
+    void drain();
+    size_t inFlight() const;
+    // The seeds of changed settings.
+    void setSeeds(std::vector<Common::Address> peers);
+    void stop();
+
+private:
+    struct Private;
+    std::shared_ptr<Private> m_private;
+};
+
+} // namespace Daemon
--- a/Source/Core/Daemon/ReplicatedState.cpp
+++ b/Source/Core/Daemon/ReplicatedState.cpp
@@ -45,9 +45,14 @@
         return Common::makeError(Reason::StorageFailed, "make-folder", path + ": " + std::strerror(errno));
     }
 
+    // Revisions kept for followers that lag, where members come and go by themselves: such systems hold few resources.
+    constexpr uint64_t openGroupHistory = 64;
+
     Control::ShardState makeState(LogShardId id, const Settings::Control& settings)
     {
         Control::ConfigurationLimits limits;
+        if (!settings.seeds.empty())
+            limits.history = openGroupHistory;
         limits.rememberedChanges = static_cast<uint64_t>(settings.rememberedChanges);
         Once::Settings once;
         once.maximumRecords = static_cast<uint64_t>(settings.rememberedClaims);
@@ -83,8 +88,18 @@
     std::string apply(Shard&, std::string_view command);
     Result<void> restore(Shard&, std::string_view bytes);
     Shard* find(LogShardId) const;
+    std::optional<Common::Address> addressOf(const Common::InstanceId&) const;
 };
 
+// Where the settings name no members, instances are named by their addresses.
+std::optional<Common::Address> ReplicatedState::Private::addressOf(const Common::InstanceId& instance) const
+{
+    if (!settings.control.seeds.empty())
+        return Common::Address(instance.value());
+    auto it = members.find(instance);
+    return it == members.end() ? std::nullopt : std::optional(it->second);
+}
+
 Shard* ReplicatedState::Private::find(LogShardId id) const
 {
     return id.value() < shards.size() ? shards[id.value()].get() : nullptr;
@@ -125,9 +140,8 @@
 {
     Replica::Hooks out;
     out.send = [this, id = shard.id](const Common::InstanceId& to, const std::string& bytes) {
-        auto it = members.find(to);
-        if (it != members.end())
-            peers.call(it->second, Peer::Service::Consensus, addPrefix(id, bytes), sendTimeout, [](const auto&) {});
+        if (auto address = addressOf(to))
+            peers.call(*address, Peer::Service::Consensus, addPrefix(id, bytes), sendTimeout, [](const auto&) {});
     };
     out.apply = [this, &shard](Common::LogIndex, std::string_view command) { return apply(shard, command); };
     out.snapshot = [&shard] {
@@ -155,6 +169,17 @@
     options.self = settings.instance;
     for (auto& member : settings.control.members)
         options.voters.push_back(member.instance);
+    for (auto& seed : Settings::seedPeers(settings)) {
+        options.contacts.emplace_back(seed.value());
+        if (settings.control.found)
+            options.voters.emplace_back(seed.value());
+    }
+    if (!settings.control.seeds.empty()) {
+        // So many that those which are left after the tolerated losses are a majority.
+        options.targetVoters = static_cast<size_t>(2 * settings.control.tolerated + 1);
+        options.minimumCopies = static_cast<size_t>(settings.control.tolerated + 1);
+    }
+    options.keptEntries = static_cast<uint64_t>(settings.control.keptEntries);
     options.shard = id;
     options.folder = settings.dataFolder + "/log-" + std::to_string(id.value());
     options.electionTimeout = settings.control.electionTimeout;
@@ -264,8 +289,7 @@
     auto leader = shard->log->status().leader;
     if (!leader || *leader == m_private->settings.instance)
         return std::nullopt;
-    auto it = m_private->members.find(*leader);
-    return it == m_private->members.end() ? std::nullopt : std::optional(it->second);
+    return m_private->addressOf(*leader);
 }
 
 std::vector<Replica::Status> ReplicatedState::status() const
@@ -276,6 +300,19 @@
     return all;
 }
 
+std::vector<Common::Address> ReplicatedState::memberAddresses() const
+{
+    std::vector<Common::Address> addresses;
+    auto status = m_private->shards.front()->log->status();
+    for (auto& list : { status.voters, status.learners }) {
+        for (const Common::InstanceId& member : list) {
+            if (auto address = m_private->addressOf(member))
+                addresses.push_back(*address);
+        }
+    }
+    return addresses;
+}
+
 void ReplicatedState::handOver()
 {
     for (auto& shard : m_private->shards)
--- a/Source/Core/Daemon/ReplicatedState.h
+++ b/Source/Core/Daemon/ReplicatedState.h
@@ -44,6 +44,8 @@
     bool leads(Common::LogShardId) const;
     std::optional<Common::Address> leaderOf(Common::LogShardId) const;
     std::vector<Replica::Status> status() const;
+    // Of all members of log shard 0, this one among them.
+    std::vector<Common::Address> memberAddresses() const;
 
     // Gives up every lead, before a planned stop.
     void handOver();
--- /dev/null
+++ b/Source/Core/Daemon/RosterKeeper.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Common/Timers.h"
+#include "Daemon/ControlRole.h"
+#include "Entry/ControlClient.h"
+#include "Peer/Server.h"
+#include "Roster/Registry.h"
+#include "Settings/Settings.h"
+
+#include <memory>
+
+namespace Daemon {
+
+struct RosterDependencies {
+    const Settings::Daemon& settings;
+    Common::Incarnation incarnation;
+    ControlRole& control;
+    Entry::ControlClient& controlClient;
+    Common::Timers& timers;
+};
+
+// A control instance's ear for backend servers: keeps what it hears, in shards by server under their own locks, and
+// tells the instances that follow it.
+class RosterKeeper {
+public:
+    explicit RosterKeeper(RosterDependencies);
+    ~RosterKeeper();
+
+    Roster::Verdict renew(const Roster::Report&);
+    void leave(const Common::BackendServerId&, Common::Incarnation);
+    // Bytes of the service Roster.
+    void handle(std::string_view bytes, const Peer::Reply&);
+    void stop();
+
+private:
+    struct Private;
+    std::shared_ptr<Private> m_private;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Daemon/RouteTables.cpp
@@ -0,0 +1,92 @@
+#include "Daemon/RouteTables.h"
+
+#include "Common/Hash.h"
+#include "Control/StateMachine.h"
+#include "Observe/EventLog.h"
+
+using Common::Clock;
+using Common::Milliseconds;
+using Common::Reason;
+using Common::Result;
+using Control::configurationShard;
+
+namespace Daemon {
+
+namespace {
+
+    // Operators give an answer a second, and longer for large tables.
+    constexpr Milliseconds raiseBound { 2'500 };
+    constexpr Milliseconds readBound { 1'500 };
+
+    // Equal for a resend, so that it gets the first answer.
+    Common::ChangeId changeIdOf(const Model::RouteTable& table)
+    {
+        return Common::ChangeId("routes-" + std::to_string(table.number.value()) + "-"
+            + std::to_string(Common::hash64(table.document)));
+    }
+
+    Result<void> outcomeOf(const Result<Control::Reply>& result)
+    {
+        if (!result)
+            return result.error();
+        auto reply = std::get_if<Control::ProposeReply>(&result.value());
+        if (!reply)
+            return Common::makeError(Reason::Corrupt, "raise-routes", "control sent a reply of another kind");
+        if (auto error = std::get_if<Common::Error>(&reply->result))
+            return *error;
+        auto changed = std::get_if<Control::ChangeOutcome>(&std::get<Control::CommandOutcome>(reply->result));
+        if (!changed)
+            return Common::makeError(Reason::Corrupt, "raise-routes", "control answered another command");
+        if (auto rejected = std::get_if<Control::Rejected>(changed))
+            return rejected->error;
+        return Common::success();
+    }
+
+    Result<Model::RouteTable> tableOf(const Result<Control::Reply>& result)
+    {
+        if (!result)
+            return result.error();
+        auto reply = std::get_if<Control::ReadReply>(&result.value());
+        if (!reply)
+            return Common::makeError(Reason::Corrupt, "read-routes", "control sent a reply of another kind");
+        if (auto error = std::get_if<Common::Error>(&reply->result))
+            return *error;
+        auto& found = std::get<Control::ReadFound>(reply->result);
+        if (found.resources.empty())
+            return Common::makeError(Reason::NotFound, "read-routes", "no route table was declared");
+        return std::get<Model::RouteTable>(found.resources.front().resource);
+    }
+
+} // namespace
+
+RouteTables::RouteTables(Entry::ControlClient& control)
+    : m_control(control)
+{
+}
+
+void RouteTables::raise(const Model::RouteTable& table, std::function<void(Result<void>)> done)
+{
+    Control::Change change;
+    change.id = changeIdOf(table);
+    change.action = Control::Action::Raise;
+    change.key = Model::keyOf(table);
+    change.resource = table;
+    m_control.call(configurationShard, Control::ProposeRequest { configurationShard, change },
+        Clock::now() + raiseBound,
+        [done = std::move(done), number = table.number](const Result<Control::Reply>& result) {
+            auto outcome = outcomeOf(result);
+            Observe::logEvent(Observe::Part::Control, outcome ? "routes-accepted" : "routes-not-accepted",
+                { { "table", std::to_string(number.value()) },
+                    { "why", outcome ? std::string() : Common::describe(outcome.error()) } });
+            done(outcome);
+        });
+}
+
+void RouteTables::read(std::function<void(Result<Model::RouteTable>)> done)
+{
+    m_control.call(configurationShard, Control::ReadRequest { Model::Kind::RouteTable, Model::routeTableName },
+        Clock::now() + readBound,
+        [done = std::move(done)](const Result<Control::Reply>& result) { done(tableOf(result)); });
+}
+
+} // namespace Daemon
--- a/Source/Core/Entry/ControlClient.cpp
+++ b/Source/Core/Entry/ControlClient.cpp
@@ -49,12 +49,21 @@
     Peer::Client& peers;
     Common::Timers& timers;
     Common::ShardedMap<Common::LogShardId, Common::Address> leaders;
+    std::mutex membersMutex; // Guards options.members.
+
+    Common::Address memberAt(size_t n);
 
     void send(const std::shared_ptr<Try>&);
     void answered(const std::shared_ptr<Try>&, const Common::Address& from, const Common::Result<std::string>&);
     void tryNext(const std::shared_ptr<Try>&, Common::Error, const Control::LeaderHint&);
 };
 
+Common::Address ControlClient::Private::memberAt(size_t n)
+{
+    std::lock_guard lock(membersMutex);
+    return options.members.empty() ? Common::Address() : options.members[n % options.members.size()];
+}
+
 void ControlClient::Private::send(const std::shared_ptr<Try>& t)
 {
     Milliseconds left = t->deadline - Clock::now();
@@ -65,7 +74,7 @@
     Common::Address to;
     leaders.ifPresent(t->shard, [&](Common::Address& leader) { to = leader; });
     if (to.value().empty())
-        to = options.members[t->member++ % options.members.size()];
+        to = memberAt(t->member++);
     auto self = shared_from_this();
     peers.call(to, Peer::Service::Control, t->bytes, std::min(left, t->timeout),
         [self, t, to](const Common::Result<std::string>& result) { self->answered(t, to, result); });
@@ -109,6 +118,12 @@
 
 ControlClient::~ControlClient() = default;
 
+void ControlClient::setMembers(std::vector<Common::Address> members)
+{
+    std::lock_guard lock(m_private->membersMutex);
+    m_private->options.members = std::move(members);
+}
+
 void ControlClient::call(Common::LogShardId shard, const Control::Request& request, Common::TimePoint deadline,
     Done done, Milliseconds tryTimeout)
 {
--- a/Source/Core/Entry/ControlClient.h
+++ b/Source/Core/Entry/ControlClient.h
@@ -25,6 +25,8 @@
     ControlClient(ControlClientOptions, Peer::Client&, Common::Timers&);
     ~ControlClient();
 
+    // The control instances, where they come and go.
+    void setMembers(std::vector<Common::Address>);
     // done is called once, by the deadline: with a reply that is not an Unavailable error, or the last error seen.
     using Done = std::function<void(Common::Result<Control::Reply>)>;
     // tryTimeout, if above 0, takes the place of the option: for questions that control holds back on purpose.
--- a/Source/Core/Json/Reader.cpp
+++ b/Source/Core/Json/Reader.cpp
@@ -148,6 +148,25 @@
     return readers;
 }
 
+std::vector<std::string> Reader::texts(const std::string& field)
+{
+    std::vector<std::string> values;
+    const Value* value = find(field);
+    if (!value)
+        return values;
+    if (!value->is_array()) {
+        note(field, foundText(*value), "a list");
+        return values;
+    }
+    for (const Value& item : value->as_array()) {
+        if (item.is_string())
+            values.push_back(item.as_string());
+        else
+            note(field, foundText(item), "texts");
+    }
+    return values;
+}
+
 std::vector<uint64_t> Reader::wholes(const std::string& field, uint64_t limit)
 {
     std::vector<uint64_t> values;
--- a/Source/Core/Json/Reader.h
+++ b/Source/Core/Json/Reader.h
@@ -36,6 +36,7 @@
     bool flag(const std::string& field, bool fallback);
     Reader object(const std::string& field);
     std::vector<Reader> objects(const std::string& field);
+    std::vector<std::string> texts(const std::string& field);
     std::vector<uint64_t> wholes(const std::string& field, uint64_t limit);
     // Notes fields that nobody asked for.
     void close();
--- a/Source/Core/Observe/Log.cpp
+++ b/Source/Core/Observe/Log.cpp
@@ -1,5 +1,6 @@
 #include "Observe/Log.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/helpers/transcoder.h>
@@ -52,9 +53,24 @@
         return loggers[static_cast<size_t>(part)];
     }
 
+    // Lines that wait for a reader of standard output that is slow or has stopped.
+    constexpr int queuedLines = 2'048;
+
+    log4cxx::AppenderPtr makeQueued(const log4cxx::AppenderPtr& appender)
+    {
+        auto queue = std::make_shared<log4cxx::AsyncAppender>();
+        queue->setBufferSize(queuedLines);
+        queue->setBlocking(false);
+        queue->addAppender(appender);
+        return queue;
+    }
+
     log4cxx::AppenderPtr makeAppender(const std::string& path)
     {
         auto layout = std::make_shared<log4cxx::PatternLayout>(toLogString(linePattern));
+        if (path == standardOutput)
+            return makeQueued(std::make_shared<log4cxx::ConsoleAppender>(
+                layout, log4cxx::ConsoleAppender::getSystemOut()));
         if (!path.empty())
             return std::make_shared<log4cxx::FileAppender>(layout, toLogString(path), true);
         return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
@@ -91,8 +107,14 @@
         return "once";
     case Part::Peer:
         return "peer";
+    case Part::Platform:
+        return "platform";
+    case Part::Relay:
+        return "relay";
     case Part::Replica:
         return "replica";
+    case Part::Roster:
+        return "roster";
     case Part::Routing:
         return "routing";
     case Part::Settings:
--- a/Source/Core/Observe/Log.h
+++ b/Source/Core/Observe/Log.h
@@ -20,7 +20,10 @@
     Membership,
     Once,
     Peer,
+    Platform,
+    Relay,
     Replica,
+    Roster,
     Routing,
     Settings,
     StandIn,
@@ -40,8 +43,12 @@
 // Returns false if no level has this name: "debug", "info", "warning", "error".
 bool parseLogLevel(const std::string&, LogLevel&);
 
-// Sends lines of the level and above to standard error or, if a path is given, to the end of that file.
-// Called once, before other threads start.
+// The path that stands for standard output.
+inline constexpr const char* standardOutput = "-";
+
+// Sends lines of the level and above to standard error, to standard output, or to the end of a file. Lines to standard
+// output wait in a bounded queue for a thread of their own: when it is full they are dropped, and their number is
+// logged. Called once, before other threads start.
 void setUpLog(LogLevel, const std::string& path = {});
 // May be called at any time, from any thread.
 void setLogLevel(LogLevel);
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <mutex>
 #include <optional>
+#include <thread>
 #include <variant>
 
 using Common::AttemptId;
@@ -21,7 +22,6 @@
 using Common::Reason;
 using Common::TimePoint;
 using Observe::Counter;
-using Observe::Part;
 
 namespace Relay {
 
@@ -247,7 +247,7 @@
     auto refuse = [&](Reason reason, const char* message, Milliseconds retryAfter) {
         auto error = Common::makeError(reason, "admit", message);
         metrics.count(Counter::Refusals, Common::reasonCode(reason));
-        Observe::logEvent(Part::Relay, "refused",
+        Observe::logEvent(Observe::Part::Relay, "refused",
             { { "request", call->id.value() }, { "reason", Common::reasonCode(reason) }, { "why", message },
                 { "host", call->host }, { "path", call->path },
                 { "table", std::to_string(routes ? routes->number.value() : 0) } });
@@ -310,7 +310,7 @@
         return true;
     });
     auto fail = [&](Reason reason, const char* message) {
-        Observe::logEvent(Part::Relay, "not-sent",
+        Observe::logEvent(Observe::Part::Relay, "not-sent",
             { { "request", running->call->id.value() }, { "group", group.value() },
                 { "purpose", purposeName(send.purpose) }, { "why", message } });
         step(running, id, [&](Query& query) {
@@ -375,7 +375,7 @@
                                                      : Counter::Hedges,
             running->query.route->name.value());
         if (send.purpose != Purpose::First) {
-            Observe::logEvent(Part::Relay, "sent-again",
+            Observe::logEvent(Observe::Part::Relay, "sent-again",
                 { { "request", running->call->id.value() }, { "group", group.value() },
                     { "server", usable[i].server.value() }, { "purpose", purposeName(send.purpose) } });
         }
@@ -414,7 +414,7 @@
                 [&](Routing::LatencyStats& stats) { Routing::record(stats, took); });
             metrics.observe(Observe::Latency::SubRequest, took, running->query.route->name.value());
         } else {
-            Observe::logEvent(Part::Relay, "server-failed",
+            Observe::logEvent(Observe::Part::Relay, "server-failed",
                 { { "request", running->call->id.value() }, { "server", flight->server.value() },
                     { "status", std::to_string(answer.status) }, { "took_ms", toText(took) } });
         }
@@ -429,7 +429,7 @@
     pool.giveBack(flight->server, flight->connection, flight->sentAt,
         { isOurs ? Outcome::Kind::GivenUp : Outcome::Kind::Unreachable, took }, now);
     if (!isOurs) {
-        Observe::logEvent(Part::Relay, "send-failed",
+        Observe::logEvent(Observe::Part::Relay, "send-failed",
             { { "request", running->call->id.value() }, { "server", flight->server.value() },
                 { "why", error.message }, { "took_ms", toText(took) } });
     }
@@ -543,7 +543,7 @@
     // The number of queries so far spreads the sample over all routes.
     if (isServed && nextQuery % servedLogged)
         return;
-    Observe::logEvent(Part::Relay, outcome,
+    Observe::logEvent(Observe::Part::Relay, outcome,
         { { "request", running.call->id.value() }, { "route", route }, { "took_ms", toText(took) },
             { "aim_ms", toText(running.query.route->aim) }, { "detail", detail },
             { "table", std::to_string(running.query.table->number.value()) } });
--- a/Source/Core/Relay/Query.cpp
+++ b/Source/Core/Relay/Query.cpp
@@ -61,7 +61,7 @@
     {
         for (Part& part : query.parts) {
             for (const Attempt& attempt : part.attempts)
-                effects.push_back(Abandon { attempt.id });
+                effects.emplace_back(Abandon { attempt.id });
             part.attempts.clear();
         }
     }
@@ -97,7 +97,7 @@
     {
         query.finished = true;
         abandonAll(query, effects);
-        effects.push_back(Finish { std::move(answer) });
+        effects.emplace_back(Finish { std::move(answer) });
     }
 
     void ask(Query& query, size_t index, Purpose purpose, bool isRepeat, Effects& effects)
@@ -108,7 +108,7 @@
         attempt.id = AttemptId(query.nextAttempt++);
         attempt.purpose = purpose;
         part.attempts.push_back(attempt);
-        effects.push_back(Send { attempt.id, index, purpose, isRepeat, part.used });
+        effects.emplace_back(Send { attempt.id, index, purpose, isRepeat, part.used });
     }
 
     bool canAskAgain(const Query& query, const Part& part, TimePoint now)
@@ -150,7 +150,7 @@
         if (query.wakeAt > now && query.wakeAt <= next && next - query.wakeAt < wakeSlack)
             return;
         query.wakeAt = next;
-        effects.push_back(WakeAt { next });
+        effects.emplace_back(WakeAt { next });
     }
 
     // After an attempt ended without an answer that can be used.
@@ -181,7 +181,7 @@
         --query.open;
         ++query.in;
         for (const Attempt& other : part.attempts)
-            effects.push_back(Abandon { other.id });
+            effects.emplace_back(Abandon { other.id });
         part.attempts.clear();
     }
 
--- a/Source/Core/Relay/ServerPool.cpp
+++ b/Source/Core/Relay/ServerPool.cpp
@@ -71,7 +71,9 @@
 {
     std::set<Common::BackendServerId> kept(ids.begin(), ids.end());
     m_servers.eraseIf(
-        [&](const Common::BackendServerId& id, Server& server) { return server.load.live.empty() && !kept.count(id); });
+        [&](const Common::BackendServerId& id, const Server& server) {
+        return server.load.live.empty() && !kept.count(id);
+    });
 }
 
 size_t ServerPool::openConnections()
--- a/Source/Core/Replica/LogShard.cpp
+++ b/Source/Core/Replica/LogShard.cpp
@@ -469,7 +469,7 @@
 
 Result<std::unique_ptr<LogShard>> LogShard::open(Options options, Hooks hooks, const Storage::Files& files)
 {
-    if (options.voters.empty())
+    if (options.voters.empty() && options.contacts.empty())
         return Common::makeError(Common::Reason::InvalidInput, "open-log-shard", "voters: expected at least one");
     BOOST_OUTCOME_TRY(store, Storage::Store::open(files, options.folder, makeIdentity()));
     BOOST_OUTCOME_TRY(recovered, toRecovered(store->takeContent()));
@@ -479,6 +479,10 @@
     Consensus::Options consensus;
     consensus.self = { options.self, Consensus::StorageId(store->identity().value()) };
     consensus.initialVoters = options.voters;
+    consensus.contacts = options.contacts;
+    consensus.targetVoters = options.targetVoters;
+    consensus.minimumCopies = options.minimumCopies;
+    consensus.keptEntries = options.keptEntries;
     consensus.electionTimeout = options.electionTimeout;
     consensus.heartbeat = options.heartbeat;
     Consensus::State state = makeState(std::move(consensus), std::move(recovered), timerSeed(options), Clock::now());
--- a/Source/Core/Replica/LogShard.h
+++ b/Source/Core/Replica/LogShard.h
@@ -26,6 +26,10 @@
     Common::Milliseconds electionTimeout { 400 };
     Common::Milliseconds heartbeat { 100 };
     uint64_t snapshotEvery { 4096 }; // Entries applied between two snapshots.
+    uint64_t keptEntries { 1024 }; // Left in the log below a snapshot.
+    std::vector<Common::InstanceId> contacts; // See Consensus::Options for these three.
+    size_t targetVoters { 0 };
+    size_t minimumCopies { 1 };
     uint64_t seed { 1 }; // Of the election timer.
 };
 
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -50,24 +50,30 @@
                 daemon.isEntry = true;
             else if (role == "control")
                 daemon.isControl = true;
+            else if (role == "relay")
+                daemon.isRelay = true;
             else
-                root.note("roles", "'" + role + "'", "entry or control");
+                root.note("roles", "'" + role + "'", "entry, control or relay");
         }
-        if (!daemon.isEntry && !daemon.isControl)
-            root.note("roles", "empty", "entry, control or both");
+        if (!daemon.isEntry && !daemon.isControl && !daemon.isRelay)
+            root.note("roles", "empty", "entry, control or relay");
     }
 
     void readPeer(Section section, Peer& peer)
     {
         peer.listen = readAddress(section, "listen", peer.listen);
         peer.threads = readCount(section, "threads", peer.threads, 1, maximumThreads);
+        peer.heartbeat = readTime(section, "heartbeat_ms", peer.heartbeat, 10);
+        peer.silence = readTime(section, "silence_ms", peer.silence, 20);
+        if (peer.heartbeat * 2 > peer.silence)
+            section.note("heartbeat_ms", std::to_string(peer.heartbeat.value()), "at most half of silence_ms");
         section.close();
     }
 
     void readHttp(Section section, Http& http)
     {
         http.listen = readAddress(section, "listen", http.listen);
-        http.threads = readCount(section, "threads", http.threads, 2, maximumThreads);
+        http.threads = readCount(section, "threads", http.threads, 1, maximumThreads);
         http.maximumBody = Common::Bytes(section.whole("maximum_body_bytes", http.maximumBody.value(), 1024, 1 << 30));
         http.bodyTimeout = readTime(section, "body_timeout_ms", http.bodyTimeout);
         section.close();
@@ -85,19 +91,33 @@
                 item.note("instance", "'" + member.instance.value() + "' twice", "each instance once");
             control.members.push_back(member);
         }
-        if (control.members.empty())
-            section.note("members", "empty", "the control instances, an odd number of them");
+        if (control.members.empty() == control.seeds.empty())
+            section.note("members", control.members.empty() ? "empty" : "given together with seeds",
+                "the control instances, an odd number of them, or seeds");
+    }
+
+    void readSeeds(Section& section, Control& control)
+    {
+        for (const std::string& seed : section.texts("seeds")) {
+            if (!isAddress(seed))
+                section.note("seeds", "'" + seed + "'", "IP:PORT");
+            control.seeds.emplace_back(seed);
+        }
+        control.found = section.flag("found", control.found);
+        control.tolerated = readCount(section, "tolerated", control.tolerated, 0, 4);
     }
 
     void readControl(Section section, Control& control)
     {
+        readSeeds(section, control);
         readMembers(section, control);
-        control.claimShards = readCount(section, "claim_shards", control.claimShards, 1, 64);
+        control.claimShards = readCount(section, "claim_shards", control.claimShards, 0, 64);
         control.electionTimeout = readTime(section, "election_timeout_ms", control.electionTimeout, 50);
         control.heartbeat = readTime(section, "heartbeat_ms", control.heartbeat, 5);
         control.lease = readTime(section, "lease_ms", control.lease, 100);
         control.renewal = readTime(section, "renewal_ms", control.renewal, 10);
         control.snapshotEvery = section.whole("snapshot_every", control.snapshotEvery, 10, 100'000'000);
+        control.keptEntries = section.whole("kept_entries", control.keptEntries, 1, 1'000'000);
         control.rememberedChanges = section.whole("remembered_changes", control.rememberedChanges, 1, 10'000'000);
         control.rememberedClaims = section.whole("remembered_claims", control.rememberedClaims, 1, 100'000'000);
         if (control.heartbeat * 2 > control.electionTimeout)
@@ -119,6 +139,38 @@
         section.close();
     }
 
+    void readRelay(Section section, Relay& relay)
+    {
+        relay.returnMargin = readTime(section, "return_margin_ms", relay.returnMargin, 0);
+        relay.repeatRatio = Common::Ratio(section.number("repeat_ratio", relay.repeatRatio.value(), 0, 1));
+        relay.repeatMinimum = section.number("repeat_minimum", relay.repeatMinimum, 0, 1e6);
+        relay.repeatWindow = readTime(section, "repeat_window_ms", relay.repeatWindow, 100);
+        section.close();
+    }
+
+    void readRoster(Section section, Roster& roster)
+    {
+        roster.silence = readTime(section, "silence_ms", roster.silence, 100);
+        section.close();
+    }
+
+    Common::Address readOptionalAddress(Section& section, const std::string& field)
+    {
+        std::string text = section.text(field, "");
+        if (!text.empty() && !isAddress(text))
+            section.note(field, "'" + text + "'", "IP:PORT or nothing");
+        return Common::Address(text);
+    }
+
+    void readFrontEnd(Section section, FrontEnd& frontEnd)
+    {
+        frontEnd.callers = readOptionalAddress(section, "callers");
+        frontEnd.readiness = readOptionalAddress(section, "readiness");
+        frontEnd.control = readOptionalAddress(section, "control");
+        frontEnd.metrics = readOptionalAddress(section, "metrics");
+        section.close();
+    }
+
     void readStop(Section section, Stop& stop)
     {
         stop.balancerWait = readTime(section, "balancer_wait_ms", stop.balancerWait, 0);
@@ -143,6 +195,8 @@
         if (daemon.dataFolder.empty())
             root.note("data_folder", "absent", "a folder, for the role control");
         const auto& members = daemon.control.members;
+        if (members.empty())
+            return;
         auto isSelf = [&](const ControlMember& member) { return member.instance == daemon.instance; };
         if (!members.empty() && std::none_of(members.begin(), members.end(), isSelf))
             root.note("instance", "'" + daemon.instance.value() + "'", "one of control.members, for the role control");
@@ -159,6 +213,9 @@
         readHttp(root.section("http"), daemon.http);
         readControl(root.section("control"), daemon.control);
         readEntry(root.section("entry"), daemon.entry);
+        readRelay(root.section("relay"), daemon.relay);
+        readRoster(root.section("roster"), daemon.roster);
+        readFrontEnd(root.section("front_end"), daemon.frontEnd);
         readStop(root.section("stop"), daemon.stop);
         readLog(root.section("log"), daemon.log);
         daemon.timelineEvents = readCount(root, "timeline_events", daemon.timelineEvents, 64, 1 << 20);
@@ -170,6 +227,17 @@
 
 } // namespace
 
+std::vector<Common::Address> seedPeers(const Daemon& daemon)
+{
+    const std::string& own = daemon.peer.listen.value();
+    std::vector<Common::Address> peers;
+    for (const Common::Address& seed : daemon.control.seeds) {
+        std::string host = seed.value().substr(0, seed.value().rfind(':'));
+        peers.emplace_back(host + own.substr(own.rfind(':')));
+    }
+    return peers;
+}
+
 Result<Daemon> parse(const std::string& file, const std::string& text)
 {
     BOOST_OUTCOME_TRY(root, Section::parse(file, text));
--- a/Source/Core/Wire/ResourceParts.cpp
+++ b/Source/Core/Wire/ResourceParts.cpp
@@ -141,7 +141,7 @@
 
 Model::ResourceKey read(ControlSchema::ResourceKey::Reader in)
 {
-    return { fromNumber(in.getKind(), Model::Kind::Instance), fromText(in.getName()) };
+    return { fromNumber(in.getKind(), Model::Kind::RouteTable), fromText(in.getName()) };
 }
 
 void write(ControlSchema::StoredResource::Builder out, const Control::StoredResource& stored)
@@ -169,7 +169,7 @@
 Control::Change read(ControlSchema::Change::Reader in)
 {
     Control::Change change { fromText<Common::ChangeId>(in.getId()),
-        fromNumber(in.getAction(), Control::Action::Delete), read(in.getKey()), std::nullopt,
+        fromNumber(in.getAction(), Control::Action::Raise), read(in.getKey()), std::nullopt,
         Revision(in.getMadeFrom()) };
     if (in.hasResource())
         change.resource = read(in.getResource());
