--- /dev/null
+++ b/Source/UnitTests/Limits/RepeatBudgetTest.cpp
@@ -0,0 +1,62 @@
+#include "Limits/RepeatBudget.h"
+
+#include <gtest/gtest.h>
+
+using Common::Milliseconds;
+using Common::TimePoint;
+using Limits::RepeatBudget;
+using Limits::RepeatRule;
+
+namespace {
+
+const RepeatRule rule { Common::Ratio(0.2), 56, Milliseconds(10'000) };
+
+TimePoint at(double ms) { return TimePoint(Milliseconds(ms)); }
+
+} // namespace
+
+// All instances spend all they can: no window holds more repeats than the rule allows in all.
+TEST(RepeatBudget, HoldsInEachWindowOverAllInstances)
+{
+    constexpr size_t instances = 8;
+    constexpr int step = 20;
+    constexpr int end = 60'000;
+    std::vector<RepeatBudget> budgets(instances);
+    std::vector<int> firsts;
+    std::vector<int> repeats;
+    for (int ms = 0; ms < end; ms += step) {
+        int first = 0;
+        int repeated = 0;
+        for (size_t i = 0; i < instances; ++i) {
+            if ((static_cast<size_t>(ms / step) + i) % 4 == 0) {
+                Limits::countFirstSend(budgets[i], rule, at(ms));
+                ++first;
+            }
+            while (Limits::tryTakeRepeat(budgets[i], rule, instances, at(ms)))
+                ++repeated;
+        }
+        firsts.push_back(first);
+        repeats.push_back(repeated);
+    }
+    constexpr int window = 10'000 / step;
+    for (size_t from = 0; from + window <= firsts.size(); ++from) {
+        int first = 0;
+        int repeated = 0;
+        for (size_t i = from; i < from + window; ++i) {
+            first += firsts[i];
+            repeated += repeats[i];
+        }
+        ASSERT_LE(repeated, 0.2 * first + 56) << "from " << from * step << " ms";
+    }
+}
+
+TEST(RepeatBudget, GivesALoneInstanceTheWholeMinimum)
+{
+    RepeatBudget budget;
+    int taken = 0;
+    while (Limits::tryTakeRepeat(budget, rule, 1, at(0)))
+        ++taken;
+    EXPECT_GT(taken, 40);
+    EXPECT_LE(taken, 56);
+    EXPECT_TRUE(Limits::tryTakeRepeat(budget, rule, 1, at(20'000)));
+}
--- /dev/null
+++ b/Source/UnitTests/Relay/LoadTest.cpp
@@ -0,0 +1,50 @@
+#include "Relay/Load.h"
+
+#include <gtest/gtest.h>
+
+using Common::Milliseconds;
+using Common::TimePoint;
+using Relay::Load;
+using Relay::Outcome;
+
+namespace {
+
+TimePoint at(double ms) { return TimePoint(Milliseconds(ms)); }
+
+Load answering(double latency)
+{
+    Load load;
+    for (int i = 0; i < 20; ++i) {
+        begin(load, at(i * 100));
+        end(load, at(i * 100), { Outcome::Kind::Answered, Milliseconds(latency) }, at(i * 100 + latency));
+    }
+    return load;
+}
+
+} // namespace
+
+TEST(Load, ExpectsWhatItObserved) { EXPECT_NEAR(expectedLatency(answering(30), at(5'000)).value(), 30, 1); }
+
+TEST(Load, AServerThatStandsStillIsExpectedToGoOnSo)
+{
+    Load load = answering(30);
+    begin(load, at(5'000));
+    EXPECT_NEAR(expectedLatency(load, at(5'040)).value(), 30, 1);
+    EXPECT_GT(expectedLatency(load, at(5'200)).value(), 200);
+}
+
+TEST(Load, TroublesPauseLongerEachTimeAndAnAnswerEndsThem)
+{
+    Load load;
+    Milliseconds earlier;
+    for (int i = 0; i < 5; ++i) {
+        begin(load, at(i));
+        end(load, at(i), { Outcome::Kind::Failed, Milliseconds(1) }, at(i));
+        EXPECT_GT(load.pausedUntil - at(i), earlier);
+        earlier = load.pausedUntil - at(i);
+    }
+    begin(load, at(9));
+    end(load, at(9), { Outcome::Kind::Answered, Milliseconds(1) }, at(10));
+    EXPECT_LE(load.pausedUntil, at(10));
+    EXPECT_TRUE(load.live.empty());
+}
--- /dev/null
+++ b/Source/UnitTests/Relay/QueryTest.cpp
@@ -0,0 +1,243 @@
+#include "Relay/Query.h"
+
+#include "Relay/Merge.h"
+
+#include <gtest/gtest.h>
+
+using Common::AttemptId;
+using Common::BackendServerId;
+using Common::GroupName;
+using Common::Milliseconds;
+using Common::Reason;
+using Common::TimePoint;
+using namespace Relay;
+
+namespace {
+
+TimePoint at(double ms) { return TimePoint(Milliseconds(ms)); }
+
+const Times times { at(0), at(100), at(1'000) };
+
+Routes::Route baseRoute(Routes::Repeat repeat)
+{
+    Routes::Route route;
+    route.name = Common::RouteName("r");
+    route.repeat = repeat;
+    route.maximumAttempts = 2;
+    route.aim = Milliseconds(100);
+    route.timeout = Milliseconds(1'000);
+    return route;
+}
+
+struct Case {
+    Routes::Route route;
+    Query query;
+
+    explicit Case(size_t groups, double least = 0.75)
+        : route(baseRoute(Routes::Repeat::Allowed))
+    {
+        route.fan = Routes::Fan { {}, 2, Common::Ratio(least) };
+        for (size_t i = 0; i < groups; ++i)
+            route.fan->groups.emplace_back("g" + std::to_string(i));
+        query = makeQuery(nullptr, route, GroupName(), times);
+    }
+
+    explicit Case(Routes::Repeat repeat)
+        : route(baseRoute(repeat))
+    {
+        query = makeQuery(nullptr, route, GroupName("g"), times);
+    }
+    Case(const Case&) = delete;
+};
+
+template <typename T> std::vector<T> all(const Effects& effects)
+{
+    std::vector<T> found;
+    for (auto& effect : effects) {
+        if (auto one = std::get_if<T>(&effect))
+            found.push_back(*one);
+    }
+    return found;
+}
+
+std::vector<AttemptId> begin(Query& query)
+{
+    std::vector<AttemptId> ids;
+    for (auto& send : all<Send>(start(query, at(0)))) {
+        EXPECT_TRUE(sent(query, send.attempt, BackendServerId("s" + std::to_string(send.attempt.value())), at(0),
+            Milliseconds(40)));
+        ids.push_back(send.attempt);
+    }
+    return ids;
+}
+
+SubAnswer success(const char* signature, std::string body = {})
+{
+    SubAnswer answer;
+    answer.outcome = SubAnswer::Outcome::Success;
+    answer.status = 200;
+    answer.signature = signature;
+    answer.body = std::move(body);
+    return answer;
+}
+
+SubAnswer answerOf(SubAnswer::Outcome outcome, int status)
+{
+    SubAnswer answer;
+    answer.outcome = outcome;
+    answer.status = status;
+    return answer;
+}
+
+template <typename T> const T* answerIn(const Effects& effects)
+{
+    static std::vector<Finish> kept;
+    kept = all<Finish>(effects);
+    return kept.empty() ? nullptr : std::get_if<T>(&kept.front().answer);
+}
+
+const Common::Error broken { Reason::ConnectionLost, "request", "s", "reset" };
+
+} // namespace
+
+TEST(Query, AnswersOnceAllPartsAreIn)
+{
+    Case c(2);
+    auto ids = begin(c.query);
+    ASSERT_EQ(ids.size(), 2u);
+    EXPECT_FALSE(answerIn<Merged>(answered(c.query, ids[0], success("a"), at(10))));
+    auto merged = answerIn<Merged>(answered(c.query, ids[1], success("b"), at(11)));
+    ASSERT_TRUE(merged);
+    EXPECT_EQ(merged->signatures, (std::vector<std::string> { "a", "b" }));
+    EXPECT_EQ(merged->missing, 0u);
+}
+
+TEST(Query, AnswersPartlyAtTheAimIfEnoughIsIn)
+{
+    Case c(4);
+    auto ids = begin(c.query);
+    for (int i = 0; i < 3; ++i)
+        answered(c.query, ids[static_cast<size_t>(i)], success("s"), at(10));
+    EXPECT_FALSE(answerIn<Merged>(wake(c.query, at(50))));
+    auto merged = answerIn<Merged>(wake(c.query, at(100)));
+    ASSERT_TRUE(merged);
+    EXPECT_EQ(merged->missing, 1u);
+}
+
+TEST(Query, WaitsPastTheAimForTheLeastShareAndAnswersAtOnce)
+{
+    Case c(4);
+    auto ids = begin(c.query);
+    for (int i = 0; i < 2; ++i)
+        answered(c.query, ids[static_cast<size_t>(i)], success("s"), at(10));
+    EXPECT_TRUE(all<Finish>(wake(c.query, at(100))).empty());
+    EXPECT_TRUE(answerIn<Merged>(answered(c.query, ids[2], success("s"), at(130))));
+}
+
+TEST(Query, GivesUpAtOnceWhenTheLeastShareCanNotBeReached)
+{
+    Case c(4);
+    auto ids = begin(c.query);
+    Effects last;
+    for (int i = 0; i < 2; ++i) {
+        auto retries = all<Send>(lost(c.query, ids[static_cast<size_t>(i)], Loss::Unknown, broken, at(5)));
+        ASSERT_EQ(retries.size(), 1u);
+        EXPECT_TRUE(retries.front().isRepeat);
+        last = notSent(c.query, retries.front().attempt, broken, at(5));
+    }
+    auto refusal = answerIn<Refusal>(last);
+    ASSERT_TRUE(refusal);
+    EXPECT_FALSE(refusal->hasNotRun) << "a part may have run";
+}
+
+TEST(Query, HedgesALatePartOnceAndAtAnotherServer)
+{
+    Case c(1, 0);
+    auto ids = begin(c.query);
+    EXPECT_TRUE(all<Send>(wake(c.query, at(39))).empty());
+    auto hedges = all<Send>(wake(c.query, at(40)));
+    ASSERT_EQ(hedges.size(), 1u);
+    EXPECT_EQ(hedges.front().purpose, Purpose::Hedge);
+    EXPECT_EQ(hedges.front().avoid, std::vector<BackendServerId> { BackendServerId("s1") });
+    EXPECT_TRUE(all<Send>(wake(c.query, at(60))).empty());
+    sent(c.query, hedges.front().attempt, BackendServerId("t"), at(40), {});
+    auto effects = answered(c.query, hedges.front().attempt, success("b"), at(70));
+    EXPECT_TRUE(answerIn<Merged>(effects));
+    EXPECT_EQ(all<Abandon>(effects).size(), 1u);
+}
+
+TEST(Query, NeverRunsMoreOftenThanTheRouteAllows)
+{
+    Case c(1, 0);
+    auto ids = begin(c.query);
+    auto retry = all<Send>(lost(c.query, ids[0], Loss::Unknown, broken, at(1)));
+    ASSERT_EQ(retry.size(), 1u);
+    sent(c.query, retry.front().attempt, BackendServerId("t"), at(1), Milliseconds(1));
+    EXPECT_TRUE(all<Send>(wake(c.query, at(50))).empty());
+    auto effects = lost(c.query, retry.front().attempt, Loss::Unknown, broken, at(60));
+    EXPECT_TRUE(all<Send>(effects).empty());
+    EXPECT_TRUE(answerIn<Refusal>(effects));
+}
+
+TEST(Query, WhatRunsAtMostOnceIsSentAgainOnlyIfItDidNotRun)
+{
+    {
+        Case c(Routes::Repeat::Never);
+        auto ids = begin(c.query);
+        EXPECT_TRUE(all<Send>(wake(c.query, at(500))).empty()) << "no hedge";
+        auto effects = lost(c.query, ids[0], Loss::Unknown, broken, at(510));
+        EXPECT_TRUE(all<Send>(effects).empty());
+        ASSERT_TRUE(answerIn<Refusal>(effects));
+        EXPECT_FALSE(answerIn<Refusal>(effects)->hasNotRun);
+    }
+    {
+        Case c(Routes::Repeat::Never);
+        auto ids = begin(c.query);
+        auto again = all<Send>(answered(c.query, ids[0], answerOf(SubAnswer::Outcome::NotRun, 503), at(5)));
+        ASSERT_EQ(again.size(), 1u);
+        auto effects = notSent(c.query, again.front().attempt, broken, at(6));
+        ASSERT_TRUE(answerIn<Refusal>(effects));
+        EXPECT_TRUE(answerIn<Refusal>(effects)->hasNotRun);
+        EXPECT_GT(answerIn<Refusal>(effects)->retryAfter, Milliseconds(0));
+    }
+}
+
+TEST(Query, ForwardsAServersFailureAsItCame)
+{
+    Case c(Routes::Repeat::Never);
+    auto ids = begin(c.query);
+    auto effects = answered(c.query, ids[0], answerOf(SubAnswer::Outcome::Failure, 500), at(5));
+    ASSERT_TRUE(answerIn<Forwarded>(effects));
+    EXPECT_EQ(answerIn<Forwarded>(effects)->answer.status, 500);
+}
+
+TEST(Query, LeavesNothingBehindWhenTheCallerGoes)
+{
+    Case c(3);
+    begin(c.query);
+    auto effects = callerGone(c.query, at(10));
+    EXPECT_TRUE(answerIn<Abandoned>(effects));
+    EXPECT_EQ(all<Abandon>(effects).size(), 3u);
+    EXPECT_TRUE(wake(c.query, at(20)).empty());
+}
+
+TEST(Query, EndsWithTheTime)
+{
+    Case c(2);
+    begin(c.query);
+    auto effects = wake(c.query, at(1'000));
+    ASSERT_TRUE(answerIn<Refusal>(effects));
+    EXPECT_EQ(answerIn<Refusal>(effects)->error.reason, Reason::DeadlineExceeded);
+}
+
+TEST(Merge, TakesTheGreatestRecordsOfAll)
+{
+    std::string low(recordSize, 'a');
+    std::string middle(recordSize, 'b');
+    std::string high(recordSize, '\xff');
+    std::string first = low + high + "rest";
+    std::string second = middle + high;
+    EXPECT_EQ(greatestRecords({ &first, &second }, 3), high + high + middle);
+    EXPECT_EQ(greatestRecords({ &first }, 9), high + low);
+    EXPECT_EQ(greatestRecords({}, 3), "");
+}
