--- a/Source/UnitTests/Consensus/StepTest.cpp
+++ b/Source/UnitTests/Consensus/StepTest.cpp
@@ -224,3 +224,109 @@
     for (const std::string& it : cluster.history().violations())
         ADD_FAILURE() << it;
 }
+
+namespace {
+
+// Member a leads a group of three that admits others. Rounds go on as if the members named were alive.
+struct OpenGroup {
+    Consensus::State state = leader();
+    TimePoint now { Milliseconds(390) };
+
+    OpenGroup(size_t targetVoters, size_t minimumCopies)
+    {
+        state.options.targetVoters = targetVoters;
+        state.options.minimumCopies = minimumCopies;
+    }
+
+    void round(const std::vector<MemberId>& alive)
+    {
+        step(state, Consensus::Persisted { state.lastWrite }, now);
+        for (const MemberId& id : alive)
+            step(state, appendReply(state, id, lastIndex(state.log).value()), now);
+        now = now + state.options.heartbeat;
+        step(state, Consensus::Tick {}, now);
+    }
+
+    bool votes(const MemberId& id) const { return isVoter(membership(state), id); }
+};
+
+const MemberId memberB = member("b", 2);
+const MemberId memberC = member("c", 3);
+const MemberId newcomer = member("d", 4);
+
+} // namespace
+
+TEST(OpenGroup, AdmitsANewcomerWhileThereAreTooFewVoters)
+{
+    OpenGroup group(5, 1);
+    group.round({ memberB, memberC });
+    step(group.state, announce(newcomer), group.now);
+    for (int i = 0; i < 6; ++i)
+        group.round({ memberB, memberC, newcomer });
+    EXPECT_TRUE(group.votes(newcomer));
+    EXPECT_EQ(voterCount(membership(group.state)), 4u);
+}
+
+TEST(OpenGroup, ANewcomerTakesThePlaceOfASilentVoterOnly)
+{
+    OpenGroup group(3, 1);
+    group.round({ memberB, memberC });
+    step(group.state, announce(newcomer), group.now);
+    for (int i = 0; i < 10; ++i)
+        group.round({ memberB, memberC, newcomer });
+    EXPECT_FALSE(group.votes(newcomer));
+    for (int i = 0; i < 20; ++i)
+        group.round({ memberB, newcomer });
+    EXPECT_TRUE(group.votes(memberC)) << "silent for 2.0 s only";
+    for (int i = 0; i < 12; ++i)
+        group.round({ memberB, newcomer });
+    EXPECT_TRUE(group.votes(newcomer));
+    EXPECT_FALSE(group.votes(memberC));
+    EXPECT_EQ(voterCount(membership(group.state)), 3u);
+}
+
+TEST(OpenGroup, CommitsOnceThereAreEnoughCopies)
+{
+    OpenGroup group(5, 3);
+    group.round({ memberB, memberC });
+    LogIndex before = group.state.commit;
+    step(group.state, Consensus::Propose { { "new" } }, group.now);
+    group.round({ memberB });
+    EXPECT_EQ(group.state.commit, before) << "two copies";
+    group.round({ memberC });
+    EXPECT_EQ(group.state.commit, before + LogIndex(1));
+}
+
+TEST(OpenGroup, AMemberThatOnlyJoinsNeverFounds)
+{
+    Consensus::Options options;
+    options.self = member("a", 1);
+    options.contacts = { InstanceId("b"), InstanceId("c") };
+    options.targetVoters = 5;
+    Consensus::State state = makeState(options, {}, 7, TimePoint());
+    TimePoint now;
+    for (int i = 0; i < 20; ++i) {
+        now = now + options.electionTimeout;
+        auto effects = step(state, Consensus::Tick {}, now);
+        EXPECT_EQ(effects.messages.size(), 2u) << "asks its contacts";
+        for (const char* other : { "b", "c" }) {
+            Consensus::AnnounceReply fresh;
+            step(state,
+                Consensus::Receive { { member(other, 2), options.self, Consensus::GroupId(0), Term(0), fresh } }, now);
+        }
+    }
+    EXPECT_EQ(lastIndex(state.log), LogIndex(0));
+}
+
+TEST(OpenGroup, AMemberOutsideAsksWhomItsContactsName)
+{
+    Consensus::Options options;
+    options.self = member("a", 1);
+    options.contacts = { InstanceId("b") };
+    Consensus::State state = makeState(options, {}, 7, TimePoint());
+    Consensus::AnnounceReply reply { true, { InstanceId("b"), InstanceId("e") } };
+    step(state, Consensus::Receive { { member("b", 2), options.self, Consensus::GroupId(0), Term(0), reply } },
+        TimePoint());
+    auto effects = step(state, Consensus::Tick {}, TimePoint(options.electionTimeout));
+    EXPECT_EQ(effects.messages.size(), 2u);
+}
--- a/Source/UnitTests/Control/ConfigurationTest.cpp
+++ b/Source/UnitTests/Control/ConfigurationTest.cpp
@@ -301,3 +301,59 @@
     EXPECT_EQ(follow(follower, { true, Revision(), Revision(4), {} }), FollowResult::Ignored);
     EXPECT_EQ(follower.revision, Revision(5));
 }
+
+namespace {
+
+Change raise(const char* id, uint64_t number, const char* document)
+{
+    Model::RouteTable table { Common::TableNumber(number), document };
+    return { Common::ChangeId(id), Action::Raise, Model::keyOf(table), table, Revision() };
+}
+
+const Model::RouteTable& tableOf(const Configuration& configuration)
+{
+    auto stored = find(configuration, { Model::Kind::RouteTable, Model::routeTableName });
+    return std::get<Model::RouteTable>(stored->resource);
+}
+
+} // namespace
+
+TEST(RouteTable, TheHighestNumberIsInForce)
+{
+    Configuration configuration;
+    EXPECT_EQ(acceptedAt(applyChange(configuration, raise("a", 7, "seven"))), 1u);
+    EXPECT_EQ(acceptedAt(applyChange(configuration, raise("b", 12, "twelve"))), 2u);
+    EXPECT_EQ(acceptedAt(applyChange(configuration, raise("c", 9, "late"))), 2u) << "acknowledged, without effect";
+    EXPECT_EQ(tableOf(configuration).document, "twelve");
+}
+
+TEST(RouteTable, AnotherDocumentUnderTheSameNumberHasNoEffect)
+{
+    Configuration configuration;
+    applyChange(configuration, raise("a", 7, "seven"));
+    EXPECT_EQ(acceptedAt(applyChange(configuration, raise("b", 7, "other"))), 1u);
+    EXPECT_EQ(acceptedAt(applyChange(configuration, raise("a", 7, "seven"))), 1u) << "a resend";
+    EXPECT_EQ(tableOf(configuration).document, "seven");
+    EXPECT_EQ(configuration.revision, Revision(1));
+}
+
+TEST(RouteTable, IsOnlyRaisedAndNothingElseIs)
+{
+    Configuration configuration;
+    Model::RouteTable table { Common::TableNumber(1), "x" };
+    EXPECT_FALSE(acceptedAt(applyChange(configuration, create("a", table))));
+    Change wrong = create("b", group);
+    wrong.action = Action::Raise;
+    EXPECT_FALSE(acceptedAt(applyChange(configuration, wrong)));
+    EXPECT_FALSE(acceptedAt(applyChange(configuration, raise("c", 1, ""))));
+}
+
+TEST(RouteTable, FollowersOfOldRevisionsGetTheNewestDocument)
+{
+    Configuration configuration;
+    applyChange(configuration, raise("a", 1, "one"));
+    applyChange(configuration, raise("b", 2, "two"));
+    auto changes = changesSince(configuration, Revision(1));
+    ASSERT_EQ(changes.deltas.size(), 1u);
+    EXPECT_EQ(std::get<Model::RouteTable>(changes.deltas.front().stored->resource).document, "two");
+}
--- /dev/null
+++ b/Source/UnitTests/Platform/CodecTest.cpp
@@ -0,0 +1,178 @@
+#include "Callers.h"
+#include "Configuration.h"
+#include "Servers.h"
+
+#include <gtest/gtest.h>
+
+using Common::BackendServerId;
+using Common::Milliseconds;
+using Common::Reason;
+using Common::RequestId;
+using Relay::SubAnswer;
+
+namespace {
+
+const char* const goodRoute
+    = R"({"name":"r","host":"h","path_prefix":"/a/","type":"safe","timeout_ms":800,"target_latency_ms":80,)"
+      R"("priority":2,"gather":["s","t"],"max_attempts":2,"top_k":5,"min_coverage":0.75})";
+
+std::string documentOf(const std::string& routes)
+{
+    return R"({"version":7,"routes":[)" + routes
+        + R"(],"services":[{"name":"s","health_path":"/health","max_conns":26,"protocol":"h1","tls":false},)"
+          R"({"name":"t","max_conns":26}],"limits":{"max_header_bytes":16384,"max_body_bytes":1000,)"
+          R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+}
+
+std::string withField(const std::string& from, const std::string& to)
+{
+    std::string route = goodRoute;
+    route.replace(route.find(from), from.size(), to);
+    return documentOf(route);
+}
+
+Relay::CallPtr callOf(Http::Fields fields, const std::string& target = "/a/b%20c?x=1")
+{
+    Http::Request request;
+    request.method = "GET";
+    request.target = target;
+    for (auto& [name, value] : fields)
+        request.headers[Http::lowerCase(name)] = value;
+    request.fields = std::move(fields);
+    return Platform::decodeCall(std::move(request));
+}
+
+SubAnswer decode(int status, Http::Fields fields)
+{
+    Http::Response response;
+    response.status = status;
+    for (auto& [name, value] : fields)
+        response.headers[Http::lowerCase(name)] = value;
+    response.fields = std::move(fields);
+    return Platform::decodeAnswer(*callOf({ { "X-Request-Id", "id" } }), response);
+}
+
+std::string valueOf(const Http::Fields& fields, const std::string& name)
+{
+    for (auto& [field, value] : fields) {
+        if (field == name)
+            return value;
+    }
+    return "absent";
+}
+
+} // namespace
+
+TEST(Configuration, IsReadWhole)
+{
+    auto table = Platform::decodeConfiguration(documentOf(goodRoute));
+    ASSERT_TRUE(table) << table.error();
+    EXPECT_EQ(table.value().number, Common::TableNumber(7));
+    auto route = Routes::match(table.value(), "h", "/a/x");
+    ASSERT_TRUE(route);
+    EXPECT_EQ(route->repeat, Routes::Repeat::Allowed);
+    EXPECT_EQ(route->aim, Milliseconds(80));
+    ASSERT_TRUE(route->fan);
+    EXPECT_EQ(route->fan->groups.size(), 2u);
+    EXPECT_EQ(route->fan->topRecords, 5u);
+    EXPECT_EQ(table.value().limits.body, Common::Bytes(1'000));
+    EXPECT_EQ(Routes::findGroup(table.value(), Common::GroupName("s"))->connectionLimit, Common::Connections(26));
+}
+
+TEST(Configuration, IsRefusedWithTheFieldThatIsWrong)
+{
+    const std::string bad[] = { "", "{", "[]", documentOf(goodRoute).substr(0, 100), withField("\"s\"", "\"unknown\""),
+        withField("\"timeout_ms\":800", "\"timeout_ms\":0"), withField("\"timeout_ms\":800", "\"timeout_ms\":\"8\""),
+        documentOf(std::string(goodRoute) + "," + goodRoute),
+        withField("\"gather\":[\"s\",\"t\"]", "\"weighted_services\":[{\"service\":\"s\",\"weight\":0}]") };
+    for (const std::string& document : bad) {
+        auto table = Platform::decodeConfiguration(document);
+        ASSERT_FALSE(table) << document;
+        EXPECT_EQ(table.error().reason, Reason::InvalidInput) << document;
+    }
+}
+
+TEST(Heartbeat, IsRead)
+{
+    auto report = Platform::decodeReport("i-1",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":2,"state":"draining",)"
+        R"("warmup_left_ms":120,"seq":4,"born":1785269657120})");
+    ASSERT_TRUE(report) << report.error();
+    EXPECT_EQ(report.value().server, BackendServerId("i-1"));
+    EXPECT_EQ(report.value().incarnation, Common::Incarnation(1785269657120));
+    EXPECT_EQ(report.value().standing, Roster::Standing::Leaving);
+    EXPECT_EQ(report.value().warmupLeft, Milliseconds(120));
+}
+
+TEST(Heartbeat, OfAnotherWriterNamesNoServer)
+{
+    const char* const bad[] = { "", "null", "\xff\xfe", "{}",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready","seq":4})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":2,"state":"asleep","seq":4,"born":1})",
+        R"({"service":7,"address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready","seq":4,"born":1})",
+        R"({"service":"s","address":"nowhere","zone":"z","slots":2,"state":"ready","seq":4,"born":1})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready","seq":"4","born":1})" };
+    for (const char* body : bad)
+        EXPECT_FALSE(Platform::decodeReport("i-1", body)) << body;
+    EXPECT_EQ(Platform::decodeIncarnation(""), Common::Incarnation(0));
+    EXPECT_EQ(Platform::decodeIncarnation(R"({"born":5})"), Common::Incarnation(5));
+}
+
+TEST(Call, IsForwardedAsItCameLessWhatBelongsToOneConnection)
+{
+    auto call = callOf({ { "Host", "h:80" }, { "X-Request-Id", "id" }, { "X-Deadline-Ms", "250" },
+        { "X-Expect-Instance", "forged" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" },
+        { "X-Other", "a" }, { "X-Other", "b" }, { "Transfer-Encoding", "chunked" } });
+    EXPECT_EQ(call->id, RequestId("id"));
+    EXPECT_EQ(call->host, "h");
+    EXPECT_EQ(call->path, "/a/b%20c");
+    EXPECT_EQ(call->timeLeft, Milliseconds(250));
+    auto request = Platform::encodeRequest(*call, BackendServerId("i-1"), Milliseconds(99.7));
+    EXPECT_EQ(request.target, "/a/b%20c?x=1");
+    EXPECT_EQ(valueOf(request.fields, "X-Deadline-Ms"), "99");
+    EXPECT_EQ(valueOf(request.fields, "X-Expect-Instance"), "i-1");
+    EXPECT_EQ(valueOf(request.fields, "X-Hop"), "absent");
+    EXPECT_EQ(valueOf(request.fields, "Transfer-Encoding"), "absent");
+    EXPECT_EQ(std::count_if(request.fields.begin(), request.fields.end(),
+                  [](auto& field) { return field.first == "X-Other"; }),
+        2);
+}
+
+TEST(ServerAnswer, CountsOnlyIfItIsTheWholeOneOfThisRequest)
+{
+    using Outcome = SubAnswer::Outcome;
+    EXPECT_EQ(decode(200, { { "X-Server-Stamp", "s" }, { "X-Request-Id", "id" } }).outcome, Outcome::Success);
+    EXPECT_EQ(decode(200, { { "X-Server-Stamp", "s" } }).outcome, Outcome::Success);
+    EXPECT_EQ(decode(200, { { "X-Server-Stamp", "s" }, { "X-Request-Id", "other" } }).outcome, Outcome::Unusable);
+    EXPECT_EQ(decode(200, { { "X-Request-Id", "id" } }).outcome, Outcome::Unusable);
+    EXPECT_EQ(
+        decode(200, { { "X-Server-Stamp", "s" }, { "Content-Encoding", "gzip" } }).outcome, Outcome::Unusable);
+    EXPECT_EQ(decode(503, { { "X-Not-Executed", "1" } }).outcome, Outcome::NotRun);
+    EXPECT_EQ(decode(503, {}).outcome, Outcome::Failure);
+    EXPECT_EQ(decode(421, {}).outcome, Outcome::OtherServer);
+    EXPECT_EQ(decode(500, { { "X-Server-Stamp", "s" } }).outcome, Outcome::Failure);
+}
+
+TEST(Answer, OfSeveralServersNamesTheirSignaturesAndWhatIsMissing)
+{
+    auto response = Platform::encodeAnswer(Relay::Merged { { "a", "b" }, 3, "body" }, RequestId("id"));
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.headers["X-Part-Stamps"], "a,b");
+    EXPECT_EQ(response.headers["X-Missing-Parts"], "3");
+    EXPECT_EQ(response.body, "body");
+}
+
+TEST(Answer, PromisesNotRunOnlyIfThatIsSo)
+{
+    auto refuse = [](Reason reason, bool notRun) {
+        Relay::Refusal refusal { Common::makeError(reason, "s", "m"), notRun, Milliseconds(notRun ? 50 : 0) };
+        return Platform::encodeAnswer(refusal, RequestId("id"));
+    };
+    EXPECT_EQ(refuse(Reason::Overloaded, true).status, 503);
+    EXPECT_EQ(refuse(Reason::Overloaded, true).headers["Retry-After"], "0.050");
+    EXPECT_EQ(refuse(Reason::ConnectionLost, false).status, 502);
+    EXPECT_EQ(refuse(Reason::ConnectionLost, false).headers.count("Retry-After"), 0u);
+    EXPECT_EQ(refuse(Reason::DeadlineExceeded, false).status, 504);
+    EXPECT_EQ(refuse(Reason::NotFound, true).status, 404);
+    EXPECT_TRUE(Platform::encodeAnswer(Relay::Abandoned {}, RequestId("id")).drop);
+}
