--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -168,6 +168,13 @@
                 else
                     reply(Common::makeError(Reason::NotFound, "roster", "this instance is not a control instance"));
             });
+        m_peerServer->handle(
+            Peer::Service::Relay, [this](const Common::InstanceId&, std::string_view bytes, const Peer::Reply& reply) {
+                if (m_relay)
+                    m_relay->handle(bytes, reply);
+                else
+                    reply(Common::makeError(Reason::NotFound, "relay", "this instance relays nothing"));
+            });
         m_peerServer->start();
     }
 
--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -2,6 +2,7 @@
 
 #include "Observe/EventLog.h"
 #include "Roster/Messages.h"
+#include "Wire/RelayCodec.h"
 #include "Wire/RosterCodec.h"
 
 #include <algorithm>
@@ -38,7 +39,8 @@
         std::vector<Common::Revision> revisions;
         std::optional<TimePoint> heardAt;
         bool isLost { true };
-        uint32_t followers { 0 };
+        std::vector<Roster::Peer> peers; // Instances that follow it.
+        uint64_t peersVersion { 0 };
     };
 
     const char* standingName(Roster::Standing standing)
@@ -53,11 +55,12 @@
 struct RelayRole::Private : std::enable_shared_from_this<RelayRole::Private> {
     explicit Private(RelayDependencies d)
         : use(std::move(d))
-        , engine(engineOptions(use.settings), use.dialect, use.timers, use.metrics)
+        , engine(engineOptions(use.settings), use.dialect, peers(use.peers), use.timers, use.metrics)
     {
     }
 
     static Relay::EngineOptions engineOptions(const Settings::Daemon&);
+    static Relay::Peers peers(Peer::Client&);
 
     RelayDependencies use;
     Relay::Engine engine;
@@ -71,6 +74,7 @@
     Roster::Merged merged;
     Common::TableNumber table; // In force here.
     bool isFetching { false };
+    std::vector<Roster::Peer> instances; // Of all control instances that answer.
     std::function<void(const Routes::CallerLimits&)> tableListener;
 
     void follow(const Address&);
@@ -79,6 +83,7 @@
     void take(const Address&, const Roster::WatchReply&);
     void fetchTable(const Address&);
     void takeTable(const Address&, const Result<std::string>&);
+    bool gatherInstances();
     void publish();
     void sweepLater();
 };
@@ -86,12 +91,28 @@
 Relay::EngineOptions RelayRole::Private::engineOptions(const Settings::Daemon& settings)
 {
     Relay::EngineOptions options;
-    options.domain = settings.failureDomain;
+    options.self = { settings.peer.listen, settings.failureDomain };
     options.returnMargin = settings.relay.returnMargin;
     options.repeats = { settings.relay.repeatRatio, settings.relay.repeatMinimum, settings.relay.repeatWindow };
     return options;
 }
 
+Relay::Peers RelayRole::Private::peers(Peer::Client& client)
+{
+    Relay::Peers peers;
+    peers.gather = [&client](const Address& to, const Relay::DelegatedCall& call, Milliseconds timeout, auto done) {
+        client.call(to, Peer::Service::Relay, Wire::encode(call), timeout,
+            [done = std::move(done)](const Result<std::string>& result) {
+                done(result ? Wire::decodeAnswer(result.value()) : Result<Relay::Answer>(result.error()));
+            });
+    };
+    peers.probe = [&client](const Address& to, Milliseconds timeout, auto done) {
+        client.call(to, Peer::Service::Relay, std::string(), timeout,
+            [done = std::move(done)](const Result<std::string>& result) { done(bool(result)); });
+    };
+    return peers;
+}
+
 // Begins to follow an instance that is not followed yet.
 void RelayRole::Private::follow(const Address& address)
 {
@@ -117,7 +138,10 @@
         request.epoch = it->second.epoch;
         request.revisions = it->second.revisions;
         request.table = table;
+        request.peersVersion = it->second.peersVersion;
     }
+    request.peer = { use.settings.peer.listen, use.settings.failureDomain };
+    request.isLeaving = draining;
     use.peers.call(address, Peer::Service::Roster, Wire::encode(Roster::Request(request)), watchTimeout,
         [self = shared_from_this(), address](const Result<std::string>& result) { self->answered(address, result); });
 }
@@ -160,7 +184,6 @@
     bool wasLost = false;
     bool needsTable = false;
     std::vector<Address> toFollow;
-    size_t instances = 0;
     {
         std::lock_guard lock(mutex);
         auto it = sources.find(address);
@@ -181,16 +204,18 @@
             std::move(more.begin(), more.end(), std::back_inserter(learned));
         }
         source.heardAt = now;
-        source.followers = reply.followers;
+        if (reply.peersVersion != source.peersVersion) {
+            source.peers = reply.peers;
+            source.peersVersion = reply.peersVersion;
+        }
         wasLost = std::exchange(source.isLost, false);
         if (!reply.members.empty())
             members = { reply.members.begin(), reply.members.end() };
         toFollow = reply.members;
         needsTable = reply.table > table && !std::exchange(isFetching, true);
-        for (auto& [other, state] : sources)
-            instances = std::max<size_t>(instances, state.isLost ? 0 : state.followers);
+        if (gatherInstances())
+            engine.setInstances(instances);
     }
-    engine.setInstances(instances);
     if (wasLost)
         Observe::logEvent(Part::Roster, "control-found",
             { { "address", address.value() }, { "table", std::to_string(reply.table.value()) } });
@@ -207,6 +232,21 @@
         fetchTable(address);
 }
 
+// Called with the mutex held. Returns whether the list has changed.
+bool RelayRole::Private::gatherInstances()
+{
+    std::set<Roster::Peer> all;
+    for (auto& [address, source] : sources) {
+        if (!source.isLost)
+            all.insert(source.peers.begin(), source.peers.end());
+    }
+    std::vector<Roster::Peer> list(all.begin(), all.end());
+    if (list.empty() || list == instances)
+        return false;
+    instances = std::move(list);
+    return true;
+}
+
 void RelayRole::Private::fetchTable(const Address& address)
 {
     use.peers.call(address, Peer::Service::Roster, Wire::encode(Roster::Request(Roster::TableRequest {})), tableTimeout,
@@ -308,6 +348,29 @@
     m_private->engine.relay(std::move(call), std::move(done));
 }
 
+void RelayRole::handle(std::string_view bytes, const Peer::Reply& reply)
+{
+    if (bytes.empty()) {
+        reply(std::string()); // A probe.
+        return;
+    }
+    auto call = Wire::decodeDelegatedCall(bytes);
+    if (!call) {
+        reply(call.error());
+        return;
+    }
+    if (m_private->draining) {
+        reply(Common::makeError(Common::Reason::Unavailable, "gather", "this instance is leaving"));
+        return;
+    }
+    m_private->engine.gather(call.value(), [reply](const Result<Relay::Answer>& answer) {
+        if (answer)
+            reply(Wire::encode(answer.value()));
+        else
+            reply(answer.error());
+    });
+}
+
 bool RelayRole::isReady() const { return !m_private->draining && m_private->engine.table(); }
 
 void RelayRole::drain() { m_private->draining = true; }
--- a/Source/Core/Daemon/RelayRole.h
+++ b/Source/Core/Daemon/RelayRole.h
@@ -3,6 +3,7 @@
 #include "Common/Timers.h"
 #include "Observe/Metrics.h"
 #include "Peer/Client.h"
+#include "Peer/Types.h"
 #include "Relay/Engine.h"
 #include "Settings/Settings.h"
 
@@ -31,6 +32,8 @@
     // Calls fn with the limits of each route table that comes in force here.
     void whenTableChanges(std::function<void(const Routes::CallerLimits&)> fn);
     void relay(Relay::CallPtr, Relay::Engine::Done);
+    // Bytes of the service Relay.
+    void handle(std::string_view bytes, const Peer::Reply&);
     // Whether callers should be sent here.
     bool isReady() const;
     void drain();
--- a/Source/Core/Daemon/RosterKeeper.cpp
+++ b/Source/Core/Daemon/RosterKeeper.cpp
@@ -1,5 +1,6 @@
 #include "Daemon/RosterKeeper.h"
 
+#include "Common/Hash.h"
 #include "Observe/EventLog.h"
 #include "Wire/RosterCodec.h"
 
@@ -40,6 +41,20 @@
         TimePoint until;
     };
 
+    struct Follower {
+        Roster::Peer peer;
+        bool isLeaving { false };
+        TimePoint askedAt;
+    };
+
+    uint64_t versionOf(const std::vector<Roster::Peer>& peers)
+    {
+        std::string text;
+        for (const Roster::Peer& peer : peers)
+            text += peer.address.value() + " " + peer.domain.value() + "\n";
+        return Common::hash64(text);
+    }
+
     const char* standingName(Roster::Standing standing)
     {
         switch (standing) {
@@ -69,7 +84,7 @@
     std::atomic<bool> stopped { false };
     std::mutex watchMutex; // Guards what follows.
     std::vector<Watcher> watchers;
-    std::unordered_map<Common::InstanceId, TimePoint> followers;
+    std::unordered_map<Common::InstanceId, Follower> followers;
 
     Shard& shardOf(const Common::BackendServerId& server)
     {
@@ -170,7 +185,14 @@
         reply.shards.push_back(Roster::changesSince(shards[i].registry, from));
     }
     std::lock_guard lock(watchMutex);
-    reply.followers = static_cast<uint32_t>(followers.size());
+    for (auto& [id, follower] : followers) {
+        if (!follower.isLeaving)
+            reply.peers.push_back(follower.peer);
+    }
+    std::sort(reply.peers.begin(), reply.peers.end());
+    reply.peersVersion = versionOf(reply.peers);
+    if (reply.peersVersion == request.peersVersion)
+        reply.peers.clear();
     return reply;
 }
 
@@ -182,7 +204,7 @@
         if (reply.shards[i].revision != request.revisions[i])
             return true;
     }
-    return reply.table > request.table;
+    return reply.table > request.table || reply.peersVersion != request.peersVersion;
 }
 
 void RosterKeeper::Private::watch(const Roster::WatchRequest& request, const Peer::Reply& respond)
@@ -190,8 +212,8 @@
     auto now = Clock::now();
     {
         std::lock_guard lock(watchMutex);
-        followers[request.follower] = now;
-        std::erase_if(followers, [&](auto& pair) { return now - pair.second > followerMemory; });
+        followers[request.follower] = { request.peer, request.isLeaving, now };
+        std::erase_if(followers, [&](auto& pair) { return now - pair.second.askedAt > followerMemory; });
     }
     auto reply = replyTo(request);
     if (hasNews(request, reply)) {
--- a/Source/Core/Http/Message.h
+++ b/Source/Core/Http/Message.h
@@ -21,7 +21,8 @@
 class Caller {
 public:
     virtual ~Caller() = default;
-    // Calls fn once if the caller closes its sending side before the answer; at once if it has done so already.
+    // Calls fn once if the caller closes its sending side before the answer; at once if it has done so already. May be
+    // called several times.
     virtual void whenGone(std::function<void()> fn) = 0;
 };
 
--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -175,7 +175,7 @@
     {
         std::lock_guard lock(m_goneMutex);
         if (!m_goneNoted) {
-            m_onGone = std::move(fn);
+            m_onGone.push_back(std::move(fn));
             return;
         }
     }
@@ -289,7 +289,7 @@
     request.caller = self;
     {
         std::lock_guard lock(m_goneMutex);
-        m_onGone = nullptr;
+        m_onGone.clear();
     }
     m_server->requestBegun();
     m_server->handle(std::move(request), [self](Response response) {
@@ -310,6 +310,11 @@
         m_server->requestEnded();
         return;
     }
+    {
+        // They may hold what the answer was made of.
+        std::lock_guard lock(m_goneMutex);
+        m_onGone.clear();
+    }
     m_state = State::Writing;
     write(response, response.closeAfter || !m_keepAlive || m_server->closing);
 }
@@ -378,13 +383,13 @@
         shut();
         return;
     }
-    std::function<void()> fn;
+    std::vector<std::function<void()>> all;
     {
         std::lock_guard lock(m_goneMutex);
         m_goneNoted = true;
-        fn = std::exchange(m_onGone, nullptr);
+        all.swap(m_onGone);
     }
-    if (fn)
+    for (auto& fn : all)
         fn();
 }
 
--- a/Source/Core/Http/ServerConnection.h
+++ b/Source/Core/Http/ServerConnection.h
@@ -108,7 +108,7 @@
 
     std::mutex m_goneMutex; // Guards what follows.
     bool m_goneNoted { false };
-    std::function<void()> m_onGone;
+    std::vector<std::function<void()>> m_onGone;
 };
 
 } // namespace Http
--- a/Source/Core/Peer/Types.h
+++ b/Source/Core/Peer/Types.h
@@ -11,7 +11,7 @@
 namespace Peer {
 
 // Who in the other process takes the bytes of a call. Peer knows nothing of what they mean.
-enum class Service : uint16_t { Consensus, Control, Gossip, Observe, Roster };
+enum class Service : uint16_t { Consensus, Control, Gossip, Observe, Roster, Relay };
 
 // Answers a call. May be called from any thread, now or later; calls after the first are ignored. A Reply that is
 // destroyed without a call answers with Reason::Internal.
--- a/Source/Core/Relay/Call.h
+++ b/Source/Core/Relay/Call.h
@@ -54,7 +54,7 @@
 // The greatest records of several servers' answers.
 struct Merged {
     std::vector<std::string> signatures; // Of the answers that are in.
-    size_t missing { 0 }; // Groups that are left out.
+    std::vector<size_t> missing; // Groups that are left out, as places in the list that was asked.
     std::string body;
 };
 
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -2,6 +2,7 @@
 
 #include "Limits/WaitQueue.h"
 #include "Observe/EventLog.h"
+#include "Relay/Assembly.h"
 #include "Relay/Query.h"
 #include "Relay/ServerPool.h"
 #include "Routing/LatencyStats.h"
@@ -10,6 +11,7 @@
 #include <atomic>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 #include <variant>
 
@@ -31,6 +33,19 @@
     constexpr size_t unknownInstances = 16;
     // Connections of this instance to one server, however many it accepts.
     constexpr int64_t maximumConnections = 8;
+    // Of what a server accepts: while its queue is long it accepts fewer, and those that were closed count for a while.
+    constexpr double usedConnections = 0.8;
+    // Gatherers are so few that each may hold that many connections to every server.
+    constexpr int64_t connectionsOfAGatherer = 4;
+    // An instance that does not gather does so only when those that do are lost: its part in the minimum of repeats
+    // is that much smaller.
+    constexpr size_t fallbackFactor = 5;
+    // The way between two instances and back, kept back from the time in which an answer is wanted.
+    constexpr Milliseconds delegationMargin { 3 };
+    // A gatherer that has not answered so long after the aim is probed, and passed by if it is silent.
+    constexpr Milliseconds probeAfterAim { 10 };
+    constexpr Milliseconds probeTimeout { 40 };
+    constexpr Milliseconds gathererPause { 1'500 };
     constexpr Milliseconds refusedRetryAfter { 50 };
     // A request is hedged once it has taken longer than this share of the observed ones.
     constexpr double hedgeQuantile = 0.9;
@@ -77,6 +92,53 @@
 
     using RunningPtr = std::shared_ptr<Running>;
 
+    // What one instance asks itself.
+    struct Asked {
+        std::vector<GroupName> groups;
+        size_t needed { 1 };
+        bool areRepeats { false }; // Another send to them went out, or may have, for the same call.
+    };
+
+    // A call that is gathered in several bundles. What is above the mutex does not change.
+    struct Gathering {
+        CallPtr call;
+        Routes::TablePtr table;
+        const Routes::Route* route { nullptr };
+        Times times;
+        std::mutex mutex; // Guards what follows.
+        Assembly assembly;
+        Engine::Done done;
+
+        void finish(Answer answer)
+        {
+            Engine::Done fn;
+            {
+                std::lock_guard lock(mutex);
+                assembly.finished = true;
+                fn = std::exchange(done, nullptr);
+            }
+            if (fn)
+                fn(std::move(answer));
+        }
+    };
+
+    using GatheringPtr = std::shared_ptr<Gathering>;
+
+    // A bundle that another instance gathers. Settled once: by its answer, or by the fallback.
+    struct Delegation {
+        std::mutex mutex; // Guards done.
+        Engine::Done done;
+        GatheringPtr gathering;
+        std::vector<size_t> groups; // Places in the route's list.
+        Common::Address gatherer;
+
+        Engine::Done settle()
+        {
+            std::lock_guard lock(mutex);
+            return std::exchange(done, nullptr);
+        }
+    };
+
     struct GroupState {
         Limits::WaitQueue waiting;
         Limits::RepeatBudget budget;
@@ -111,6 +173,15 @@
         return Outcome::Kind::Failed;
     }
 
+    std::vector<GroupName> groupsAt(const Routes::Fan& fan, const std::vector<size_t>& places)
+    {
+        std::vector<GroupName> groups;
+        groups.reserve(places.size());
+        for (size_t place : places)
+            groups.push_back(fan.groups[place]);
+        return groups;
+    }
+
     std::string toText(Milliseconds time) { return std::to_string(static_cast<int64_t>(time.value() + 0.5)); }
 
 } // namespace
@@ -121,9 +192,10 @@
 namespace Relay {
 
 struct Engine::Private : std::enable_shared_from_this<Engine::Private> {
-    Private(EngineOptions o, Dialect d, Common::Timers& t, Observe::Metrics& m)
+    Private(EngineOptions o, Dialect d, Peers p, Common::Timers& t, Observe::Metrics& m)
         : options(std::move(o))
         , dialect(std::move(d))
+        , peers(std::move(p))
         , timers(t)
         , metrics(m)
     {
@@ -131,16 +203,21 @@
 
     const EngineOptions options;
     const Dialect dialect;
+    const Peers peers;
     Common::Timers& timers;
     Observe::Metrics& metrics;
 
-    std::atomic<size_t> instances { 0 };
     std::atomic<uint64_t> nextQuery { 1 };
+    std::atomic<uint64_t> nextPortion { 0 };
     std::atomic<int64_t> running { 0 };
 
-    mutable std::mutex viewMutex; // Guards the two pointers; what they point to does not change.
+    mutable std::mutex viewMutex; // Guards what follows; what the pointers point to does not change.
     Routes::TablePtr table;
     std::shared_ptr<const ServersByGroup> servers { std::make_shared<const ServersByGroup>() };
+    std::vector<Roster::Peer> instances;
+    Gatherers gatherers;
+    std::set<GroupName> fanGroups; // Those that gatherers ask.
+    GathererPauses pauses;
 
     Common::ShardedMap<QueryId, RunningPtr> queries;
     Common::ShardedMap<Key, Flight> flights;
@@ -149,6 +226,18 @@
     ServerPool pool;
 
     void relay(const CallPtr&, Done);
+    void run(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Asked&, const Times&, Done);
+    void gather(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
+    void gatherBundle(const GatheringPtr&, const Bundle&);
+    void bundleEnded(const GatheringPtr&, const std::vector<size_t>& groups, Answer);
+    std::vector<Bundle> bundlesOf(const Routes::Fan&);
+    void delegate(const std::shared_ptr<Delegation>&);
+    void fallBack(const std::shared_ptr<Delegation>&, bool mayHaveSent, const std::string& why);
+    void probeLater(const std::shared_ptr<Delegation>&);
+    void refuse(const CallPtr&, const Routes::TablePtr&, Reason, const std::string&, Milliseconds, const Done&);
+    Times timesOf(const Relay::Call&, const Routes::Route&, TimePoint arrived, Milliseconds extraMargin) const;
+    std::optional<Common::Address> gathererFor(const Common::FailureDomain&, TimePoint now);
+    void chooseAgain();
     std::optional<Common::Error> overloaded(const Query&, TimePoint now);
     void perform(const RunningPtr&, QueryId, Effects);
     void perform(const RunningPtr&, QueryId, const Send&);
@@ -163,7 +252,8 @@
 
     std::vector<Roster::Usable> serversOf(const GroupName&) const;
     Connections connectionsOf(const Routes::Table&, const GroupName&) const;
-    size_t instancesNow() const { return instances ? instances.load() : unknownInstances; }
+    size_t sharersOf(const GroupName&) const;
+    size_t repeatSharersOf(const GroupName&) const;
     std::optional<Milliseconds> hedgeDelayOf(const Query&, TimePoint now);
 
     template <typename Function> void step(const RunningPtr& running, QueryId id, Function&& fn)
@@ -188,11 +278,60 @@
     return it == now->end() ? std::vector<Roster::Usable>() : it->second;
 }
 
+// Instances that send to the servers of a group.
+size_t Engine::Private::sharersOf(const GroupName& group) const
+{
+    std::lock_guard lock(viewMutex);
+    if (instances.empty())
+        return unknownInstances;
+    bool isGathered = !gatherers.empty() && fanGroups.count(group);
+    if (!isGathered)
+        return instances.size();
+    return isGatherer(gatherers, options.self.address) ? gatherers.size() : unknownInstances * fallbackFactor;
+}
+
+size_t Engine::Private::repeatSharersOf(const GroupName& group) const
+{
+    size_t sharers = sharersOf(group);
+    std::lock_guard lock(viewMutex);
+    bool isOther = !gatherers.empty() && fanGroups.count(group) && !isGatherer(gatherers, options.self.address);
+    return isOther ? std::max(sharers, instances.size() * fallbackFactor) : sharers;
+}
+
 Connections Engine::Private::connectionsOf(const Routes::Table& routes, const GroupName& name) const
 {
     const Routes::Group* group = Routes::findGroup(routes, name);
-    int64_t limit = group ? group->connectionLimit.value() : 1;
-    return Connections(std::clamp<int64_t>(limit / static_cast<int64_t>(instancesNow()), 1, maximumConnections));
+    double limit = group ? static_cast<double>(group->connectionLimit.value()) * usedConnections : 1;
+    auto share = static_cast<int64_t>(limit / static_cast<double>(sharersOf(name)));
+    return Connections(std::clamp<int64_t>(share, 1, maximumConnections));
+}
+
+// Called with viewMutex held, when something that the choice rests on has changed.
+void Engine::Private::chooseAgain()
+{
+    fanGroups.clear();
+    std::map<Common::FailureDomain, size_t> domains;
+    int64_t limit = INT64_MAX;
+    for (const Routes::Route& route : table ? table->routes : std::vector<Routes::Route>()) {
+        for (const GroupName& name : route.fan ? route.fan->groups : std::vector<GroupName>()) {
+            if (!fanGroups.insert(name).second)
+                continue;
+            if (const Routes::Group* group = Routes::findGroup(*table, name))
+                limit = std::min(limit, group->connectionLimit.value());
+            auto it = servers->find(name);
+            for (const Roster::Usable& server : it == servers->end() ? std::vector<Roster::Usable>() : it->second)
+                ++domains[server.domain];
+        }
+    }
+    size_t maximum = static_cast<size_t>(std::max<int64_t>(2, limit / connectionsOfAGatherer));
+    gatherers = domains.empty() ? Gatherers() : chooseGatherers(instances, domains, maximum);
+}
+
+std::optional<Common::Address> Engine::Private::gathererFor(const Common::FailureDomain& domain, TimePoint now)
+{
+    static thread_local Common::Random random(std::hash<std::thread::id> {}(std::this_thread::get_id()));
+    std::lock_guard lock(viewMutex);
+    return pickGatherer(gatherers, domain, options.self, pauses, random, now);
 }
 
 std::optional<Milliseconds> Engine::Private::hedgeDelayOf(const Query& query, TimePoint now)
@@ -236,6 +375,27 @@
         Reason::Overloaded, "admit", std::to_string(late) + " groups have longer queues than the aim");
 }
 
+void Engine::Private::refuse(const CallPtr& call, const Routes::TablePtr& routes, Reason reason,
+    const std::string& message, Milliseconds retryAfter, const Done& done)
+{
+    metrics.count(Counter::Refusals, Common::reasonCode(reason));
+    Observe::logEvent(Observe::Part::Relay, "refused",
+        { { "request", call->id.value() }, { "reason", Common::reasonCode(reason) }, { "why", message },
+            { "host", call->host }, { "path", call->path },
+            { "table", std::to_string(routes ? routes->number.value() : 0) } });
+    done(Refusal { Common::makeError(reason, "admit", message), true, retryAfter });
+}
+
+Times Engine::Private::timesOf(
+    const Relay::Call& call, const Routes::Route& route, TimePoint arrived, Milliseconds extraMargin) const
+{
+    Milliseconds margin = options.returnMargin + extraMargin;
+    Milliseconds wait = std::min(call.timeLeft.value_or(route.timeout), route.timeout) - margin;
+    Times times { arrived, arrived + route.aim - margin, arrived + wait };
+    times.aim = std::min(times.aim, times.end);
+    return times;
+}
+
 void Engine::Private::relay(const CallPtr& call, Done done)
 {
     auto now = Clock::now();
@@ -244,46 +404,197 @@
         std::lock_guard lock(viewMutex);
         routes = table;
     }
-    auto refuse = [&](Reason reason, const char* message, Milliseconds retryAfter) {
-        auto error = Common::makeError(reason, "admit", message);
-        metrics.count(Counter::Refusals, Common::reasonCode(reason));
-        Observe::logEvent(Observe::Part::Relay, "refused",
-            { { "request", call->id.value() }, { "reason", Common::reasonCode(reason) }, { "why", message },
-                { "host", call->host }, { "path", call->path },
-                { "table", std::to_string(routes ? routes->number.value() : 0) } });
-        done(Refusal { error, true, retryAfter });
-    };
     if (!routes) {
-        refuse(Reason::Unavailable, "no route table is known yet", refusedRetryAfter);
+        refuse(call, routes, Reason::Unavailable, "no route table is known yet", refusedRetryAfter, done);
         return;
     }
     const Routes::Route* route = Routes::match(*routes, call->host, call->path);
     if (!route) {
-        refuse(Reason::NotFound, "no route matches", Milliseconds(0));
+        refuse(call, routes, Reason::NotFound, "no route matches", Milliseconds(0), done);
+        return;
+    }
+    Times times = timesOf(*call, *route, now, Milliseconds(0));
+    if (route->fan)
+        gather(call, routes, *route, times, std::move(done));
+    else
+        run(call, routes, *route, { { Routes::choosePortion(*route, nextPortion++).group }, 1, false }, times,
+            std::move(done));
+}
+
+std::vector<Bundle> Engine::Private::bundlesOf(const Routes::Fan& fan)
+{
+    std::shared_ptr<const ServersByGroup> view;
+    std::set<Common::FailureDomain> served;
+    {
+        std::lock_guard lock(viewMutex);
+        view = servers;
+        for (const Roster::Peer& peer : gatherers)
+            served.insert(peer.domain);
+    }
+    std::vector<std::vector<Common::FailureDomain>> domains(fan.groups.size());
+    for (size_t i = 0; i < fan.groups.size(); ++i) {
+        auto it = view->find(fan.groups[i]);
+        for (const Roster::Usable& server : it == view->end() ? std::vector<Roster::Usable>() : it->second) {
+            if (served.count(server.domain))
+                domains[i].push_back(server.domain);
+        }
+    }
+    return planBundles(domains, options.self.domain, nextQuery++);
+}
+
+// Asks the groups in bundles, each in a failure domain that has servers of all of them.
+void Engine::Private::gather(
+    const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
+{
+    auto bundles = bundlesOf(*route.fan);
+    auto gathering = std::make_shared<Gathering>();
+    gathering->assembly = makeAssembly(*route.fan, bundles.size());
+    gathering->call = call;
+    gathering->table = routes;
+    gathering->route = &route;
+    gathering->times = times;
+    gathering->done = std::move(done);
+    if (bundles.size() > 1 && call->caller) {
+        std::weak_ptr<Gathering> weak = gathering;
+        call->caller->whenGone([weak] {
+            if (auto gathering = weak.lock())
+                gathering->finish(Abandoned {});
+        });
+    }
+    for (const Bundle& bundle : bundles)
+        gatherBundle(gathering, bundle);
+}
+
+void Engine::Private::gatherBundle(const GatheringPtr& gathering, const Bundle& bundle)
+{
+    Done done = [self = shared_from_this(), gathering, groups = bundle.groups](
+                    Answer answer) { self->bundleEnded(gathering, groups, std::move(answer)); };
+    size_t allowed = mayMiss(*gathering->route->fan);
+    auto gatherer = gathererFor(bundle.domain, Clock::now());
+    if (!gatherer) {
+        size_t n = bundle.groups.size();
+        run(gathering->call, gathering->table, *gathering->route,
+            { groupsAt(*gathering->route->fan, bundle.groups), n > allowed ? n - allowed : 0, false },
+            gathering->times, std::move(done));
+        return;
+    }
+    auto delegation = std::make_shared<Delegation>();
+    delegation->done = std::move(done);
+    delegation->gathering = gathering;
+    delegation->groups = bundle.groups;
+    delegation->gatherer = *gatherer;
+    delegate(delegation);
+}
+
+void Engine::Private::bundleEnded(const GatheringPtr& gathering, const std::vector<size_t>& groups, Answer answer)
+{
+    Step step;
+    {
+        std::lock_guard lock(gathering->mutex);
+        step = takeBundle(gathering->assembly, groups, std::move(answer));
+    }
+    if (step.answer) {
+        gathering->finish(std::move(*step.answer));
         return;
     }
+    if (step.askAgain.empty())
+        return;
+    Observe::logEvent(Observe::Part::Relay, "asked-again",
+        { { "request", gathering->call->id.value() }, { "groups", std::to_string(step.askAgain.size()) },
+            { "needed", std::to_string(step.needed) } });
+    run(gathering->call, gathering->table, *gathering->route,
+        { groupsAt(*gathering->route->fan, step.askAgain), step.needed, true }, gathering->times,
+        [self = shared_from_this(), gathering, again = step.askAgain](
+            Answer last) { self->bundleEnded(gathering, again, std::move(last)); });
+}
+
+void Engine::Private::delegate(const std::shared_ptr<Delegation>& delegation)
+{
+    auto now = Clock::now();
+    ++running;
+    const Gathering& gathering = *delegation->gathering;
+    DelegatedCall call { gathering.table->number, now - gathering.times.arrived, delegation->groups,
+        mayMiss(*gathering.route->fan), gathering.call };
+    auto self = shared_from_this();
+    peers.gather(delegation->gatherer, call, gathering.times.end - now,
+        [self, delegation](const Common::Result<Answer>& result) {
+            --self->running;
+            if (result) {
+                if (auto done = delegation->settle())
+                    done(result.value());
+                return;
+            }
+            Reason reason = result.error().reason;
+            bool hasSentNothing = reason == Reason::Unavailable || reason == Reason::ConnectionFailed
+                || reason == Reason::Overloaded;
+            self->fallBack(delegation, !hasSentNothing, Common::describe(result.error()));
+        });
+    probeLater(delegation);
+}
+
+// A gatherer that stands still is passed by soon: its connection shows that only much later.
+void Engine::Private::probeLater(const std::shared_ptr<Delegation>& delegation)
+{
+    std::weak_ptr<Delegation> weak = delegation;
+    auto self = shared_from_this();
+    timers.at(delegation->gathering->times.aim + probeAfterAim, [self, weak] {
+        auto delegation = weak.lock();
+        if (!delegation)
+            return;
+        {
+            std::lock_guard lock(delegation->mutex);
+            if (!delegation->done)
+                return;
+        }
+        self->peers.probe(delegation->gatherer, probeTimeout, [self, delegation](bool isAlive) {
+            if (!isAlive)
+                self->fallBack(delegation, true, "the gatherer is silent");
+        });
+    });
+}
+
+void Engine::Private::fallBack(
+    const std::shared_ptr<Delegation>& delegation, bool mayHaveSent, const std::string& why)
+{
+    auto now = Clock::now();
+    {
+        std::lock_guard lock(viewMutex);
+        pause(pauses, delegation->gatherer, now + gathererPause);
+    }
+    auto done = delegation->settle();
+    if (!done)
+        return;
+    const Gathering& gathering = *delegation->gathering;
+    Observe::logEvent(Observe::Part::Relay, "gatherer-passed-by",
+        { { "request", gathering.call->id.value() }, { "gatherer", delegation->gatherer.value() },
+            { "may_have_sent", mayHaveSent ? "yes" : "no" }, { "why", why } });
+    size_t n = delegation->groups.size();
+    size_t allowed = mayMiss(*gathering.route->fan);
+    run(gathering.call, gathering.table, *gathering.route,
+        { groupsAt(*gathering.route->fan, delegation->groups), n > allowed ? n - allowed : 0, mayHaveSent },
+        gathering.times, std::move(done));
+}
+
+void Engine::Private::run(const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route,
+    const Asked& asked, const Times& times, Done done)
+{
+    auto now = Clock::now();
     QueryId id(nextQuery++);
-    GroupName chosen = route->fan ? GroupName() : Routes::choosePortion(*route, id.value()).group;
-    Milliseconds wait = std::min(call->timeLeft.value_or(route->timeout), route->timeout) - options.returnMargin;
-    Times times { now, now + route->aim - options.returnMargin, now + wait };
-    times.aim = std::min(times.aim, times.end);
-    auto running = std::make_shared<Running>();
-    running->call = call;
-    running->query = makeQuery(routes, *route, chosen, times);
-    running->done = std::move(done);
-    if (wait <= Milliseconds(0)) {
-        done = std::move(running->done);
-        refuse(Reason::DeadlineExceeded, "the caller's time is over", Milliseconds(0));
+    if (times.end <= now) {
+        refuse(call, routes, Reason::DeadlineExceeded, "the caller's time is over", Milliseconds(0), done);
         return;
     }
+    auto running = std::make_shared<Running>();
+    running->call = call;
+    running->query = makeQuery(routes, route, asked.groups, asked.needed, times);
     if (auto error = overloaded(running->query, now)) {
-        done = std::move(running->done);
-        refuse(error->reason, error->message.c_str(), refusedRetryAfter);
+        refuse(call, routes, error->reason, error->message, refusedRetryAfter, done);
         return;
     }
+    running->done = std::move(done);
     ++this->running;
     queries.insert(id, running);
-    step(running, id, [&](Query& query) { return start(query, now); });
+    step(running, id, [&](Query& query) { return start(query, now, asked.areRepeats); });
     if (!call->caller)
         return;
     call->caller->whenGone([self = shared_from_this(), weak = std::weak_ptr<Running>(running), id] {
@@ -303,9 +614,10 @@
     auto now = Clock::now();
     const GroupName group = running->query.parts[send.part].group; // Does not change.
     Key key { id, send.attempt };
+    size_t sharers = send.isRepeat ? repeatSharersOf(group) : 0;
     bool hasBudget = groups.withValue(group, [&](GroupState& state) {
         if (send.isRepeat)
-            return Limits::tryTakeRepeat(state.budget, options.repeats, instancesNow(), now);
+            return Limits::tryTakeRepeat(state.budget, options.repeats, sharers, now);
         Limits::countFirstSend(state.budget, options.repeats, now);
         return true;
     });
@@ -354,7 +666,7 @@
     auto now = Clock::now();
     auto usable = serversOf(group);
     Connections limit = connectionsOf(*running->query.table, group);
-    auto candidates = pool.candidates(usable, limit, options.domain, now);
+    auto candidates = pool.candidates(usable, limit, options.self.domain, now);
     for (size_t i : Routing::rank(candidates, { send.avoid, {} }, random)) {
         auto lease = pool.take(usable[i], limit, now);
         if (!lease)
@@ -526,8 +838,8 @@
     std::string detail;
     bool isServed = true;
     if (auto merged = std::get_if<Merged>(&answer)) {
-        isServed = !merged->missing;
-        detail = std::to_string(merged->missing) + " groups missing";
+        isServed = merged->missing.empty();
+        detail = std::to_string(merged->missing.size()) + " groups missing";
     } else if (auto forwarded = std::get_if<Forwarded>(&answer)) {
         isServed = forwarded->answer.outcome == SubAnswer::Outcome::Success;
         detail = "status " + std::to_string(forwarded->answer.status);
@@ -549,8 +861,9 @@
             { "table", std::to_string(running.query.table->number.value()) } });
 }
 
-Engine::Engine(EngineOptions options, Dialect dialect, Common::Timers& timers, Observe::Metrics& metrics)
-    : m_private(std::make_shared<Private>(std::move(options), std::move(dialect), timers, metrics))
+Engine::Engine(
+    EngineOptions options, Dialect dialect, Peers peers, Common::Timers& timers, Observe::Metrics& metrics)
+    : m_private(std::make_shared<Private>(std::move(options), std::move(dialect), std::move(peers), timers, metrics))
 {
 }
 
@@ -560,6 +873,7 @@
 {
     std::lock_guard lock(m_private->viewMutex);
     m_private->table = std::move(table);
+    m_private->chooseAgain();
 }
 
 Routes::TablePtr Engine::table() const
@@ -580,16 +894,42 @@
     {
         std::lock_guard lock(m_private->viewMutex);
         m_private->servers = std::move(servers);
+        m_private->chooseAgain();
     }
     m_private->pool.keepOnly(ids);
     for (const GroupName& group : names)
         m_private->serveWaiters(group);
 }
 
-void Engine::setInstances(size_t instances) { m_private->instances = instances; }
+void Engine::setInstances(std::vector<Roster::Peer> instances)
+{
+    std::lock_guard lock(m_private->viewMutex);
+    m_private->instances = std::move(instances);
+    m_private->chooseAgain();
+}
 
 void Engine::relay(CallPtr call, Done done) { m_private->relay(call, std::move(done)); }
 
+void Engine::gather(const DelegatedCall& delegated, std::function<void(Common::Result<Answer>)> done)
+{
+    Routes::TablePtr routes = table();
+    const Routes::Route* route
+        = routes ? Routes::match(*routes, delegated.call->host, delegated.call->path) : nullptr;
+    bool isSame = route && route->fan && routes->number == delegated.table
+        && std::all_of(delegated.groups.begin(), delegated.groups.end(),
+            [&](size_t place) { return place < route->fan->groups.size(); });
+    if (!isSame || delegated.groups.empty()) {
+        done(Common::makeError(Reason::Unavailable, "gather", "another route table is in force here"));
+        return;
+    }
+    auto arrived = Clock::now() - delegated.waited;
+    size_t n = delegated.groups.size();
+    m_private->run(delegated.call, routes, *route,
+        { groupsAt(*route->fan, delegated.groups), n > delegated.mayMiss ? n - delegated.mayMiss : 0, false },
+        m_private->timesOf(*delegated.call, *route, arrived, delegationMargin),
+        [done = std::move(done)](Answer answer) { done(std::move(answer)); });
+}
+
 size_t Engine::inFlight() const { return static_cast<size_t>(std::max<int64_t>(m_private->running, 0)); }
 
 } // namespace Relay
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -4,6 +4,7 @@
 #include "Limits/RepeatBudget.h"
 #include "Observe/Metrics.h"
 #include "Relay/Call.h"
+#include "Relay/Gatherers.h"
 #include "Roster/Merged.h"
 #include "Routes/Table.h"
 
@@ -13,8 +14,27 @@
 
 namespace Relay {
 
+// A call that another instance is asked to gather for.
+struct DelegatedCall {
+    Common::TableNumber table; // Under which it was admitted.
+    Common::Milliseconds waited; // Since the request came in.
+    std::vector<size_t> groups; // Places in the route's list.
+    size_t mayMiss { 0 }; // So many of them, without being asked again.
+    CallPtr call;
+};
+
+// The way to other instances.
+struct Peers {
+    // An error of the reasons Unavailable, ConnectionFailed and Overloaded says that nothing was sent to servers.
+    std::function<void(const Common::Address&, const DelegatedCall&, Common::Milliseconds timeout,
+        std::function<void(Common::Result<Answer>)> done)>
+        gather;
+    // Whether the instance answers anything within the timeout.
+    std::function<void(const Common::Address&, Common::Milliseconds timeout, std::function<void(bool)> done)> probe;
+};
+
 struct EngineOptions {
-    Common::FailureDomain domain;
+    Roster::Peer self;
     Limits::RepeatRule repeats;
     // Kept back from what the caller waits for, for the way of the answer.
     Common::Milliseconds returnMargin { 10 };
@@ -28,18 +48,20 @@
 // budgets and latencies by group are each kept in shards under their own locks.
 class Engine {
 public:
-    Engine(EngineOptions, Dialect, Common::Timers&, Observe::Metrics&);
+    Engine(EngineOptions, Dialect, Peers, Common::Timers&, Observe::Metrics&);
     ~Engine();
 
     void setTable(Routes::TablePtr);
     Routes::TablePtr table() const;
     void setServers(std::shared_ptr<const ServersByGroup>);
-    // Instances like this one that send to the same servers.
-    void setInstances(size_t);
+    // Instances like this one, this one among them.
+    void setInstances(std::vector<Roster::Peer>);
 
     // done is called once, from any thread. NotFound: no route matches. Unavailable: there is no route table yet.
     using Done = std::function<void(Answer)>;
     void relay(CallPtr, Done);
+    // Gathers from some groups for another instance; Unavailable if it was admitted under another route table.
+    void gather(const DelegatedCall&, std::function<void(Common::Result<Answer>)> done);
     size_t inFlight() const;
 
 private:
--- a/Source/Core/Relay/Query.cpp
+++ b/Source/Core/Relay/Query.cpp
@@ -23,18 +23,6 @@
 
     bool mayRepeat(const Query& query) { return query.route->repeat == Routes::Repeat::Allowed; }
 
-    size_t neededParts(const Query& query)
-    {
-        if (!query.route->fan)
-            return 1;
-        double all = static_cast<double>(query.parts.size());
-        size_t needed = 1;
-        // Counted up, since a product may round to either side of a whole number.
-        while (static_cast<double>(needed) / all < query.route->fan->minimumShare.value() && needed < query.parts.size())
-            ++needed;
-        return needed;
-    }
-
     bool hasRunNowhere(const Query& query)
     {
         return std::all_of(query.parts.begin(), query.parts.end(), [](const Part& part) {
@@ -72,9 +60,10 @@
             return Forwarded { std::move(*query.parts.front().answer) };
         Merged merged;
         std::vector<const std::string*> bodies;
-        for (Part& part : query.parts) {
+        for (size_t i = 0; i < query.parts.size(); ++i) {
+            Part& part = query.parts[i];
             if (part.state != Part::State::In) {
-                ++merged.missing;
+                merged.missing.push_back(i);
                 continue;
             }
             merged.signatures.push_back(std::move(part.answer->signature));
@@ -123,8 +112,8 @@
     {
         if (query.finished)
             return;
-        bool isEnough = query.in >= neededParts(query);
-        bool isHopeless = query.in + query.open < neededParts(query);
+        bool isEnough = query.in >= query.needed;
+        bool isHopeless = query.in + query.open < query.needed;
         bool isOver = now >= query.times.end;
         if (isEnough && (!query.open || now >= query.times.aim)) {
             finish(query, successOf(query), effects);
@@ -187,15 +176,25 @@
 
 } // namespace
 
-Query makeQuery(Routes::TablePtr table, const Routes::Route& route, const Common::GroupName& chosen, const Times& times)
+size_t neededGroups(const Routes::Fan& fan, size_t groups)
+{
+    size_t needed = 1;
+    // Counted up, since a product may round to either side of a whole number.
+    while (needed < groups && static_cast<double>(needed) / static_cast<double>(groups) < fan.minimumShare.value())
+        ++needed;
+    return needed;
+}
+
+Query makeQuery(Routes::TablePtr table, const Routes::Route& route, const std::vector<Common::GroupName>& groups,
+    size_t needed, const Times& times)
 {
     Query query;
+    query.needed = needed;
     query.table = std::move(table);
     query.route = &route;
     query.times = times;
     query.lastError = Common::makeError(Reason::Unavailable, "relay", "nothing was sent");
-    std::vector<Common::GroupName> groups { chosen };
-    for (const Common::GroupName& group : route.fan ? route.fan->groups : groups) {
+    for (const Common::GroupName& group : groups) {
         Part part;
         part.group = group;
         query.parts.push_back(std::move(part));
@@ -204,11 +203,11 @@
     return query;
 }
 
-Effects start(Query& query, TimePoint now)
+Effects start(Query& query, TimePoint now, bool areRepeats)
 {
     Effects effects;
     for (size_t i = 0; i < query.parts.size(); ++i)
-        ask(query, i, Purpose::First, false, effects);
+        ask(query, i, Purpose::First, areRepeats, effects);
     setWake(query, now, effects);
     return effects;
 }
--- a/Source/Core/Relay/Query.h
+++ b/Source/Core/Relay/Query.h
@@ -91,6 +91,7 @@
     Routes::TablePtr table; // Keeps the route.
     const Routes::Route* route { nullptr };
     Times times;
+    size_t needed { 1 }; // Parts without which there is no success.
     std::vector<Part> parts;
     size_t open { 0 };
     size_t in { 0 };
@@ -100,10 +101,15 @@
     Common::TimePoint wakeAt;
 };
 
-// The parts are the groups of the route's fan, or the one group that was chosen among its portions.
-Query makeQuery(Routes::TablePtr, const Routes::Route&, const Common::GroupName& chosen, const Times&);
+// The parts are the groups: some of the route's fan, or the one that was chosen among its portions. `needed` of them
+// make a success; with 0 the answer says what is missing, whatever it is.
+Query makeQuery(Routes::TablePtr, const Routes::Route&, const std::vector<Common::GroupName>& groups, size_t needed,
+    const Times&);
+// Of so many groups, those that a fan's answer needs at least.
+size_t neededGroups(const Routes::Fan&, size_t groups);
 
-Effects start(Query&, Common::TimePoint now);
+// areRepeats: another instance has, or may have, sent to these groups for the same call.
+Effects start(Query&, Common::TimePoint now, bool areRepeats = false);
 // A server was found and has a free connection. False if the attempt is no longer wanted: then do not send.
 bool sent(Query&, Common::AttemptId, const Common::BackendServerId&, Common::TimePoint now,
     std::optional<Common::Milliseconds> hedgeDelay);
--- a/Source/Core/Relay/ServerPool.cpp
+++ b/Source/Core/Relay/ServerPool.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-    // What a server of another failure domain has to be faster by, since bytes between domains cost.
-    constexpr Milliseconds otherDomainCost { 6 };
+    // What a server of another failure domain has to be faster by, since bytes between domains cost. About the time
+    // that two requests ahead take: above that an answer that comes in time is worth more than the bytes.
+    constexpr Milliseconds otherDomainCost { 80 };
     // Of one request on a connection; queries end theirs earlier.
     constexpr Milliseconds requestBound { 70'000 };
 
@@ -35,7 +36,7 @@
             candidate.paused = server.load.pausedUntil > now;
         });
         if (usable.domain != own)
-            candidate.latency += otherDomainCost;
+            candidate.latency += otherDomainCost / static_cast<double>(candidate.inFlight + 1);
         out.push_back(std::move(candidate));
     }
     return out;
--- a/Source/Core/Wire/Roster.capnp
+++ b/Source/Core/Wire/Roster.capnp
@@ -28,6 +28,15 @@
   epoch @1 :UInt64; # Of the answers so far; 0 before the first.
   revisions @2 :List(UInt64); # One for each shard of the roster.
   tableNumber @3 :UInt64;
+  address @4 :Text; # Of the follower, for its peers.
+  domain @5 :Text;
+  isLeaving @6 :Bool;
+  peersVersion @7 :UInt64; # Of the list of peers that the follower has.
+}
+
+struct Peer {
+  address @0 :Text;
+  domain @1 :Text;
 }
 
 struct WatchReply {
@@ -36,7 +45,8 @@
   shards @1 :List(Changes);
   tableNumber @2 :UInt64;
   members @3 :List(Text); # Addresses of the control instances.
-  followers @4 :UInt32; # Instances that asked lately.
+  peers @4 :List(Peer); # Instances that asked lately; empty if the follower has this version.
+  peersVersion @6 :UInt64;
 }
 
 struct TableRequest {
--- a/Source/Core/Wire/Roster.capnp.h
+++ b/Source/Core/Wire/Roster.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(e320ce36f419d26d);
 CAPNP_DECLARE_SCHEMA(b08259aabd559d16);
 CAPNP_DECLARE_SCHEMA(f6be001587868b45);
+CAPNP_DECLARE_SCHEMA(87b97d3d8d5b5d80);
 CAPNP_DECLARE_SCHEMA(ecd69fe695f9209a);
 CAPNP_DECLARE_SCHEMA(bb7c596319729910);
 CAPNP_DECLARE_SCHEMA(e0dbd208b121a2b5);
@@ -68,7 +69,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f6be001587868b45, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f6be001587868b45, 4, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer {
+  Peer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(87b97d3d8d5b5d80, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -83,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -395,6 +411,16 @@
 
   inline  ::uint64_t getTableNumber() const;
 
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool getIsLeaving() const;
+
+  inline  ::uint64_t getPeersVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -444,6 +470,26 @@
   inline  ::uint64_t getTableNumber();
   inline void setTableNumber( ::uint64_t value);
 
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+  inline  ::uint64_t getPeersVersion();
+  inline void setPeersVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -470,6 +516,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::Reader {
+public:
+  typedef Peer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::Builder {
+public:
+  typedef Peer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::Pipeline {
+public:
+  typedef Peer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class WatchReply::Reader {
 public:
   typedef WatchReply Reads;
@@ -497,10 +634,13 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
 
-  inline  ::uint32_t getFollowers() const;
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
 
   inline  ::uint32_t getFormatVersion() const;
 
+  inline  ::uint64_t getPeersVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -550,12 +690,19 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
 
-  inline  ::uint32_t getFollowers();
-  inline void setFollowers( ::uint32_t value);
+  inline bool hasPeers();
+  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>> disownPeers();
 
   inline  ::uint32_t getFormatVersion();
   inline void setFormatVersion( ::uint32_t value);
 
+  inline  ::uint64_t getPeersVersion();
+  inline void setPeersVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1221,6 +1368,170 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WatchRequest::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool WatchRequest::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WatchRequest::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WatchRequest::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void WatchRequest::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WatchRequest::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void WatchRequest::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WatchRequest::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool WatchRequest::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool WatchRequest::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WatchRequest::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WatchRequest::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void WatchRequest::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WatchRequest::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void WatchRequest::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WatchRequest::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool WatchRequest::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool WatchRequest::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void WatchRequest::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t WatchRequest::Reader::getPeersVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WatchRequest::Builder::getPeersVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void WatchRequest::Builder::setPeersVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t WatchReply::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1321,32 +1632,66 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t WatchReply::Reader::getFollowers() const {
+inline bool WatchReply::Reader::hasPeers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool WatchReply::Builder::hasPeers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader WatchReply::Reader::getPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder WatchReply::Builder::getPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void WatchReply::Builder::setPeers( ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder WatchReply::Builder::initPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void WatchReply::Builder::adoptPeers(
+    ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>> WatchReply::Builder::disownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t WatchReply::Reader::getFormatVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t WatchReply::Builder::getFollowers() {
+inline  ::uint32_t WatchReply::Builder::getFormatVersion() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void WatchReply::Builder::setFollowers( ::uint32_t value) {
+inline void WatchReply::Builder::setFormatVersion( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t WatchReply::Reader::getFormatVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint64_t WatchReply::Reader::getPeersVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t WatchReply::Builder::getFormatVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint64_t WatchReply::Builder::getPeersVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void WatchReply::Builder::setFormatVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void WatchReply::Builder::setPeersVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t TableRequest::Reader::getNumber() const {
--- a/Source/Core/Wire/RosterCodec.cpp
+++ b/Source/Core/Wire/RosterCodec.cpp
@@ -60,6 +60,10 @@
         out.setFollower(toText(request.follower));
         out.setEpoch(request.epoch.value());
         out.setTableNumber(request.table.value());
+        out.setAddress(toText(request.peer.address));
+        out.setDomain(toText(request.peer.domain));
+        out.setIsLeaving(request.isLeaving);
+        out.setPeersVersion(request.peersVersion);
         auto revisions = out.initRevisions(static_cast<unsigned>(request.revisions.size()));
         for (unsigned i = 0; i < revisions.size(); ++i)
             revisions.set(i, request.revisions[i].value());
@@ -71,6 +75,9 @@
         request.follower = fromText<Common::InstanceId>(in.getFollower());
         request.epoch = Roster::Epoch(in.getEpoch());
         request.table = Common::TableNumber(in.getTableNumber());
+        request.peer = { fromText<Common::Address>(in.getAddress()), fromText<Common::FailureDomain>(in.getDomain()) };
+        request.isLeaving = in.getIsLeaving();
+        request.peersVersion = in.getPeersVersion();
         for (auto revision : in.getRevisions())
             request.revisions.emplace_back(revision);
         return request;
@@ -106,7 +113,12 @@
     out.setFormatVersion(formatVersion);
     out.setEpoch(reply.epoch.value());
     out.setTableNumber(reply.table.value());
-    out.setFollowers(reply.followers);
+    out.setPeersVersion(reply.peersVersion);
+    auto peers = out.initPeers(static_cast<unsigned>(reply.peers.size()));
+    for (unsigned i = 0; i < peers.size(); ++i) {
+        peers[i].setAddress(toText(reply.peers[i].address));
+        peers[i].setDomain(toText(reply.peers[i].domain));
+    }
     auto shards = out.initShards(static_cast<unsigned>(reply.shards.size()));
     for (unsigned i = 0; i < shards.size(); ++i)
         write(shards[i], reply.shards[i]);
@@ -122,7 +134,11 @@
         Roster::WatchReply reply;
         reply.epoch = Roster::Epoch(in.getEpoch());
         reply.table = Common::TableNumber(in.getTableNumber());
-        reply.followers = in.getFollowers();
+        reply.peersVersion = in.getPeersVersion();
+        for (auto peer : in.getPeers()) {
+            reply.peers.push_back({ fromText<Common::Address>(peer.getAddress()),
+                fromText<Common::FailureDomain>(peer.getDomain()) });
+        }
         for (auto shard : in.getShards())
             reply.shards.push_back(read(shard));
         for (auto member : in.getMembers())
--- a/Source/UnitTests/Relay/QueryTest.cpp
+++ b/Source/UnitTests/Relay/QueryTest.cpp
@@ -39,13 +39,13 @@
         route.fan = Routes::Fan { {}, 2, Common::Ratio(least) };
         for (size_t i = 0; i < groups; ++i)
             route.fan->groups.emplace_back("g" + std::to_string(i));
-        query = makeQuery(nullptr, route, GroupName(), times);
+        query = makeQuery(nullptr, route, route.fan->groups, neededGroups(*route.fan, groups), times);
     }
 
     explicit Case(Routes::Repeat repeat)
         : route(baseRoute(repeat))
     {
-        query = makeQuery(nullptr, route, GroupName("g"), times);
+        query = makeQuery(nullptr, route, { GroupName("g") }, 1, times);
     }
     Case(const Case&) = delete;
 };
@@ -109,7 +109,7 @@
     auto merged = answerIn<Merged>(answered(c.query, ids[1], success("b"), at(11)));
     ASSERT_TRUE(merged);
     EXPECT_EQ(merged->signatures, (std::vector<std::string> { "a", "b" }));
-    EXPECT_EQ(merged->missing, 0u);
+    EXPECT_TRUE(merged->missing.empty());
 }
 
 TEST(Query, AnswersPartlyAtTheAimIfEnoughIsIn)
@@ -121,7 +121,7 @@
     EXPECT_FALSE(answerIn<Merged>(wake(c.query, at(50))));
     auto merged = answerIn<Merged>(wake(c.query, at(100)));
     ASSERT_TRUE(merged);
-    EXPECT_EQ(merged->missing, 1u);
+    EXPECT_EQ(merged->missing, std::vector<size_t> { 3 });
 }
 
 TEST(Query, WaitsPastTheAimForTheLeastShareAndAnswersAtOnce)
