Ask each group in one bundle, and count the runs of an earlier asking

Ruled out: route tables of different versions. Change: a bundle holds a group once; what is missing comes with the number of servers on which it may have run. Tests: Bundles.CoverEachGroupOnceInFewDomains, Query.CountsRunsOfAnEarlierAsking, Assembly.DoesNotAskAgainWhatRanOftenEnough.

--- a/Source/Core/Relay/Assembly.cpp
+++ b/Source/Core/Relay/Assembly.cpp
@@ -30,13 +30,13 @@
         return merged;
     }
 
-    // It has not run only if no bundle has.
+    // It has not run only if no bundle has, and none is under way.
     Refusal mergeRefusals(const Assembly& assembly)
     {
         if (assembly.refusals.empty())
             return { Common::makeError(Common::Reason::DeadlineExceeded, "gather", "too few groups answered"), false, {} };
         Refusal refusal = assembly.refusals.front();
-        refusal.hasNotRun = !included(assembly)
+        refusal.hasNotRun = !included(assembly) && !assembly.awaited
             && std::all_of(assembly.refusals.begin(), assembly.refusals.end(),
                 [](const Refusal& r) { return r.hasNotRun; });
         if (!refusal.hasNotRun)
@@ -44,15 +44,32 @@
         return refusal;
     }
 
+    // Takes the missing groups that may run once more. False if they would not be enough.
+    bool takeAskable(Assembly& assembly, Step& step)
+    {
+        assembly.askedAgain = true;
+        auto mayRun = [&](const MissingGroup& group) { return group.ran < assembly.maximumAttempts; };
+        step.needed = assembly.missing.size() - mayMiss(*assembly.fan);
+        std::copy_if(assembly.missing.begin(), assembly.missing.end(), std::back_inserter(step.askAgain), mayRun);
+        if (step.askAgain.size() < step.needed) {
+            step.askAgain.clear();
+            return false;
+        }
+        std::erase_if(assembly.missing, mayRun);
+        assembly.awaited = 1;
+        return true;
+    }
+
     void note(Assembly& assembly, const std::vector<size_t>& groups, Answer answer)
     {
         if (auto merged = std::get_if<Merged>(&answer)) {
-            for (size_t place : merged->missing)
-                assembly.missing.push_back(groups.at(place));
+            for (const MissingGroup& group : merged->missing)
+                assembly.missing.push_back({ groups.at(group.place), group.ran });
             assembly.parts.push_back(std::move(*merged));
             return;
         }
-        assembly.missing.insert(assembly.missing.end(), groups.begin(), groups.end());
+        for (size_t place : groups)
+            assembly.missing.push_back({ place, 0 });
         auto refusal = std::get_if<Refusal>(&answer);
         if (refusal)
             assembly.refusals.push_back(std::move(*refusal));
@@ -63,9 +80,10 @@
 
 } // namespace
 
-Assembly makeAssembly(const Routes::Fan& fan, size_t bundles)
+Assembly makeAssembly(const Routes::Fan& fan, int maximumAttempts, size_t bundles)
 {
     Assembly assembly;
+    assembly.maximumAttempts = maximumAttempts;
     assembly.fan = &fan;
     assembly.awaited = bundles;
     return assembly;
@@ -85,13 +103,8 @@
     bool isRefused = !isEnough && !assembly.refusals.empty();
     if (assembly.awaited && !isRefused)
         return step;
-    if (!isEnough && !isRefused && !assembly.askedAgain) {
-        assembly.askedAgain = true;
-        assembly.awaited = 1;
-        step.needed = assembly.missing.size() - mayMiss(*assembly.fan);
-        step.askAgain.swap(assembly.missing);
+    if (!isEnough && !isRefused && !assembly.askedAgain && takeAskable(assembly, step))
         return step;
-    }
     assembly.finished = true;
     if (isEnough)
         step.answer = mergeParts(assembly);
--- a/Source/Core/Relay/Call.h
+++ b/Source/Core/Relay/Call.h
@@ -51,10 +51,18 @@
     SubAnswer answer;
 };
 
+// A group that is left out of an answer.
+struct MissingGroup {
+    size_t place { 0 }; // In the list that was asked.
+    int ran { 0 }; // Servers on which the call may have run.
+
+    friend bool operator==(const MissingGroup&, const MissingGroup&) = default;
+};
+
 // The greatest records of several servers' answers.
 struct Merged {
     std::vector<std::string> signatures; // Of the answers that are in.
-    std::vector<size_t> missing; // Groups that are left out, as places in the list that was asked.
+    std::vector<MissingGroup> missing;
     std::string body;
 };
 
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -94,7 +94,7 @@
 
     // What one instance asks itself.
     struct Asked {
-        std::vector<GroupName> groups;
+        std::vector<AskedGroup> groups;
         size_t needed { 1 };
         bool areRepeats { false }; // Another send to them went out, or may have, for the same call.
     };
@@ -173,12 +173,13 @@
         return Outcome::Kind::Failed;
     }
 
-    std::vector<GroupName> groupsAt(const Routes::Fan& fan, const std::vector<size_t>& places)
+    // `ran`: servers of each on which the call may have run.
+    std::vector<AskedGroup> groupsAt(const Routes::Fan& fan, const std::vector<size_t>& places, int ran)
     {
-        std::vector<GroupName> groups;
+        std::vector<AskedGroup> groups;
         groups.reserve(places.size());
         for (size_t place : places)
-            groups.push_back(fan.groups[place]);
+            groups.push_back({ fan.groups[place], ran });
         return groups;
     }
 
@@ -417,7 +418,7 @@
     if (route->fan)
         gather(call, routes, *route, times, std::move(done));
     else
-        run(call, routes, *route, { { Routes::choosePortion(*route, nextPortion++).group }, 1, false }, times,
+        run(call, routes, *route, { { { Routes::choosePortion(*route, nextPortion++).group, 0 } }, 1, false }, times,
             std::move(done));
 }
 
@@ -448,7 +449,7 @@
 {
     auto bundles = bundlesOf(*route.fan);
     auto gathering = std::make_shared<Gathering>();
-    gathering->assembly = makeAssembly(*route.fan, bundles.size());
+    gathering->assembly = makeAssembly(*route.fan, route.maximumAttempts, bundles.size());
     gathering->call = call;
     gathering->table = routes;
     gathering->route = &route;
@@ -474,7 +475,7 @@
     if (!gatherer) {
         size_t n = bundle.groups.size();
         run(gathering->call, gathering->table, *gathering->route,
-            { groupsAt(*gathering->route->fan, bundle.groups), n > allowed ? n - allowed : 0, false },
+            { groupsAt(*gathering->route->fan, bundle.groups, 0), n > allowed ? n - allowed : 0, false },
             gathering->times, std::move(done));
         return;
     }
@@ -502,10 +503,15 @@
     Observe::logEvent(Observe::Part::Relay, "asked-again",
         { { "request", gathering->call->id.value() }, { "groups", std::to_string(step.askAgain.size()) },
             { "needed", std::to_string(step.needed) } });
-    run(gathering->call, gathering->table, *gathering->route,
-        { groupsAt(*gathering->route->fan, step.askAgain), step.needed, true }, gathering->times,
-        [self = shared_from_this(), gathering, again = step.askAgain](
-            Answer last) { self->bundleEnded(gathering, again, std::move(last)); });
+    Asked asked { {}, step.needed, true };
+    std::vector<size_t> places;
+    for (const MissingGroup& group : step.askAgain) {
+        asked.groups.push_back({ gathering->route->fan->groups[group.place], group.ran });
+        places.push_back(group.place);
+    }
+    run(gathering->call, gathering->table, *gathering->route, asked, gathering->times,
+        [self = shared_from_this(), gathering, places](
+            Answer last) { self->bundleEnded(gathering, places, std::move(last)); });
 }
 
 void Engine::Private::delegate(const std::shared_ptr<Delegation>& delegation)
@@ -571,7 +577,8 @@
     size_t n = delegation->groups.size();
     size_t allowed = mayMiss(*gathering.route->fan);
     run(gathering.call, gathering.table, *gathering.route,
-        { groupsAt(*gathering.route->fan, delegation->groups), n > allowed ? n - allowed : 0, mayHaveSent },
+        { groupsAt(*gathering.route->fan, delegation->groups, mayHaveSent ? 1 : 0), n > allowed ? n - allowed : 0,
+            mayHaveSent },
         gathering.times, std::move(done));
 }
 
@@ -925,7 +932,7 @@
     auto arrived = Clock::now() - delegated.waited;
     size_t n = delegated.groups.size();
     m_private->run(delegated.call, routes, *route,
-        { groupsAt(*route->fan, delegated.groups), n > delegated.mayMiss ? n - delegated.mayMiss : 0, false },
+        { groupsAt(*route->fan, delegated.groups, 0), n > delegated.mayMiss ? n - delegated.mayMiss : 0, false },
         m_private->timesOf(*delegated.call, *route, arrived, delegationMargin),
         [done = std::move(done)](Answer answer) { done(std::move(answer)); });
 }
--- a/Source/Core/Relay/Gatherers.cpp
+++ b/Source/Core/Relay/Gatherers.cpp
@@ -81,7 +81,9 @@
     while (!left.empty()) {
         std::map<Common::FailureDomain, std::vector<size_t>> byDomain;
         for (size_t group : left) {
-            for (const Common::FailureDomain& domain : domainsOfGroups[group])
+            // A group may have several servers in one domain.
+            std::set<Common::FailureDomain> domains(domainsOfGroups[group].begin(), domainsOfGroups[group].end());
+            for (const Common::FailureDomain& domain : domains)
                 byDomain[domain].push_back(group);
         }
         if (byDomain.empty()) {
--- a/Source/Core/Relay/Query.cpp
+++ b/Source/Core/Relay/Query.cpp
@@ -32,6 +32,12 @@
         });
     }
 
+    int liveSends(const Part& part)
+    {
+        return static_cast<int>(std::count_if(part.attempts.begin(), part.attempts.end(),
+            [](const Attempt& attempt) { return attempt.sentAt.has_value(); }));
+    }
+
     Part* findPart(Query& query, AttemptId id, size_t& index)
     {
         for (Part& part : query.parts) {
@@ -63,7 +69,7 @@
         for (size_t i = 0; i < query.parts.size(); ++i) {
             Part& part = query.parts[i];
             if (part.state != Part::State::In) {
-                merged.missing.push_back(i);
+                merged.missing.push_back({ i, part.mayHaveRun + liveSends(part) });
                 continue;
             }
             merged.signatures.push_back(std::move(part.answer->signature));
@@ -185,7 +191,7 @@
     return needed;
 }
 
-Query makeQuery(Routes::TablePtr table, const Routes::Route& route, const std::vector<Common::GroupName>& groups,
+Query makeQuery(Routes::TablePtr table, const Routes::Route& route, const std::vector<AskedGroup>& groups,
     size_t needed, const Times& times)
 {
     Query query;
@@ -194,9 +200,10 @@
     query.route = &route;
     query.times = times;
     query.lastError = Common::makeError(Reason::Unavailable, "relay", "nothing was sent");
-    for (const Common::GroupName& group : groups) {
+    for (const AskedGroup& group : groups) {
         Part part;
-        part.group = group;
+        part.group = group.name;
+        part.mayHaveRun = group.ran;
         query.parts.push_back(std::move(part));
     }
     query.open = query.parts.size();
--- a/Source/Core/Relay/Query.h
+++ b/Source/Core/Relay/Query.h
@@ -101,10 +101,16 @@
     Common::TimePoint wakeAt;
 };
 
+// A group to ask, and on how many servers the call may have run before.
+struct AskedGroup {
+    Common::GroupName name;
+    int ran { 0 };
+};
+
 // The parts are the groups: some of the route's fan, or the one that was chosen among its portions. `needed` of them
 // make a success; with 0 the answer says what is missing, whatever it is.
-Query makeQuery(Routes::TablePtr, const Routes::Route&, const std::vector<Common::GroupName>& groups, size_t needed,
-    const Times&);
+Query makeQuery(
+    Routes::TablePtr, const Routes::Route&, const std::vector<AskedGroup>&, size_t needed, const Times&);
 // Of so many groups, those that a fan's answer needs at least.
 size_t neededGroups(const Routes::Fan&, size_t groups);
 
--- a/Source/Core/Wire/Relay.capnp
+++ b/Source/Core/Wire/Relay.capnp
@@ -25,9 +25,14 @@
   body @10 :Data;
 }
 
+struct Missing {
+  place @0 :UInt16; # Among the groups that were asked.
+  ran @1 :UInt16; # Servers on which the call may have run.
+}
+
 struct Merged {
   signatures @0 :List(Text);
-  missing @1 :List(UInt16); # Places among the groups that were asked.
+  missing @1 :List(Missing);
   body @2 :Data;
 }
 
--- a/Source/Core/Wire/Relay.capnp.c++
+++ b/Source/Core/Wire/Relay.capnp.c++
@@ -286,6 +286,64 @@
   1, 12, i_c4adb7993b1f947b, nullptr, nullptr, { &s_c4adb7993b1f947b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<47> b_db6ff64f4bdb5857 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     87,  88, 219,  75,  79, 246, 111, 219,
+     12,   0,   0,   0,   1,   0,   1,   0,
+     70,  41, 125,  91, 240, 161, 200, 227,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 162,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     82, 101, 108,  97, 121,  46,  99,  97,
+    112, 110, 112,  58,  77, 105, 115, 115,
+    105, 110, 103,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    112, 108,  97,  99, 101,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114,  97, 110,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_db6ff64f4bdb5857 = b_db6ff64f4bdb5857.words;
+#if !CAPNP_LITE
+static const uint16_t m_db6ff64f4bdb5857[] = {0, 1};
+static const uint16_t i_db6ff64f4bdb5857[] = {0, 1};
+const ::capnp::_::RawSchema s_db6ff64f4bdb5857 = {
+  0xdb6ff64f4bdb5857, b_db6ff64f4bdb5857.words, 47, nullptr, m_db6ff64f4bdb5857,
+  0, 2, i_db6ff64f4bdb5857, nullptr, nullptr, { &s_db6ff64f4bdb5857, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<71> b_be707d023052fb5d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      93, 251,  82,  48,   2, 125, 112, 190,
@@ -343,8 +401,8 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
-      7,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     87,  88, 219,  75,  79, 246, 111, 219,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
@@ -361,11 +419,14 @@
 };
 ::capnp::word const* const bp_be707d023052fb5d = b_be707d023052fb5d.words;
 #if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_be707d023052fb5d[] = {
+  &s_db6ff64f4bdb5857,
+};
 static const uint16_t m_be707d023052fb5d[] = {2, 1, 0};
 static const uint16_t i_be707d023052fb5d[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_be707d023052fb5d = {
-  0xbe707d023052fb5d, b_be707d023052fb5d.words, 71, nullptr, m_be707d023052fb5d,
-  0, 3, i_be707d023052fb5d, nullptr, nullptr, { &s_be707d023052fb5d, nullptr, nullptr, 0, 0, nullptr }
+  0xbe707d023052fb5d, b_be707d023052fb5d.words, 71, d_be707d023052fb5d, m_be707d023052fb5d,
+  1, 3, i_be707d023052fb5d, nullptr, nullptr, { &s_be707d023052fb5d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<109> b_ce56b4701ec3dc84 = {
@@ -590,6 +651,14 @@
 constexpr ::capnp::_::RawSchema const* Call::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Missing
+constexpr uint16_t Missing::_capnpPrivate::dataWordSize;
+constexpr uint16_t Missing::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Missing::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Missing::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Merged
 constexpr uint16_t Merged::_capnpPrivate::dataWordSize;
 constexpr uint16_t Merged::_capnpPrivate::pointerCount;
--- a/Source/Core/Wire/Relay.capnp.h
+++ b/Source/Core/Wire/Relay.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(8c14749470e6181c);
 CAPNP_DECLARE_SCHEMA(c4adb7993b1f947b);
+CAPNP_DECLARE_SCHEMA(db6ff64f4bdb5857);
 CAPNP_DECLARE_SCHEMA(be707d023052fb5d);
 CAPNP_DECLARE_SCHEMA(ce56b4701ec3dc84);
 CAPNP_DECLARE_SCHEMA(9683ac9b378d4d3b);
@@ -58,6 +59,21 @@
   };
 };
 
+struct Missing {
+  Missing() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(db6ff64f4bdb5857, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Merged {
   Merged() = delete;
 
@@ -367,6 +383,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Missing::Reader {
+public:
+  typedef Missing Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getPlace() const;
+
+  inline  ::uint16_t getRan() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Missing::Builder {
+public:
+  typedef Missing Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getPlace();
+  inline void setPlace( ::uint16_t value);
+
+  inline  ::uint16_t getRan();
+  inline void setRan( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Missing::Pipeline {
+public:
+  typedef Missing Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Merged::Reader {
 public:
   typedef Merged Reads;
@@ -388,7 +485,7 @@
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSignatures() const;
 
   inline bool hasMissing() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getMissing() const;
+  inline  ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>::Reader getMissing() const;
 
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
@@ -430,12 +527,11 @@
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownSignatures();
 
   inline bool hasMissing();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getMissing();
-  inline void setMissing( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setMissing(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initMissing(unsigned int size);
-  inline void adoptMissing(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownMissing();
+  inline  ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>::Builder getMissing();
+  inline void setMissing( ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>::Builder initMissing(unsigned int size);
+  inline void adoptMissing(::capnp::Orphan< ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>> disownMissing();
 
   inline bool hasBody();
   inline  ::capnp::Data::Builder getBody();
@@ -1070,6 +1166,34 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Missing::Reader::getPlace() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Missing::Builder::getPlace() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Missing::Builder::setPlace( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Missing::Reader::getRan() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Missing::Builder::getRan() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Missing::Builder::setRan( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Merged::Reader::hasSignatures() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1116,33 +1240,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader Merged::Reader::getMissing() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>::Reader Merged::Reader::getMissing() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Merged::Builder::getMissing() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>::Builder Merged::Builder::getMissing() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Merged::Builder::setMissing( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Merged::Builder::setMissing(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void Merged::Builder::setMissing( ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Merged::Builder::initMissing(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>::Builder Merged::Builder::initMissing(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Merged::Builder::adoptMissing(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> Merged::Builder::disownMissing() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>> Merged::Builder::disownMissing() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RelaySchema::Missing,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
--- a/Source/Core/Wire/RelayCodec.cpp
+++ b/Source/Core/Wire/RelayCodec.cpp
@@ -29,8 +29,8 @@
             Relay::Merged merged;
             for (auto signature : in.getMerged().getSignatures())
                 merged.signatures.push_back(fromText(signature));
-            for (auto place : in.getMerged().getMissing())
-                merged.missing.push_back(place);
+            for (auto missing : in.getMerged().getMissing())
+                merged.missing.push_back({ missing.getPlace(), missing.getRan() });
             merged.body = fromData(in.getMerged().getBody());
             return merged;
         }
@@ -99,8 +99,10 @@
     if (auto merged = std::get_if<Relay::Merged>(&answer)) {
         auto part = out.initMerged();
         auto missing = part.initMissing(static_cast<unsigned>(merged->missing.size()));
-        for (unsigned i = 0; i < missing.size(); ++i)
-            missing.set(i, static_cast<uint16_t>(merged->missing[i]));
+        for (unsigned i = 0; i < missing.size(); ++i) {
+            missing[i].setPlace(static_cast<uint16_t>(merged->missing[i].place));
+            missing[i].setRan(static_cast<uint16_t>(merged->missing[i].ran));
+        }
         part.setBody(toData(merged->body));
         auto signatures = part.initSignatures(static_cast<unsigned>(merged->signatures.size()));
         for (unsigned i = 0; i < signatures.size(); ++i)
