--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -100,7 +100,7 @@
 Relay::Peers RelayRole::Private::peers(Peer::Client& client)
 {
     Relay::Peers peers;
-    peers.gather = [&client](const Address& to, const Relay::DelegatedCall& call, Milliseconds timeout, auto done) {
+    peers.gather = [&client](const Address& to, const Relay::BundleRequest& call, Milliseconds timeout, auto done) {
         client.call(to, Peer::Service::Relay, Wire::encode(call), timeout,
             [done = std::move(done)](const Result<std::string>& result) {
                 done(result ? Wire::decodeAnswer(result.value()) : Result<Relay::Answer>(result.error()));
@@ -354,7 +354,7 @@
         reply(std::string()); // A probe.
         return;
     }
-    auto call = Wire::decodeDelegatedCall(bytes);
+    auto call = Wire::decodeBundleRequest(bytes);
     if (!call) {
         reply(call.error());
         return;
--- a/Source/Core/Relay/Assembly.cpp
+++ b/Source/Core/Relay/Assembly.cpp
@@ -9,25 +9,42 @@
 
 namespace {
 
-    size_t included(const Assembly& assembly)
+    size_t missingGroups(const Assembly& assembly)
     {
         size_t n = 0;
-        for (const Merged& part : assembly.parts)
-            n += part.signatures.size();
+        for (const Assembly::Part& part : assembly.parts)
+            n += part.missing.size();
         return n;
     }
 
-    Merged mergeParts(Assembly& assembly)
+    size_t pendingGroups(const Assembly::Part& part)
     {
-        Merged merged;
+        return static_cast<size_t>(std::count_if(part.missing.begin(), part.missing.end(),
+            [](const MissingGroup& group) { return group.isPending; }));
+    }
+
+    size_t mayMiss(const Routes::Fan& fan) { return fan.groups.size() - neededGroups(fan, fan.groups.size()); }
+
+    bool isAwaited(const Assembly& assembly)
+    {
+        return std::any_of(
+            assembly.parts.begin(), assembly.parts.end(), [](const Assembly::Part& part) { return part.isAwaited; });
+    }
+
+    Merged mergeAll(Assembly& assembly)
+    {
+        Merged all;
         std::vector<const std::string*> bodies;
-        for (Merged& part : assembly.parts) {
-            bodies.push_back(&part.body);
-            std::move(part.signatures.begin(), part.signatures.end(), std::back_inserter(merged.signatures));
+        for (Merged& merged : assembly.merged) {
+            bodies.push_back(&merged.body);
+            std::move(merged.signatures.begin(), merged.signatures.end(), std::back_inserter(all.signatures));
         }
-        merged.missing = std::move(assembly.missing);
-        merged.body = greatestRecords(bodies, assembly.fan->topRecords);
-        return merged;
+        for (const Assembly::Part& part : assembly.parts) {
+            for (const MissingGroup& group : part.missing)
+                all.missing.push_back({ part.groups.at(group.place), false });
+        }
+        all.body = greatestRecords(bodies, assembly.fan->topRecords);
+        return all;
     }
 
     // It has not run only if no bundle has, and none is under way.
@@ -36,7 +53,7 @@
         if (assembly.refusals.empty())
             return { Common::makeError(Common::Reason::DeadlineExceeded, "gather", "too few groups answered"), false, {} };
         Refusal refusal = assembly.refusals.front();
-        refusal.hasNotRun = !included(assembly) && !assembly.awaited
+        refusal.hasNotRun = assembly.merged.empty() && !isAwaited(assembly)
             && std::all_of(assembly.refusals.begin(), assembly.refusals.end(),
                 [](const Refusal& r) { return r.hasNotRun; });
         if (!refusal.hasNotRun)
@@ -44,70 +61,76 @@
         return refusal;
     }
 
-    // Takes the missing groups that may run once more. False if they would not be enough.
-    bool takeAskable(Assembly& assembly, Step& step)
+    void note(Assembly& assembly, Assembly::Part& part, Answer answer)
     {
-        assembly.askedAgain = true;
-        auto mayRun = [&](const MissingGroup& group) { return group.ran < assembly.maximumAttempts; };
-        step.needed = assembly.missing.size() - mayMiss(*assembly.fan);
-        std::copy_if(assembly.missing.begin(), assembly.missing.end(), std::back_inserter(step.askAgain), mayRun);
-        if (step.askAgain.size() < step.needed) {
-            step.askAgain.clear();
-            return false;
+        part.isAwaited = false;
+        if (auto merged = std::get_if<Merged>(&answer)) {
+            part.missing = std::move(merged->missing);
+            assembly.merged.push_back(std::move(*merged));
+            return;
+        }
+        // After a bundle was delivered, a refusal says only that nothing more came.
+        if (part.missing.empty()) {
+            for (size_t i = 0; i < part.groups.size(); ++i)
+                part.missing.push_back({ i, false });
         }
-        std::erase_if(assembly.missing, mayRun);
-        assembly.awaited = 1;
-        return true;
+        for (MissingGroup& group : part.missing)
+            group.isPending = false;
+        auto refusal = std::get_if<Refusal>(&answer);
+        assembly.refusals.push_back(refusal
+                ? std::move(*refusal)
+                : Refusal { Common::makeError(Common::Reason::Cancelled, "gather", "the caller left"), false, {} });
     }
 
-    void note(Assembly& assembly, const std::vector<size_t>& groups, Answer answer)
+    // Bundles that may make up for what lacks; none if they can't.
+    std::vector<ResumePart> resumable(Assembly& assembly, size_t lacking)
     {
-        if (auto merged = std::get_if<Merged>(&answer)) {
-            for (const MissingGroup& group : merged->missing)
-                assembly.missing.push_back({ groups.at(group.place), group.ran });
-            assembly.parts.push_back(std::move(*merged));
-            return;
+        std::vector<ResumePart> found;
+        size_t pending = 0;
+        for (size_t i = 0; i < assembly.parts.size(); ++i) {
+            size_t here = pendingGroups(assembly.parts[i]);
+            pending += here;
+            if (here)
+                found.push_back({ i, std::min(here, lacking) });
         }
-        for (size_t place : groups)
-            assembly.missing.push_back({ place, 0 });
-        auto refusal = std::get_if<Refusal>(&answer);
-        if (refusal)
-            assembly.refusals.push_back(std::move(*refusal));
-        else
-            assembly.refusals.push_back(
-                { Common::makeError(Common::Reason::Cancelled, "gather", "the caller left"), false, {} });
+        return pending < lacking ? std::vector<ResumePart>() : found;
     }
 
 } // namespace
 
-Assembly makeAssembly(const Routes::Fan& fan, int maximumAttempts, size_t bundles)
+Assembly makeAssembly(const Routes::Fan& fan, const std::vector<std::vector<size_t>>& bundles)
 {
     Assembly assembly;
-    assembly.maximumAttempts = maximumAttempts;
     assembly.fan = &fan;
-    assembly.awaited = bundles;
+    for (const std::vector<size_t>& groups : bundles)
+        assembly.parts.push_back({ groups, true, {} });
     return assembly;
 }
 
-size_t mayMiss(const Routes::Fan& fan) { return fan.groups.size() - neededGroups(fan, fan.groups.size()); }
-
-Step takeBundle(Assembly& assembly, const std::vector<size_t>& groups, Answer answer)
+AssemblyStep takeBundle(Assembly& assembly, size_t bundle, Answer answer)
 {
-    Step step;
+    AssemblyStep step;
     if (assembly.finished)
         return step;
-    --assembly.awaited;
-    note(assembly, groups, std::move(answer));
-    bool isEnough = assembly.missing.size() <= mayMiss(*assembly.fan);
-    // A refusal is final: what was refused is not asked again by the way round.
-    bool isRefused = !isEnough && !assembly.refusals.empty();
-    if (assembly.awaited && !isRefused)
-        return step;
-    if (!isEnough && !isRefused && !assembly.askedAgain && takeAskable(assembly, step))
+    note(assembly, assembly.parts.at(bundle), std::move(answer));
+    size_t allowed = mayMiss(*assembly.fan);
+    bool isEnough = missingGroups(assembly) <= allowed;
+    bool isHopeless = !isEnough && !assembly.refusals.empty() && !assembly.isResumed;
+    // Resumed bundles bring late answers: one that is enough goes out at once.
+    bool mayWait = isAwaited(assembly) && !(isEnough && assembly.isResumed) && !isHopeless;
+    if (mayWait)
         return step;
+    if (!isEnough && !isHopeless && !assembly.isResumed) {
+        step.resume = resumable(assembly, missingGroups(assembly) - allowed);
+        assembly.isResumed = true;
+        for (const ResumePart& part : step.resume)
+            assembly.parts[part.bundle].isAwaited = true;
+        if (!step.resume.empty())
+            return step;
+    }
     assembly.finished = true;
     if (isEnough)
-        step.answer = mergeParts(assembly);
+        step.answer = mergeAll(assembly);
     else
         step.answer = mergeRefusals(assembly);
     return step;
--- a/Source/Core/Relay/Assembly.h
+++ b/Source/Core/Relay/Assembly.h
@@ -10,31 +10,39 @@
 
 // The answer to a call whose groups are asked in several bundles. Plain data: the caller keeps it under a lock.
 //
-// Each bundle may miss as many groups as the whole answer may. If the bundles miss too many together, those groups are
-// asked once more, as far as they may run once more.
+// Bundles are delivered at the aim with whatever is in. If they lack too much together, those that may still get
+// answers are resumed.
 struct Assembly {
+    struct Part {
+        std::vector<size_t> groups; // Places in the fan's list.
+        bool isAwaited { true };
+        std::vector<MissingGroup> missing;
+    };
+
     const Routes::Fan* fan { nullptr };
-    int maximumAttempts { 1 }; // Servers of one group on which the call may run.
-    size_t awaited { 0 }; // Bundles that are not answered.
-    std::vector<Merged> parts;
-    std::vector<MissingGroup> missing; // By their places in the fan's list.
+    std::vector<Part> parts; // One for each bundle.
+    std::vector<Merged> merged;
     std::vector<Refusal> refusals;
-    bool askedAgain { false };
+    bool isResumed { false };
     bool finished { false };
 };
 
-Assembly makeAssembly(const Routes::Fan&, int maximumAttempts, size_t bundles);
+Assembly makeAssembly(const Routes::Fan&, const std::vector<std::vector<size_t>>& bundles);
+
+// A bundle to wait for longer, and for how many groups.
+struct ResumePart {
+    size_t bundle { 0 };
+    size_t needed { 0 };
 
-// Groups that may be missing from an answer.
-size_t mayMiss(const Routes::Fan&);
+    friend bool operator==(const ResumePart&, const ResumePart&) = default;
+};
 
-// What follows from a bundle's answer: nothing yet, the whole answer, or a last bundle to ask.
-struct Step {
+// What follows from a bundle's answer: nothing yet, the whole answer, or bundles to resume.
+struct AssemblyStep {
     std::optional<Answer> answer;
-    std::vector<MissingGroup> askAgain;
-    size_t needed { 0 }; // Of these.
+    std::vector<ResumePart> resume;
 };
 
-Step takeBundle(Assembly&, const std::vector<size_t>& groups, Answer);
+AssemblyStep takeBundle(Assembly&, size_t bundle, Answer);
 
 } // namespace Relay
--- a/Source/Core/Relay/Call.h
+++ b/Source/Core/Relay/Call.h
@@ -54,7 +54,7 @@
 // A group that is left out of an answer.
 struct MissingGroup {
     size_t place { 0 }; // In the list that was asked.
-    int ran { 0 }; // Servers on which the call may have run.
+    bool isPending { false }; // An answer may still come; resume() waits for it.
 
     friend bool operator==(const MissingGroup&, const MissingGroup&) = default;
 };
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -81,24 +81,47 @@
         bool isAbandoned { false };
     };
 
+    // A bundle as its gatherer knows it.
+    struct BundleKey {
+        Common::Address asker;
+        uint64_t bundle { 0 };
+
+        friend bool operator==(const BundleKey&, const BundleKey&) = default;
+    };
+
+    struct BundleKeyHash {
+        size_t operator()(const BundleKey& key) const
+        {
+            return std::hash<Common::Address> {}(key.asker) ^ std::hash<uint64_t> {}(key.bundle);
+        }
+    };
+
     // One call and its query. The mutex serialises the events.
     struct Running {
         std::mutex mutex;
         CallPtr call;
         Query query;
-        Engine::Done done;
+        Engine::Done done; // Called at the delivery and at the end, if it is set then.
         Common::TimerId wake;
+        std::optional<BundleKey> bundle;
     };
 
     using RunningPtr = std::shared_ptr<Running>;
 
     // What one instance asks itself.
     struct Asked {
-        std::vector<AskedGroup> groups;
-        size_t needed { 1 };
+        std::vector<GroupName> groups;
+        std::optional<BundleKey> bundle; // Nothing for a call to one server.
         bool areRepeats { false }; // Another send to them went out, or may have, for the same call.
     };
 
+    // A bundle as the instance that asks knows it.
+    struct AskedBundle {
+        uint64_t id { 0 };
+        std::vector<size_t> groups; // Places in the route's list.
+        std::optional<Common::Address> gatherer; // Nothing: this instance.
+    };
+
     // A call that is gathered in several bundles. What is above the mutex does not change.
     struct Gathering {
         CallPtr call;
@@ -107,6 +130,7 @@
         Times times;
         std::mutex mutex; // Guards what follows.
         Assembly assembly;
+        std::vector<AskedBundle> bundles;
         Engine::Done done;
 
         void finish(Answer answer)
@@ -129,8 +153,8 @@
         std::mutex mutex; // Guards done.
         Engine::Done done;
         GatheringPtr gathering;
-        std::vector<size_t> groups; // Places in the route's list.
-        Common::Address gatherer;
+        size_t index { 0 }; // Of the bundle.
+        AskedBundle bundle;
 
         Engine::Done settle()
         {
@@ -174,12 +198,12 @@
     }
 
     // `ran`: servers of each on which the call may have run.
-    std::vector<AskedGroup> groupsAt(const Routes::Fan& fan, const std::vector<size_t>& places, int ran)
+    std::vector<GroupName> groupsAt(const Routes::Fan& fan, const std::vector<size_t>& places)
     {
-        std::vector<AskedGroup> groups;
+        std::vector<GroupName> groups;
         groups.reserve(places.size());
         for (size_t place : places)
-            groups.push_back({ fan.groups[place], ran });
+            groups.push_back(fan.groups[place]);
         return groups;
     }
 
@@ -189,6 +213,7 @@
 } // namespace Relay
 
 template <> struct std::hash<Relay::Key> : Relay::KeyHash { };
+template <> struct std::hash<Relay::BundleKey> : Relay::BundleKeyHash { };
 
 namespace Relay {
 
@@ -221,6 +246,8 @@
     GathererPauses pauses;
 
     Common::ShardedMap<QueryId, RunningPtr> queries;
+    Common::ShardedMap<BundleKey, QueryId> bundles;
+    std::atomic<uint64_t> nextBundle { 1 };
     Common::ShardedMap<Key, Flight> flights;
     Common::ShardedMap<GroupName, GroupState> groups;
     Common::ShardedMap<Common::RouteName, Routing::LatencyStats> latencies; // Of sub-requests.
@@ -229,8 +256,11 @@
     void relay(const CallPtr&, Done);
     void run(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Asked&, const Times&, Done);
     void gather(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
-    void gatherBundle(const GatheringPtr&, const Bundle&);
-    void bundleEnded(const GatheringPtr&, const std::vector<size_t>& groups, Answer);
+    void gatherBundle(const GatheringPtr&, size_t index);
+    void runBundle(const Gathering&, const AskedBundle&, bool areRepeats, Done);
+    void bundleEnded(const GatheringPtr&, size_t index, Answer);
+    void resumeBundle(const GatheringPtr&, const ResumePart&);
+    void resumeHere(const BundleKey&, size_t needed, Done);
     std::vector<Bundle> bundlesOf(const Routes::Fan&);
     void delegate(const std::shared_ptr<Delegation>&);
     void fallBack(const std::shared_ptr<Delegation>&, bool mayHaveSent, const std::string& why);
@@ -245,6 +275,9 @@
     void perform(const RunningPtr&, QueryId, const Abandon&);
     void perform(const RunningPtr&, QueryId, const WakeAt&);
     void perform(const RunningPtr&, QueryId, Finish&);
+    void perform(const RunningPtr&, QueryId, Deliver&);
+    void perform(const RunningPtr&, QueryId, const Forget&);
+    void end(const RunningPtr&, QueryId);
     bool trySend(const RunningPtr&, const Key&, const Send&, const GroupName&);
     void transmit(const RunningPtr&, const Key&, const ConnectionPtr&, const Common::BackendServerId&);
     void ended(const RunningPtr&, const Key&, const Common::Result<Http::Response>&);
@@ -357,8 +390,8 @@
     Milliseconds service;
     latencies.withValue(
         query.route->name, [&](Routing::LatencyStats& stats) { service = Routing::quantile(stats, 0.5); });
-    double share = query.route->fan ? query.route->fan->minimumShare.value() : 1;
-    auto mayMiss = static_cast<size_t>((1 - share) * static_cast<double>(query.parts.size()));
+    const auto& fan = query.route->fan;
+    size_t mayMiss = fan ? query.parts.size() - neededGroups(*fan, query.parts.size()) : 0;
     size_t late = 0;
     for (const Relay::Part& part : query.parts) {
         size_t ahead = groups.withValue(
@@ -418,7 +451,7 @@
     if (route->fan)
         gather(call, routes, *route, times, std::move(done));
     else
-        run(call, routes, *route, { { { Routes::choosePortion(*route, nextPortion++).group, 0 } }, 1, false }, times,
+        run(call, routes, *route, { { Routes::choosePortion(*route, nextPortion++).group }, std::nullopt, false }, times,
             std::move(done));
 }
 
@@ -447,71 +480,109 @@
 void Engine::Private::gather(
     const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
 {
-    auto bundles = bundlesOf(*route.fan);
+    auto plan = bundlesOf(*route.fan);
     auto gathering = std::make_shared<Gathering>();
-    gathering->assembly = makeAssembly(*route.fan, route.maximumAttempts, bundles.size());
+    std::vector<std::vector<size_t>> groupsOfBundles;
+    for (const Bundle& bundle : plan) {
+        groupsOfBundles.push_back(bundle.groups);
+        gathering->bundles.push_back(
+            { nextBundle++, bundle.groups, gathererFor(bundle.domain, times.arrived) });
+    }
+    gathering->assembly = makeAssembly(*route.fan, groupsOfBundles);
     gathering->call = call;
     gathering->table = routes;
     gathering->route = &route;
     gathering->times = times;
     gathering->done = std::move(done);
-    if (bundles.size() > 1 && call->caller) {
+    if (call->caller) {
         std::weak_ptr<Gathering> weak = gathering;
         call->caller->whenGone([weak] {
             if (auto gathering = weak.lock())
                 gathering->finish(Abandoned {});
         });
     }
-    for (const Bundle& bundle : bundles)
-        gatherBundle(gathering, bundle);
+    for (size_t i = 0; i < plan.size(); ++i)
+        gatherBundle(gathering, i);
 }
 
-void Engine::Private::gatherBundle(const GatheringPtr& gathering, const Bundle& bundle)
+void Engine::Private::gatherBundle(const GatheringPtr& gathering, size_t index)
 {
-    Done done = [self = shared_from_this(), gathering, groups = bundle.groups](
-                    Answer answer) { self->bundleEnded(gathering, groups, std::move(answer)); };
-    size_t allowed = mayMiss(*gathering->route->fan);
-    auto gatherer = gathererFor(bundle.domain, Clock::now());
-    if (!gatherer) {
-        size_t n = bundle.groups.size();
-        run(gathering->call, gathering->table, *gathering->route,
-            { groupsAt(*gathering->route->fan, bundle.groups, 0), n > allowed ? n - allowed : 0, false },
-            gathering->times, std::move(done));
+    AskedBundle bundle;
+    {
+        std::lock_guard lock(gathering->mutex);
+        bundle = gathering->bundles[index];
+    }
+    Done done = [self = shared_from_this(), gathering, index](
+                    Answer answer) { self->bundleEnded(gathering, index, std::move(answer)); };
+    if (!bundle.gatherer) {
+        runBundle(*gathering, bundle, false, std::move(done));
         return;
     }
     auto delegation = std::make_shared<Delegation>();
     delegation->done = std::move(done);
     delegation->gathering = gathering;
-    delegation->groups = bundle.groups;
-    delegation->gatherer = *gatherer;
+    delegation->index = index;
+    delegation->bundle = bundle;
     delegate(delegation);
 }
 
-void Engine::Private::bundleEnded(const GatheringPtr& gathering, const std::vector<size_t>& groups, Answer answer)
+void Engine::Private::runBundle(const Gathering& gathering, const AskedBundle& bundle, bool areRepeats, Done done)
 {
-    Step step;
+    run(gathering.call, gathering.table, *gathering.route,
+        { groupsAt(*gathering.route->fan, bundle.groups), BundleKey { options.self.address, bundle.id }, areRepeats },
+        gathering.times, std::move(done));
+}
+
+void Engine::Private::bundleEnded(const GatheringPtr& gathering, size_t index, Answer answer)
+{
+    AssemblyStep step;
     {
         std::lock_guard lock(gathering->mutex);
-        step = takeBundle(gathering->assembly, groups, std::move(answer));
+        step = takeBundle(gathering->assembly, index, std::move(answer));
     }
-    if (step.answer) {
+    if (step.answer)
         gathering->finish(std::move(*step.answer));
+    for (const ResumePart& part : step.resume)
+        resumeBundle(gathering, part);
+}
+
+void Engine::Private::resumeBundle(const GatheringPtr& gathering, const ResumePart& part)
+{
+    AskedBundle bundle;
+    {
+        std::lock_guard lock(gathering->mutex);
+        bundle = gathering->bundles[part.bundle];
+    }
+    Done done = [self = shared_from_this(), gathering, index = part.bundle](
+                    Answer answer) { self->bundleEnded(gathering, index, std::move(answer)); };
+    if (!bundle.gatherer) {
+        resumeHere({ options.self.address, bundle.id }, part.needed, std::move(done));
         return;
     }
-    if (step.askAgain.empty())
+    peers.gather(*bundle.gatherer, { options.self.address, ResumeBundle { bundle.id, part.needed } },
+        gathering->times.end - Clock::now(), [done = std::move(done)](const Common::Result<Answer>& result) {
+            done(result ? result.value() : Answer(Refusal { result.error(), false, Milliseconds(0) }));
+        });
+}
+
+void Engine::Private::resumeHere(const BundleKey& key, size_t needed, Done done)
+{
+    QueryId id;
+    RunningPtr running;
+    bundles.ifPresent(key, [&](QueryId& found) { id = found; });
+    queries.ifPresent(id, [&](RunningPtr& found) { running = found; });
+    bool isAlive = false;
+    if (running) {
+        std::lock_guard lock(running->mutex);
+        isAlive = running->query.isDelivered && !running->query.finished;
+        if (isAlive)
+            running->done = std::move(done);
+    }
+    if (!isAlive) {
+        done(Refusal { Common::makeError(Reason::NotFound, "resume", "the bundle has ended"), false, Milliseconds(0) });
         return;
-    Observe::logEvent(Observe::Part::Relay, "asked-again",
-        { { "request", gathering->call->id.value() }, { "groups", std::to_string(step.askAgain.size()) },
-            { "needed", std::to_string(step.needed) } });
-    Asked asked { {}, step.needed, true };
-    std::vector<size_t> places;
-    for (const MissingGroup& group : step.askAgain) {
-        asked.groups.push_back({ gathering->route->fan->groups[group.place], group.ran });
-        places.push_back(group.place);
     }
-    run(gathering->call, gathering->table, *gathering->route, asked, gathering->times,
-        [self = shared_from_this(), gathering, places](
-            Answer last) { self->bundleEnded(gathering, places, std::move(last)); });
+    step(running, id, [&](Query& query) { return resume(query, needed, Clock::now()); });
 }
 
 void Engine::Private::delegate(const std::shared_ptr<Delegation>& delegation)
@@ -519,10 +590,10 @@
     auto now = Clock::now();
     ++running;
     const Gathering& gathering = *delegation->gathering;
-    DelegatedCall call { gathering.table->number, now - gathering.times.arrived, delegation->groups,
-        mayMiss(*gathering.route->fan), gathering.call };
+    DelegatedCall call { delegation->bundle.id, gathering.table->number, now - gathering.times.arrived,
+        delegation->bundle.groups, gathering.call };
     auto self = shared_from_this();
-    peers.gather(delegation->gatherer, call, gathering.times.end - now,
+    peers.gather(*delegation->bundle.gatherer, { options.self.address, call }, gathering.times.end - now,
         [self, delegation](const Common::Result<Answer>& result) {
             --self->running;
             if (result) {
@@ -552,7 +623,7 @@
             if (!delegation->done)
                 return;
         }
-        self->peers.probe(delegation->gatherer, probeTimeout, [self, delegation](bool isAlive) {
+        self->peers.probe(*delegation->bundle.gatherer, probeTimeout, [self, delegation](bool isAlive) {
             if (!isAlive)
                 self->fallBack(delegation, true, "the gatherer is silent");
         });
@@ -565,21 +636,20 @@
     auto now = Clock::now();
     {
         std::lock_guard lock(viewMutex);
-        pause(pauses, delegation->gatherer, now + gathererPause);
+        pause(pauses, *delegation->bundle.gatherer, now + gathererPause);
     }
     auto done = delegation->settle();
     if (!done)
         return;
     const Gathering& gathering = *delegation->gathering;
     Observe::logEvent(Observe::Part::Relay, "gatherer-passed-by",
-        { { "request", gathering.call->id.value() }, { "gatherer", delegation->gatherer.value() },
+        { { "request", gathering.call->id.value() }, { "gatherer", delegation->bundle.gatherer->value() },
             { "may_have_sent", mayHaveSent ? "yes" : "no" }, { "why", why } });
-    size_t n = delegation->groups.size();
-    size_t allowed = mayMiss(*gathering.route->fan);
-    run(gathering.call, gathering.table, *gathering.route,
-        { groupsAt(*gathering.route->fan, delegation->groups, mayHaveSent ? 1 : 0), n > allowed ? n - allowed : 0,
-            mayHaveSent },
-        gathering.times, std::move(done));
+    {
+        std::lock_guard lock(delegation->gathering->mutex);
+        delegation->gathering->bundles[delegation->index].gatherer.reset();
+    }
+    runBundle(gathering, delegation->bundle, mayHaveSent, std::move(done));
 }
 
 void Engine::Private::run(const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route,
@@ -593,14 +663,17 @@
     }
     auto running = std::make_shared<Running>();
     running->call = call;
-    running->query = makeQuery(routes, route, asked.groups, asked.needed, times);
+    running->query = makeQuery(routes, route, asked.groups, 1, asked.bundle.has_value(), times);
     if (auto error = overloaded(running->query, now)) {
         refuse(call, routes, error->reason, error->message, refusedRetryAfter, done);
         return;
     }
     running->done = std::move(done);
+    running->bundle = asked.bundle;
     ++this->running;
     queries.insert(id, running);
+    if (asked.bundle)
+        bundles.insert(*asked.bundle, id);
     step(running, id, [&](Query& query) { return start(query, now, asked.areRepeats); });
     if (!call->caller)
         return;
@@ -822,21 +895,46 @@
 
 void Engine::Private::perform(const RunningPtr& running, QueryId id, Finish& finish)
 {
-    Common::TimerId timer;
     Done done;
     {
         std::lock_guard lock(running->mutex);
-        timer = running->wake;
         done = std::exchange(running->done, nullptr);
     }
-    timers.cancel(timer);
-    queries.take(id);
-    --this->running;
+    end(running, id);
     logAnswer(*running, finish.answer, Clock::now() - running->query.times.arrived);
     if (done)
         done(std::move(finish.answer));
 }
 
+void Engine::Private::perform(const RunningPtr& running, QueryId, Deliver& deliver)
+{
+    Done done;
+    {
+        std::lock_guard lock(running->mutex);
+        done = std::exchange(running->done, nullptr);
+    }
+    Answer answer = std::move(deliver.merged);
+    logAnswer(*running, answer, Clock::now() - running->query.times.arrived);
+    if (done)
+        done(std::move(answer));
+}
+
+void Engine::Private::perform(const RunningPtr& running, QueryId id, const Forget&) { end(running, id); }
+
+void Engine::Private::end(const RunningPtr& running, QueryId id)
+{
+    Common::TimerId timer;
+    {
+        std::lock_guard lock(running->mutex);
+        timer = running->wake;
+    }
+    timers.cancel(timer);
+    queries.take(id);
+    if (running->bundle)
+        bundles.take(*running->bundle);
+    --this->running;
+}
+
 void Engine::Private::logAnswer(const Running& running, const Answer& answer, Milliseconds took)
 {
     const std::string& route = running.query.route->name.value();
@@ -917,8 +1015,14 @@
 
 void Engine::relay(CallPtr call, Done done) { m_private->relay(call, std::move(done)); }
 
-void Engine::gather(const DelegatedCall& delegated, std::function<void(Common::Result<Answer>)> done)
+void Engine::gather(const BundleRequest& request, std::function<void(Common::Result<Answer>)> done)
 {
+    Done answer = [done](Answer a) { done(std::move(a)); };
+    if (auto resume = std::get_if<ResumeBundle>(&request.body)) {
+        m_private->resumeHere({ request.asker, resume->bundle }, resume->needed, std::move(answer));
+        return;
+    }
+    auto& delegated = std::get<DelegatedCall>(request.body);
     Routes::TablePtr routes = table();
     const Routes::Route* route
         = routes ? Routes::match(*routes, delegated.call->host, delegated.call->path) : nullptr;
@@ -930,11 +1034,9 @@
         return;
     }
     auto arrived = Clock::now() - delegated.waited;
-    size_t n = delegated.groups.size();
     m_private->run(delegated.call, routes, *route,
-        { groupsAt(*route->fan, delegated.groups, 0), n > delegated.mayMiss ? n - delegated.mayMiss : 0, false },
-        m_private->timesOf(*delegated.call, *route, arrived, delegationMargin),
-        [done = std::move(done)](Answer answer) { done(std::move(answer)); });
+        { groupsAt(*route->fan, delegated.groups), BundleKey { request.asker, delegated.bundle }, false },
+        m_private->timesOf(*delegated.call, *route, arrived, delegationMargin), std::move(answer));
 }
 
 size_t Engine::inFlight() const { return static_cast<size_t>(std::max<int64_t>(m_private->running, 0)); }
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -11,22 +11,34 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <variant>
 
 namespace Relay {
 
-// A call that another instance is asked to gather for.
+// A bundle of a call's groups that a gatherer is asked for.
 struct DelegatedCall {
+    uint64_t bundle { 0 }; // Unique at the instance that asks.
     Common::TableNumber table; // Under which it was admitted.
     Common::Milliseconds waited; // Since the request came in.
     std::vector<size_t> groups; // Places in the route's list.
-    size_t mayMiss { 0 }; // So many of them, without being asked again.
     CallPtr call;
 };
 
+// Asks for more of a bundle that was delivered: for so many further groups.
+struct ResumeBundle {
+    uint64_t bundle { 0 };
+    size_t needed { 0 };
+};
+
+struct BundleRequest {
+    Common::Address asker; // The instance that asks.
+    std::variant<DelegatedCall, ResumeBundle> body;
+};
+
 // The way to other instances.
 struct Peers {
     // An error of the reasons Unavailable, ConnectionFailed and Overloaded says that nothing was sent to servers.
-    std::function<void(const Common::Address&, const DelegatedCall&, Common::Milliseconds timeout,
+    std::function<void(const Common::Address&, const BundleRequest&, Common::Milliseconds timeout,
         std::function<void(Common::Result<Answer>)> done)>
         gather;
     // Whether the instance answers anything within the timeout.
@@ -60,8 +72,8 @@
     // done is called once, from any thread. NotFound: no route matches. Unavailable: there is no route table yet.
     using Done = std::function<void(Answer)>;
     void relay(CallPtr, Done);
-    // Gathers from some groups for another instance; Unavailable if it was admitted under another route table.
-    void gather(const DelegatedCall&, std::function<void(Common::Result<Answer>)> done);
+    // Gathers for another instance. Unavailable if the call was admitted under another route table.
+    void gather(const BundleRequest&, std::function<void(Common::Result<Answer>)> done);
     size_t inFlight() const;
 
 private:
--- a/Source/Core/Relay/Query.cpp
+++ b/Source/Core/Relay/Query.cpp
@@ -3,6 +3,7 @@
 #include "Relay/Merge.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Relay {
 
@@ -18,6 +19,8 @@
     constexpr int extraSends = 2;
     // A caller is told to come back that much later. Another instance may have room at once.
     constexpr Milliseconds retryAfter { 40 };
+    // So long after its delivery a bundle can be resumed: two ways between instances, and some time for the other bundles.
+    constexpr Milliseconds resumeTime { 60 };
     // Wakes closer than that to the one that is set are left out.
     constexpr Milliseconds wakeSlack { 0.5 };
 
@@ -32,12 +35,6 @@
         });
     }
 
-    int liveSends(const Part& part)
-    {
-        return static_cast<int>(std::count_if(part.attempts.begin(), part.attempts.end(),
-            [](const Attempt& attempt) { return attempt.sentAt.has_value(); }));
-    }
-
     Part* findPart(Query& query, AttemptId id, size_t& index)
     {
         for (Part& part : query.parts) {
@@ -60,16 +57,17 @@
         }
     }
 
-    Answer successOf(Query& query)
+    // What is in and was not delivered before.
+    Merged mergedOf(Query& query)
     {
-        if (!query.route->fan)
-            return Forwarded { std::move(*query.parts.front().answer) };
         Merged merged;
         std::vector<const std::string*> bodies;
         for (size_t i = 0; i < query.parts.size(); ++i) {
             Part& part = query.parts[i];
+            if (std::exchange(part.isDelivered, part.state == Part::State::In))
+                continue;
             if (part.state != Part::State::In) {
-                merged.missing.push_back({ i, part.mayHaveRun + liveSends(part) });
+                merged.missing.push_back({ i, part.state == Part::State::Open });
                 continue;
             }
             merged.signatures.push_back(std::move(part.answer->signature));
@@ -79,6 +77,13 @@
         return merged;
     }
 
+    Answer successOf(Query& query)
+    {
+        if (!query.route->fan)
+            return Forwarded { std::move(*query.parts.front().answer) };
+        return mergedOf(query);
+    }
+
     // A failure that a server answered with goes to the caller as it came, if there is nothing better.
     Answer failureOf(Query& query)
     {
@@ -113,11 +118,46 @@
         return part.mayHaveRun == 0 || (mayRepeat(query) && part.mayHaveRun < query.route->maximumAttempts);
     }
 
+    size_t undelivered(const Query& query)
+    {
+        return static_cast<size_t>(std::count_if(query.parts.begin(), query.parts.end(),
+            [](const Part& part) { return part.state == Part::State::In && !part.isDelivered; }));
+    }
+
+    TimePoint resumeBy(const Query& query) { return query.times.aim + resumeTime; }
+
+    // A bundle ends when nothing more can come, and is delivered at the aim.
+    void concludeBundle(Query& query, TimePoint now, Effects& effects)
+    {
+        bool isOver = now >= query.times.end;
+        if (query.isDelivered && !query.isResumed) {
+            if (!isOver && now < resumeBy(query))
+                return;
+            query.finished = true;
+            abandonAll(query, effects);
+            effects.emplace_back(Forget {});
+            return;
+        }
+        bool isDue = query.isResumed && undelivered(query) >= query.needed;
+        if (!query.open || isOver || isDue) {
+            finish(query, mergedOf(query), effects);
+            return;
+        }
+        if (!query.isResumed && now >= query.times.aim) {
+            query.isDelivered = true;
+            effects.emplace_back(Deliver { mergedOf(query) });
+        }
+    }
+
     // Answers if the answer can't get better, or must not wait.
     void concludeIfDue(Query& query, TimePoint now, Effects& effects)
     {
         if (query.finished)
             return;
+        if (query.isBundle) {
+            concludeBundle(query, now, effects);
+            return;
+        }
         bool isEnough = query.in >= query.needed;
         bool isHopeless = query.in + query.open < query.needed;
         bool isOver = now >= query.times.end;
@@ -138,6 +178,8 @@
         TimePoint next = query.times.end;
         if (query.times.aim > now)
             next = std::min(next, query.times.aim);
+        if (query.isDelivered && !query.isResumed)
+            next = std::min(next, resumeBy(query));
         for (const Part& part : query.parts) {
             if (part.state == Part::State::Open && part.hedgeAt && !part.hedged)
                 next = std::min(next, *part.hedgeAt);
@@ -191,19 +233,19 @@
     return needed;
 }
 
-Query makeQuery(Routes::TablePtr table, const Routes::Route& route, const std::vector<AskedGroup>& groups,
-    size_t needed, const Times& times)
+Query makeQuery(Routes::TablePtr table, const Routes::Route& route, const std::vector<Common::GroupName>& groups,
+    size_t needed, bool isBundle, const Times& times)
 {
     Query query;
     query.needed = needed;
+    query.isBundle = isBundle;
     query.table = std::move(table);
     query.route = &route;
     query.times = times;
     query.lastError = Common::makeError(Reason::Unavailable, "relay", "nothing was sent");
-    for (const AskedGroup& group : groups) {
+    for (const Common::GroupName& group : groups) {
         Part part;
-        part.group = group.name;
-        part.mayHaveRun = group.ran;
+        part.group = group;
         query.parts.push_back(std::move(part));
     }
     query.open = query.parts.size();
@@ -213,12 +255,23 @@
 Effects start(Query& query, TimePoint now, bool areRepeats)
 {
     Effects effects;
-    for (size_t i = 0; i < query.parts.size(); ++i)
+    for (size_t i = 0; i < query.parts.size(); ++i) {
+        query.parts[i].mayHaveRun = areRepeats ? 1 : 0;
         ask(query, i, Purpose::First, areRepeats, effects);
+    }
     setWake(query, now, effects);
     return effects;
 }
 
+Effects resume(Query& query, size_t needed, TimePoint now)
+{
+    if (query.finished || !query.isDelivered)
+        return {};
+    query.isResumed = true;
+    query.needed = needed;
+    return settle(query, now, {});
+}
+
 bool sent(Query& query, AttemptId id, const Common::BackendServerId& server, TimePoint now,
     std::optional<Milliseconds> hedgeDelay)
 {
@@ -309,6 +362,9 @@
         if (!isDue)
             continue;
         part.hedged = true;
+        // What a bundle gets after the aim is late in any case.
+        if (query.isBundle && now >= query.times.aim)
+            continue;
         int mayRun = part.mayHaveRun + static_cast<int>(part.attempts.size());
         if (mayRun < query.route->maximumAttempts && part.asked < query.route->maximumAttempts + extraSends)
             ask(query, i, Purpose::Hedge, true, effects);
--- a/Source/Core/Relay/Query.h
+++ b/Source/Core/Relay/Query.h
@@ -40,12 +40,20 @@
     Common::TimePoint when;
 };
 
-// Answer the caller. Once for each query.
+// Answer the caller. Once for each query; nothing comes after it but Abandon.
 struct Finish {
     Answer answer;
 };
 
-using Effect = std::variant<Send, Abandon, WakeAt, Finish>;
+// Hand over what a bundle has so far. The query goes on until resume() or the time for that is over.
+struct Deliver {
+    Merged merged;
+};
+
+// Ends a bundle that was delivered and not resumed: there is nobody to answer.
+struct Forget { };
+
+using Effect = std::variant<Send, Abandon, WakeAt, Finish, Deliver, Forget>;
 using Effects = std::vector<Effect>;
 
 // How the end of an attempt without an answer is to be taken.
@@ -79,6 +87,7 @@
     bool hedged { false };
     std::optional<Common::TimePoint> hedgeAt; // Looked at when a send is live.
     std::optional<SubAnswer> answer;
+    bool isDelivered { false };
 };
 
 struct Times {
@@ -91,7 +100,10 @@
     Routes::TablePtr table; // Keeps the route.
     const Routes::Route* route { nullptr };
     Times times;
-    size_t needed { 1 }; // Parts without which there is no success.
+    size_t needed { 1 }; // Parts without which there is no success; after resume(), of those not delivered.
+    bool isBundle { false };
+    bool isDelivered { false };
+    bool isResumed { false };
     std::vector<Part> parts;
     size_t open { 0 };
     size_t in { 0 };
@@ -101,21 +113,18 @@
     Common::TimePoint wakeAt;
 };
 
-// A group to ask, and on how many servers the call may have run before.
-struct AskedGroup {
-    Common::GroupName name;
-    int ran { 0 };
-};
-
 // The parts are the groups: some of the route's fan, or the one that was chosen among its portions. `needed` of them
-// make a success; with 0 the answer says what is missing, whatever it is.
-Query makeQuery(
-    Routes::TablePtr, const Routes::Route&, const std::vector<AskedGroup>&, size_t needed, const Times&);
+// make a success. A bundle is a part of a call: it is delivered at the aim with whatever is in, and goes on for a while
+// in case that the whole call lacks too much.
+Query makeQuery(Routes::TablePtr, const Routes::Route&, const std::vector<Common::GroupName>&, size_t needed, bool isBundle,
+    const Times&);
 // Of so many groups, those that a fan's answer needs at least.
 size_t neededGroups(const Routes::Fan&, size_t groups);
 
-// areRepeats: another instance has, or may have, sent to these groups for the same call.
+// areRepeats: another instance has, or may have, sent to these groups for the same call, and they may have run once.
 Effects start(Query&, Common::TimePoint now, bool areRepeats = false);
+// After Deliver: finishes with so many further parts, as soon as they are in.
+Effects resume(Query&, size_t needed, Common::TimePoint now);
 // A server was found and has a free connection. False if the attempt is no longer wanted: then do not send.
 bool sent(Query&, Common::AttemptId, const Common::BackendServerId&, Common::TimePoint now,
     std::optional<Common::Milliseconds> hedgeDelay);
--- a/Source/Core/Wire/Relay.capnp
+++ b/Source/Core/Wire/Relay.capnp
@@ -11,23 +11,37 @@
 }
 
 struct Call {
+  tableNumber @0 :UInt64;
+  id @1 :Text;
+  host @2 :Text;
+  groups @3 :List(UInt16); # Places in the route's list.
+  timeLeftMs @4 :Float64; # Of the caller; negative if it did not say.
+  waitedMs @5 :Float64; # Since the request came in.
+  method @6 :Text;
+  target @7 :Text;
+  fields @8 :List(Field);
+  body @9 :Data;
+  bundle @10 :UInt64; # Unique at the instance that asks.
+}
+
+struct Request {
   formatVersion @0 :UInt32;
-  tableNumber @1 :UInt64;
-  id @2 :Text;
-  host @3 :Text;
-  groups @4 :List(UInt16); # Places in the route's list.
-  mayMiss @11 :UInt16; # So many groups.
-  timeLeftMs @5 :Float64; # Of the caller; negative if it did not say.
-  waitedMs @6 :Float64; # Since the request came in.
-  method @7 :Text;
-  target @8 :Text;
-  fields @9 :List(Field);
-  body @10 :Data;
+  union {
+    call @1 :Call;
+    resume @2 :Resume;
+  }
+  asker @3 :Text; # The address of the instance that asks.
 }
 
 struct Missing {
   place @0 :UInt16; # Among the groups that were asked.
-  ran @1 :UInt16; # Servers on which the call may have run.
+  isPending @1 :Bool; # An answer may still come.
+}
+
+# Asks for more of a bundle that was delivered.
+struct Resume {
+  bundle @0 :UInt64; # As in Call.
+  needed @1 :UInt16;
 }
 
 struct Merged {
--- a/Source/Core/Wire/Relay.capnp.h
+++ b/Source/Core/Wire/Relay.capnp.h
@@ -18,7 +18,9 @@
 
 CAPNP_DECLARE_SCHEMA(8c14749470e6181c);
 CAPNP_DECLARE_SCHEMA(c4adb7993b1f947b);
+CAPNP_DECLARE_SCHEMA(c7e1a0f5544608d9);
 CAPNP_DECLARE_SCHEMA(db6ff64f4bdb5857);
+CAPNP_DECLARE_SCHEMA(87db365c9858a7eb);
 CAPNP_DECLARE_SCHEMA(be707d023052fb5d);
 CAPNP_DECLARE_SCHEMA(ce56b4701ec3dc84);
 CAPNP_DECLARE_SCHEMA(9683ac9b378d4d3b);
@@ -59,6 +61,25 @@
   };
 };
 
+struct Request {
+  Request() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    CALL,
+    RESUME,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c7e1a0f5544608d9, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Missing {
   Missing() = delete;
 
@@ -74,6 +95,21 @@
   };
 };
 
+struct Resume {
+  Resume() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(87db365c9858a7eb, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Merged {
   Merged() = delete;
 
@@ -233,8 +269,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getFormatVersion() const;
-
   inline  ::uint64_t getTableNumber() const;
 
   inline bool hasId() const;
@@ -262,7 +296,7 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
-  inline  ::uint16_t getMayMiss() const;
+  inline  ::uint64_t getBundle() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -292,9 +326,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getFormatVersion();
-  inline void setFormatVersion( ::uint32_t value);
-
   inline  ::uint64_t getTableNumber();
   inline void setTableNumber( ::uint64_t value);
 
@@ -354,8 +385,8 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
-  inline  ::uint16_t getMayMiss();
-  inline void setMayMiss( ::uint16_t value);
+  inline  ::uint64_t getBundle();
+  inline void setBundle( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -383,6 +414,118 @@
 };
 #endif  // !CAPNP_LITE
 
+class Request::Reader {
+public:
+  typedef Request Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline  ::uint32_t getFormatVersion() const;
+
+  inline bool isCall() const;
+  inline bool hasCall() const;
+  inline  ::Wire::RelaySchema::Call::Reader getCall() const;
+
+  inline bool isResume() const;
+  inline bool hasResume() const;
+  inline  ::Wire::RelaySchema::Resume::Reader getResume() const;
+
+  inline bool hasAsker() const;
+  inline  ::capnp::Text::Reader getAsker() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Request::Builder {
+public:
+  typedef Request Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline  ::uint32_t getFormatVersion();
+  inline void setFormatVersion( ::uint32_t value);
+
+  inline bool isCall();
+  inline bool hasCall();
+  inline  ::Wire::RelaySchema::Call::Builder getCall();
+  inline void setCall( ::Wire::RelaySchema::Call::Reader value);
+  inline  ::Wire::RelaySchema::Call::Builder initCall();
+  inline void adoptCall(::capnp::Orphan< ::Wire::RelaySchema::Call>&& value);
+  inline ::capnp::Orphan< ::Wire::RelaySchema::Call> disownCall();
+
+  inline bool isResume();
+  inline bool hasResume();
+  inline  ::Wire::RelaySchema::Resume::Builder getResume();
+  inline void setResume( ::Wire::RelaySchema::Resume::Reader value);
+  inline  ::Wire::RelaySchema::Resume::Builder initResume();
+  inline void adoptResume(::capnp::Orphan< ::Wire::RelaySchema::Resume>&& value);
+  inline ::capnp::Orphan< ::Wire::RelaySchema::Resume> disownResume();
+
+  inline bool hasAsker();
+  inline  ::capnp::Text::Builder getAsker();
+  inline void setAsker( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAsker(unsigned int size);
+  inline void adoptAsker(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAsker();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Request::Pipeline {
+public:
+  typedef Request Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Missing::Reader {
 public:
   typedef Missing Reads;
@@ -402,7 +545,7 @@
 
   inline  ::uint16_t getPlace() const;
 
-  inline  ::uint16_t getRan() const;
+  inline bool getIsPending() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -435,8 +578,8 @@
   inline  ::uint16_t getPlace();
   inline void setPlace( ::uint16_t value);
 
-  inline  ::uint16_t getRan();
-  inline void setRan( ::uint16_t value);
+  inline bool getIsPending();
+  inline void setIsPending(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -464,6 +607,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Resume::Reader {
+public:
+  typedef Resume Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBundle() const;
+
+  inline  ::uint16_t getNeeded() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Resume::Builder {
+public:
+  typedef Resume Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBundle();
+  inline void setBundle( ::uint64_t value);
+
+  inline  ::uint16_t getNeeded();
+  inline void setNeeded( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Resume::Pipeline {
+public:
+  typedef Resume Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Merged::Reader {
 public:
   typedef Merged Reads;
@@ -854,32 +1078,18 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Call::Reader::getFormatVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Call::Builder::getFormatVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Call::Builder::setFormatVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t Call::Reader::getTableNumber() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Call::Builder::getTableNumber() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Call::Builder::setTableNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Call::Reader::hasId() const {
@@ -990,30 +1200,30 @@
 
 inline double Call::Reader::getTimeLeftMs() const {
   return _reader.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline double Call::Builder::getTimeLeftMs() {
   return _builder.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void Call::Builder::setTimeLeftMs(double value) {
   _builder.setDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline double Call::Reader::getWaitedMs() const {
   return _reader.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline double Call::Builder::getWaitedMs() {
   return _builder.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void Call::Builder::setWaitedMs(double value) {
   _builder.setDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Call::Reader::hasMethod() const {
@@ -1152,18 +1362,183 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Call::Reader::getMayMiss() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Call::Reader::getBundle() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Call::Builder::getMayMiss() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint64_t Call::Builder::getBundle() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setBundle( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Wire::RelaySchema::Request::Which Request::Reader::which() const {
+  return _reader.getDataField<Which>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setMayMiss( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::Wire::RelaySchema::Request::Which Request::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Request::Reader::getFormatVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Request::Builder::getFormatVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setFormatVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Request::Reader::isCall() const {
+  return which() == Request::CALL;
+}
+inline bool Request::Builder::isCall() {
+  return which() == Request::CALL;
+}
+inline bool Request::Reader::hasCall() const {
+  if (which() != Request::CALL) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasCall() {
+  if (which() != Request::CALL) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::RelaySchema::Call::Reader Request::Reader::getCall() const {
+  KJ_IREQUIRE((which() == Request::CALL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Call>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Wire::RelaySchema::Call::Builder Request::Builder::getCall() {
+  KJ_IREQUIRE((which() == Request::CALL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Call>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setCall( ::Wire::RelaySchema::Call::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::CALL);
+  ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Call>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::RelaySchema::Call::Builder Request::Builder::initCall() {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::CALL);
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Call>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::adoptCall(
+    ::capnp::Orphan< ::Wire::RelaySchema::Call>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::CALL);
+  ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Call>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::RelaySchema::Call> Request::Builder::disownCall() {
+  KJ_IREQUIRE((which() == Request::CALL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Call>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Request::Reader::isResume() const {
+  return which() == Request::RESUME;
+}
+inline bool Request::Builder::isResume() {
+  return which() == Request::RESUME;
+}
+inline bool Request::Reader::hasResume() const {
+  if (which() != Request::RESUME) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasResume() {
+  if (which() != Request::RESUME) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::RelaySchema::Resume::Reader Request::Reader::getResume() const {
+  KJ_IREQUIRE((which() == Request::RESUME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Resume>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Wire::RelaySchema::Resume::Builder Request::Builder::getResume() {
+  KJ_IREQUIRE((which() == Request::RESUME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Resume>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setResume( ::Wire::RelaySchema::Resume::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::RESUME);
+  ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Resume>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::RelaySchema::Resume::Builder Request::Builder::initResume() {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::RESUME);
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Resume>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::adoptResume(
+    ::capnp::Orphan< ::Wire::RelaySchema::Resume>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::RESUME);
+  ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Resume>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::RelaySchema::Resume> Request::Builder::disownResume() {
+  KJ_IREQUIRE((which() == Request::RESUME),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::Resume>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Request::Reader::hasAsker() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasAsker() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getAsker() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getAsker() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setAsker( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initAsker(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptAsker(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownAsker() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline  ::uint16_t Missing::Reader::getPlace() const {
@@ -1180,18 +1555,46 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Missing::Reader::getRan() const {
+inline bool Missing::Reader::getIsPending() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool Missing::Builder::getIsPending() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void Missing::Builder::setIsPending(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Resume::Reader::getBundle() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Resume::Builder::getBundle() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Resume::Builder::setBundle( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Resume::Reader::getNeeded() const {
   return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Missing::Builder::getRan() {
+inline  ::uint16_t Resume::Builder::getNeeded() {
   return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Missing::Builder::setRan( ::uint16_t value) {
+inline void Resume::Builder::setNeeded( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Merged::Reader::hasSignatures() const {
--- a/Source/Core/Wire/RelayCodec.cpp
+++ b/Source/Core/Wire/RelayCodec.cpp
@@ -23,6 +23,51 @@
         out.setRetryAfterMs(refusal.retryAfter.value());
     }
 
+    void write(Schema::Call::Builder out, const Relay::DelegatedCall& delegated)
+    {
+        const Relay::Call& call = *delegated.call;
+        out.setTableNumber(delegated.table.value());
+        out.setWaitedMs(delegated.waited.value());
+        out.setBundle(delegated.bundle);
+        out.setId(toText(call.id));
+        out.setHost(toText(call.host));
+        out.setTimeLeftMs(call.timeLeft ? call.timeLeft->value() : notSaid);
+        out.setMethod(toText(call.method));
+        out.setTarget(toText(call.target));
+        out.setBody(toData(call.body));
+        auto groups = out.initGroups(static_cast<unsigned>(delegated.groups.size()));
+        for (unsigned i = 0; i < groups.size(); ++i)
+            groups.set(i, static_cast<uint16_t>(delegated.groups[i]));
+        auto fields = out.initFields(static_cast<unsigned>(call.fields.size()));
+        for (unsigned i = 0; i < fields.size(); ++i) {
+            fields[i].setName(toText(call.fields[i].first));
+            fields[i].setValue(toText(call.fields[i].second));
+        }
+    }
+
+    Relay::DelegatedCall read(Schema::Call::Reader in)
+    {
+        auto call = std::make_shared<Relay::Call>();
+        call->id = fromText<Common::RequestId>(in.getId());
+        call->host = fromText(in.getHost());
+        if (in.getTimeLeftMs() >= 0)
+            call->timeLeft = Milliseconds(in.getTimeLeftMs());
+        call->method = fromText(in.getMethod());
+        call->target = fromText(in.getTarget());
+        call->path = call->target.substr(0, call->target.find('?'));
+        call->body = fromData(in.getBody());
+        for (auto field : in.getFields())
+            call->fields.emplace_back(fromText(field.getName()), fromText(field.getValue()));
+        Relay::DelegatedCall delegated;
+        delegated.bundle = in.getBundle();
+        delegated.table = Common::TableNumber(in.getTableNumber());
+        delegated.waited = Milliseconds(in.getWaitedMs());
+        for (auto group : in.getGroups())
+            delegated.groups.push_back(group);
+        delegated.call = std::move(call);
+        return delegated;
+    }
+
     Relay::Answer read(Schema::Answer::Reader in)
     {
         if (in.isMerged()) {
@@ -30,7 +75,7 @@
             for (auto signature : in.getMerged().getSignatures())
                 merged.signatures.push_back(fromText(signature));
             for (auto missing : in.getMerged().getMissing())
-                merged.missing.push_back({ missing.getPlace(), missing.getRan() });
+                merged.missing.push_back({ missing.getPlace(), missing.getIsPending() });
             merged.body = fromData(in.getMerged().getBody());
             return merged;
         }
@@ -43,51 +88,33 @@
 
 } // namespace
 
-std::string encode(const Relay::DelegatedCall& delegated)
+std::string encode(const Relay::BundleRequest& request)
 {
     capnp::MallocMessageBuilder message;
-    auto out = message.initRoot<Schema::Call>();
-    const Relay::Call& call = *delegated.call;
+    auto out = message.initRoot<Schema::Request>();
     out.setFormatVersion(formatVersion);
-    out.setTableNumber(delegated.table.value());
-    out.setWaitedMs(delegated.waited.value());
-    out.setId(toText(call.id));
-    out.setHost(toText(call.host));
-    out.setMayMiss(static_cast<uint16_t>(delegated.mayMiss));
-    auto groups = out.initGroups(static_cast<unsigned>(delegated.groups.size()));
-    for (unsigned i = 0; i < groups.size(); ++i)
-        groups.set(i, static_cast<uint16_t>(delegated.groups[i]));
-    out.setTimeLeftMs(call.timeLeft ? call.timeLeft->value() : notSaid);
-    out.setMethod(toText(call.method));
-    out.setTarget(toText(call.target));
-    out.setBody(toData(call.body));
-    auto fields = out.initFields(static_cast<unsigned>(call.fields.size()));
-    for (unsigned i = 0; i < fields.size(); ++i) {
-        fields[i].setName(toText(call.fields[i].first));
-        fields[i].setValue(toText(call.fields[i].second));
+    out.setAsker(toText(request.asker));
+    if (auto call = std::get_if<Relay::DelegatedCall>(&request.body)) {
+        write(out.initCall(), *call);
+    } else {
+        auto& resume = std::get<Relay::ResumeBundle>(request.body);
+        auto part = out.initResume();
+        part.setBundle(resume.bundle);
+        part.setNeeded(static_cast<uint16_t>(resume.needed));
     }
     return flatBytes(message);
 }
 
-Common::Result<Relay::DelegatedCall> decodeDelegatedCall(std::string_view bytes)
+Common::Result<Relay::BundleRequest> decodeBundleRequest(std::string_view bytes)
 {
-    return readFlatMessage<Schema::Call>(bytes, [](Schema::Call::Reader in) {
-        auto call = std::make_shared<Relay::Call>();
-        call->id = fromText<Common::RequestId>(in.getId());
-        call->host = fromText(in.getHost());
-        if (in.getTimeLeftMs() >= 0)
-            call->timeLeft = Milliseconds(in.getTimeLeftMs());
-        call->method = fromText(in.getMethod());
-        call->target = fromText(in.getTarget());
-        call->body = fromData(in.getBody());
-        for (auto field : in.getFields())
-            call->fields.emplace_back(fromText(field.getName()), fromText(field.getValue()));
-        call->path = call->target.substr(0, call->target.find('?'));
-        std::vector<size_t> groups;
-        for (auto group : in.getGroups())
-            groups.push_back(group);
-        return Relay::DelegatedCall { Common::TableNumber(in.getTableNumber()), Milliseconds(in.getWaitedMs()),
-            std::move(groups), in.getMayMiss(), std::move(call) };
+    return readFlatMessage<Schema::Request>(bytes, [](Schema::Request::Reader in) {
+        Relay::BundleRequest request;
+        request.asker = fromText<Common::Address>(in.getAsker());
+        if (in.isCall())
+            request.body = read(in.getCall());
+        else
+            request.body = Relay::ResumeBundle { in.getResume().getBundle(), in.getResume().getNeeded() };
+        return request;
     });
 }
 
@@ -101,7 +128,7 @@
         auto missing = part.initMissing(static_cast<unsigned>(merged->missing.size()));
         for (unsigned i = 0; i < missing.size(); ++i) {
             missing[i].setPlace(static_cast<uint16_t>(merged->missing[i].place));
-            missing[i].setRan(static_cast<uint16_t>(merged->missing[i].ran));
+            missing[i].setIsPending(merged->missing[i].isPending);
         }
         part.setBody(toData(merged->body));
         auto signatures = part.initSignatures(static_cast<unsigned>(merged->signatures.size()));
--- a/Source/UnitTests/Platform/CodecTest.cpp
+++ b/Source/UnitTests/Platform/CodecTest.cpp
@@ -155,7 +155,7 @@
 
 TEST(Answer, OfSeveralServersNamesTheirSignaturesAndWhatIsMissing)
 {
-    auto response = Platform::encodeAnswer(Relay::Merged { { "a", "b" }, { { 2, 0 }, { 3, 1 }, { 4, 0 } }, "body" }, RequestId("id"));
+    auto response = Platform::encodeAnswer(Relay::Merged { { "a", "b" }, { { 2, false }, { 3, true }, { 4, false } }, "body" }, RequestId("id"));
     EXPECT_EQ(response.status, 200);
     EXPECT_EQ(response.headers["X-Part-Stamps"], "a,b");
     EXPECT_EQ(response.headers["X-Missing-Parts"], "3");
