Say 404 only of what has no route, and avoid servers that shed

Ruled out: route tables that lack the route (the request ran). Change: the resume says that the time is over; the adapter answers 404 only if nothing was sent. Change: the share of shed and failed requests counts in a server's expected latency; hedges may use 65 % of the repeat budget. Tests: Load.AServerThatShedsCostsMoreWhileItDoes, RepeatBudget.KeepsAPart.

--- a/Source/Core/Limits/RepeatBudget.cpp
+++ b/Source/Core/Limits/RepeatBudget.cpp
@@ -30,7 +30,7 @@
     ++sliceOf(budget, rule, now).firstSends;
 }
 
-bool tryTakeRepeat(RepeatBudget& budget, const RepeatRule& rule, size_t instances, TimePoint now)
+bool tryTakeRepeat(RepeatBudget& budget, const RepeatRule& rule, size_t instances, double part, TimePoint now)
 {
     RepeatBudget::Slice& slice = sliceOf(budget, rule, now);
     int64_t firstSends = 0;
@@ -39,8 +39,8 @@
         firstSends += s.firstSends;
         repeats += s.repeats;
     }
-    double part = rule.minimum / static_cast<double>(std::max<size_t>(instances, 1));
-    double allowed = usedPart * (rule.ratio.value() * static_cast<double>(firstSends) + part);
+    double minimum = rule.minimum / static_cast<double>(std::max<size_t>(instances, 1));
+    double allowed = usedPart * part * (rule.ratio.value() * static_cast<double>(firstSends) + minimum);
     if (static_cast<double>(repeats + 1) > allowed)
         return false;
     ++slice.repeats;
--- a/Source/Core/Limits/RepeatBudget.h
+++ b/Source/Core/Limits/RepeatBudget.h
@@ -27,7 +27,8 @@
 };
 
 void countFirstSend(RepeatBudget&, const RepeatRule&, Common::TimePoint now);
-// Takes a repeat out of the budget, if it has one.
-bool tryTakeRepeat(RepeatBudget&, const RepeatRule&, size_t instances, Common::TimePoint now);
+// Takes a repeat out of the budget, if it has one. `part` is the part of the budget that may be used for it: less for
+// what can be done without.
+bool tryTakeRepeat(RepeatBudget&, const RepeatRule&, size_t instances, double part, Common::TimePoint now);
 
 } // namespace Limits
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -50,6 +50,8 @@
     // A request is hedged once it has taken longer than this share of the observed ones.
     constexpr double hedgeQuantile = 0.9;
     constexpr Milliseconds shortestHedgeDelay { 8 };
+    // Of the budget for repeats; the rest is for retries, without which a group is lost.
+    constexpr double hedgesPart = 0.65;
     // Samples before the observed latencies are used.
     constexpr double enoughSamples = 20;
     // Until then: this part of the time in which an answer is worth most.
@@ -579,7 +581,7 @@
             running->done = std::move(done);
     }
     if (!isAlive) {
-        done(Refusal { Common::makeError(Reason::NotFound, "resume", "the bundle has ended"), false, Milliseconds(0) });
+        done(Refusal { Common::makeError(Reason::DeadlineExceeded, "resume", "the bundle has ended"), false, Milliseconds(0) });
         return;
     }
     step(running, id, [&](Query& query) { return resume(query, needed, Clock::now()); });
@@ -697,7 +699,8 @@
     size_t sharers = send.isRepeat ? repeatSharersOf(group) : 0;
     bool hasBudget = groups.withValue(group, [&](GroupState& state) {
         if (send.isRepeat)
-            return Limits::tryTakeRepeat(state.budget, options.repeats, sharers, now);
+            return Limits::tryTakeRepeat(state.budget, options.repeats, sharers,
+                send.purpose == Purpose::Hedge ? hedgesPart : 1, now);
         Limits::countFirstSend(state.budget, options.repeats, now);
         return true;
     });
--- a/Source/Core/Relay/Load.cpp
+++ b/Source/Core/Relay/Load.cpp
@@ -17,6 +17,9 @@
     constexpr double stallRatio = 2.5;
     constexpr Milliseconds stallFloor { 25 };
     constexpr int maximumDoublings = 8;
+    constexpr double troubleWindow = 15; // Requests.
+    // What a request that has to be sent again is taken to cost: repeats are scarcer than time.
+    constexpr Milliseconds troubleCost { 250 };
 
     // How long a server is left alone, as long as there is another, after the first trouble; doubled after each
     // further one in a row.
@@ -55,6 +58,10 @@
     auto it = std::find(load.live.begin(), load.live.end(), sentAt);
     if (it != load.live.end())
         load.live.erase(it);
+    if (outcome.kind != Outcome::Kind::GivenUp) {
+        double trouble = outcome.kind == Outcome::Kind::Answered ? 0 : 1;
+        load.troubleShare += (trouble - load.troubleShare) / troubleWindow;
+    }
     switch (outcome.kind) {
     case Outcome::Kind::Answered:
         load.troubles = 0;
@@ -82,6 +89,7 @@
 Milliseconds expectedLatency(const Load& load, TimePoint now)
 {
     Milliseconds expected = load.latency.value() > 0 ? load.latency : unknownLatency;
+    expected += troubleCost * load.troubleShare;
     if (load.live.empty())
         return expected;
     Milliseconds oldest = now - *std::min_element(load.live.begin(), load.live.end());
--- a/Source/UnitTests/Limits/RepeatBudgetTest.cpp
+++ b/Source/UnitTests/Limits/RepeatBudgetTest.cpp
@@ -32,7 +32,7 @@
                 Limits::countFirstSend(budgets[i], rule, at(ms));
                 ++first;
             }
-            while (Limits::tryTakeRepeat(budgets[i], rule, instances, at(ms)))
+            while (Limits::tryTakeRepeat(budgets[i], rule, instances, 1, at(ms)))
                 ++repeated;
         }
         firsts.push_back(first);
@@ -54,9 +54,19 @@
 {
     RepeatBudget budget;
     int taken = 0;
-    while (Limits::tryTakeRepeat(budget, rule, 1, at(0)))
+    while (Limits::tryTakeRepeat(budget, rule, 1, 1, at(0)))
         ++taken;
     EXPECT_GT(taken, 40);
     EXPECT_LE(taken, 56);
-    EXPECT_TRUE(Limits::tryTakeRepeat(budget, rule, 1, at(20'000)));
+    EXPECT_TRUE(Limits::tryTakeRepeat(budget, rule, 1, 1, at(20'000)));
+}
+
+TEST(RepeatBudget, KeepsAPartForWhatCanNotBeDoneWithout)
+{
+    RepeatBudget budget;
+    int taken = 0;
+    while (Limits::tryTakeRepeat(budget, rule, 1, 0.5, at(0)))
+        ++taken;
+    EXPECT_LE(taken, 28);
+    EXPECT_TRUE(Limits::tryTakeRepeat(budget, rule, 1, 1, at(0)));
 }
--- a/Source/UnitTests/Platform/CodecTest.cpp
+++ b/Source/UnitTests/Platform/CodecTest.cpp
@@ -174,5 +174,6 @@
     EXPECT_EQ(refuse(Reason::ConnectionLost, false).headers.count("Retry-After"), 0u);
     EXPECT_EQ(refuse(Reason::DeadlineExceeded, false).status, 504);
     EXPECT_EQ(refuse(Reason::NotFound, true).status, 404);
+    EXPECT_EQ(refuse(Reason::NotFound, false).status, 502) << "something was sent, so a route matched";
     EXPECT_TRUE(Platform::encodeAnswer(Relay::Abandoned {}, RequestId("id")).drop);
 }
--- a/Source/UnitTests/Relay/LoadTest.cpp
+++ b/Source/UnitTests/Relay/LoadTest.cpp
@@ -48,3 +48,20 @@
     EXPECT_LE(load.pausedUntil, at(10));
     EXPECT_TRUE(load.live.empty());
 }
+
+TEST(Load, AServerThatShedsCostsMoreWhileItDoes)
+{
+    Load load = answering(30);
+    for (int i = 0; i < 40; ++i) {
+        begin(load, at(5'000 + i));
+        bool sheds = i % 2 == 0;
+        end(load, at(5'000 + i),
+            { sheds ? Outcome::Kind::Shed : Outcome::Kind::Answered, Milliseconds(sheds ? 1 : 30) }, at(5'001 + i));
+    }
+    EXPECT_GT(expectedLatency(load, at(6'000)).value(), 100);
+    for (int i = 0; i < 60; ++i) {
+        begin(load, at(7'000 + i));
+        end(load, at(7'000 + i), { Outcome::Kind::Answered, Milliseconds(30) }, at(7'030 + i));
+    }
+    EXPECT_LT(expectedLatency(load, at(8'000)).value(), 40);
+}
