Take on fewer calls while many answers are late

Ruled out: the choice of servers (slow ones are avoided within some requests). Change: a part of the calls is refused before anything is sent, learnt from the share of late answers, never more than 40 %.

--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -1,5 +1,6 @@
 #include "Relay/Engine.h"
 
+#include "Limits/LoadShedder.h"
 #include "Limits/WaitQueue.h"
 #include "Observe/EventLog.h"
 #include "Relay/Assembly.h"
@@ -45,6 +46,8 @@
     // A gatherer that has not answered so long after the aim is probed, and passed by if it is silent.
     constexpr Milliseconds probeAfterAim { 10 };
     constexpr Milliseconds probeTimeout { 40 };
+    // Answers of bundles come so long after the aim, and are in time all the same.
+    constexpr Milliseconds lateSlack { 8 };
     constexpr Milliseconds gathererPause { 1'500 };
     constexpr Milliseconds refusedRetryAfter { 50 };
     // A request is hedged once it has taken longer than this share of the observed ones.
@@ -170,6 +173,14 @@
         Limits::RepeatBudget budget;
     };
 
+    Common::Random& localRandom()
+    {
+        static thread_local Common::Random random(std::hash<std::thread::id> {}(std::this_thread::get_id()));
+        return random;
+    }
+
+    double randomChance() { return localRandom().unit(); }
+
     const char* purposeName(Purpose purpose)
     {
         switch (purpose) {
@@ -252,6 +263,7 @@
     std::atomic<uint64_t> nextBundle { 1 };
     Common::ShardedMap<Key, Flight> flights;
     Common::ShardedMap<GroupName, GroupState> groups;
+    Common::ShardedMap<GroupName, Limits::LoadShedder> shedders; // By the first group of a fan.
     Common::ShardedMap<Common::RouteName, Routing::LatencyStats> latencies; // Of sub-requests.
     ServerPool pool;
 
@@ -365,9 +377,8 @@
 
 std::optional<Common::Address> Engine::Private::gathererFor(const Common::FailureDomain& domain, TimePoint now)
 {
-    static thread_local Common::Random random(std::hash<std::thread::id> {}(std::this_thread::get_id()));
     std::lock_guard lock(viewMutex);
-    return pickGatherer(gatherers, domain, options.self, pauses, random, now);
+    return pickGatherer(gatherers, domain, options.self, pauses, localRandom(), now);
 }
 
 std::optional<Milliseconds> Engine::Private::hedgeDelayOf(const Query& query, TimePoint now)
@@ -482,6 +493,14 @@
 void Engine::Private::gather(
     const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
 {
+    const GroupName shedKey = route.fan->groups.front();
+    double chance = randomChance();
+    bool isTaken = shedders.withValue(
+        shedKey, [&](Limits::LoadShedder& shedder) { return Limits::admits(shedder, chance); });
+    if (!isTaken) {
+        refuse(call, routes, Reason::Overloaded, "too many answers are late", refusedRetryAfter, done);
+        return;
+    }
     auto plan = bundlesOf(*route.fan);
     auto gathering = std::make_shared<Gathering>();
     std::vector<std::vector<size_t>> groupsOfBundles;
@@ -495,7 +514,15 @@
     gathering->table = routes;
     gathering->route = &route;
     gathering->times = times;
-    gathering->done = std::move(done);
+    gathering->done = [self = shared_from_this(), shedKey, aim = times.aim + lateSlack, done = std::move(done)](
+                          Answer answer) {
+        if (!std::holds_alternative<Abandoned>(answer)) {
+            bool isLate = !std::holds_alternative<Merged>(answer) || Clock::now() > aim;
+            self->shedders.withValue(
+                shedKey, [&](Limits::LoadShedder& shedder) { Limits::noteAnswer(shedder, isLate); });
+        }
+        done(std::move(answer));
+    };
     if (call->caller) {
         std::weak_ptr<Gathering> weak = gathering;
         call->caller->whenGone([weak] {
@@ -745,12 +772,11 @@
 // False if no server has a free connection.
 bool Engine::Private::trySend(const RunningPtr& running, const Key& key, const Send& send, const GroupName& group)
 {
-    static thread_local Common::Random random(std::hash<std::thread::id> {}(std::this_thread::get_id()));
     auto now = Clock::now();
     auto usable = serversOf(group);
     Connections limit = connectionsOf(*running->query.table, group);
     auto candidates = pool.candidates(usable, limit, options.self.domain, now);
-    for (size_t i : Routing::rank(candidates, { send.avoid, {} }, random)) {
+    for (size_t i : Routing::rank(candidates, { send.avoid, {} }, localRandom())) {
         auto lease = pool.take(usable[i], limit, now);
         if (!lease)
             continue;
