--- a/Source/Core/CommandLine/ResourceFile.cpp
+++ b/Source/Core/CommandLine/ResourceFile.cpp
@@ -100,7 +100,8 @@
         std::string name = section.text("kind");
         Model::Kind kind = Model::Kind::QueryRoute;
         if (!Model::parseKind(name, kind)) {
-            section.note("kind", "'" + name + "'", "query-route, backend-group, index-version, instance or route-table");
+            section.note(
+                "kind", "'" + name + "'", "query-route, backend-group, index-version, instance or route-table");
             return {};
         }
         Model::Resource resource;
--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -161,8 +161,8 @@
             [this](const Common::InstanceId&, std::string_view bytes, const Peer::Reply& reply) {
                 m_collector.serve(bytes, reply);
             });
-        m_peerServer->handle(Peer::Service::Roster,
-            [this](const Common::InstanceId&, std::string_view bytes, const Peer::Reply& reply) {
+        m_peerServer->handle(
+            Peer::Service::Roster, [this](const Common::InstanceId&, std::string_view bytes, const Peer::Reply& reply) {
                 if (m_roster)
                     m_roster->handle(bytes, reply);
                 else
@@ -183,8 +183,8 @@
         if (!m_frontEnd)
             return Common::success();
         BOOST_OUTCOME_TRY(open,
-            m_frontEnd->open({ m_settings, m_relay.get(), m_roster.get(), m_control ? &m_routeTables : nullptr,
-                m_metrics }));
+            m_frontEnd->open(
+                { m_settings, m_relay.get(), m_roster.get(), m_control ? &m_routeTables : nullptr, m_metrics }));
         m_openFrontEnd = std::move(open);
         if (m_relay)
             m_relay->whenTableChanges(m_openFrontEnd.setLimits);
@@ -194,19 +194,18 @@
     // The settings may change with or without a signal. Only the seeds are taken over while running.
     void Process::reloadIfChanged()
     {
-        struct stat status {};
+        struct stat status { };
         if (m_settingsFile.empty() || ::stat(m_settingsFile.c_str(), &status))
             return;
-        bool isSame = status.st_mtim.tv_sec == m_settingsChanged.tv_sec
-            && status.st_mtim.tv_nsec == m_settingsChanged.tv_nsec;
+        bool isSame
+            = status.st_mtim.tv_sec == m_settingsChanged.tv_sec && status.st_mtim.tv_nsec == m_settingsChanged.tv_nsec;
         bool isFirst = !m_settingsChanged.tv_sec;
         m_settingsChanged = status.st_mtim;
         if (isSame || isFirst)
             return;
         auto changed = Settings::load(m_settingsFile);
         if (!changed) {
-            Observe::logEvent(
-                Part::Daemon, "reload-refused", { { "why", Common::describe(changed.error()) } });
+            Observe::logEvent(Part::Daemon, "reload-refused", { { "why", Common::describe(changed.error()) } });
             return;
         }
         auto seeds = Settings::seedPeers(changed.value());
@@ -230,8 +229,8 @@
     {
         m_front.reset(new FrontDependencies { m_entry.get(), m_control.get(), m_controlClient, m_collector, m_metrics,
             m_draining, [this] { return otherProcesses(); } });
-        Http::ServerOptions options { m_settings.http.listen, { m_settings.http.maximumBody,
-            m_settings.http.bodyTimeout } };
+        Http::ServerOptions options { m_settings.http.listen,
+            { m_settings.http.maximumBody, m_settings.http.bodyTimeout } };
         BOOST_OUTCOME_TRY(
             server, Http::Server::open(options, [this](const Http::Request& request, const Http::Responder& done) {
                 answer(*m_front, request, done);
@@ -272,8 +271,7 @@
         Observe::logEvent(Part::Daemon, "started",
             { { "instance", m_settings.instance.value() }, { "domain", m_settings.failureDomain.value() },
                 { "http", m_settings.http.listen.value() }, { "peers", m_peerServer->address().value() },
-                { "callers", m_settings.frontEnd.callers.value() },
-                { "control", m_settings.frontEnd.control.value() },
+                { "callers", m_settings.frontEnd.callers.value() }, { "control", m_settings.frontEnd.control.value() },
                 { "founds", m_settings.control.found ? "yes" : "no" } });
         return Common::success();
     }
@@ -322,8 +320,8 @@
     {
         if (m_control && m_control->storageFailed())
             return Common::makeError(Reason::StorageFailed, "run", "storage has failed", m_settings.instance.value());
-        Observe::logEvent(Part::Daemon, "stopping",
-            { { "balancer_wait_ms", std::to_string(m_settings.stop.balancerWait.value()) } });
+        Observe::logEvent(
+            Part::Daemon, "stopping", { { "balancer_wait_ms", std::to_string(m_settings.stop.balancerWait.value()) } });
         if (m_relay)
             m_relay->drain();
         m_draining = true;
--- a/Source/Core/Daemon/RosterKeeper.cpp
+++ b/Source/Core/Daemon/RosterKeeper.cpp
@@ -103,8 +103,8 @@
 void RosterKeeper::Private::noteChange(const Roster::Report& report)
 {
     Observe::logEvent(Part::Roster, "server-changed",
-        { { "server", report.server.value() }, { "group", report.group.value() },
-            { "address", report.address.value() }, { "incarnation", std::to_string(report.incarnation.value()) },
+        { { "server", report.server.value() }, { "group", report.group.value() }, { "address", report.address.value() },
+            { "incarnation", std::to_string(report.incarnation.value()) },
             { "sequence", std::to_string(report.sequence) }, { "standing", standingName(report.standing) } });
     flushLater();
 }
--- a/Source/Core/Daemon/RouteTables.cpp
+++ b/Source/Core/Daemon/RouteTables.cpp
@@ -21,8 +21,8 @@
     // Equal for a resend, so that it gets the first answer.
     Common::ChangeId changeIdOf(const Model::RouteTable& table)
     {
-        return Common::ChangeId("routes-" + std::to_string(table.number.value()) + "-"
-            + std::to_string(Common::hash64(table.document)));
+        return Common::ChangeId(
+            "routes-" + std::to_string(table.number.value()) + "-" + std::to_string(Common::hash64(table.document)));
     }
 
     Result<void> outcomeOf(const Result<Control::Reply>& result)
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -17,10 +17,10 @@
 #include <optional>
 #include <sys/socket.h>
 
+using boost::asio::ip::tcp;
 using Common::Clock;
 using Common::Milliseconds;
 using Common::Reason;
-using boost::asio::ip::tcp;
 
 namespace Http {
 
--- a/Source/Core/Http/Message.cpp
+++ b/Source/Core/Http/Message.cpp
@@ -39,10 +39,7 @@
 
 namespace {
 
-    bool isUnreserved(unsigned char c)
-    {
-        return std::isalnum(c) || c == '-' || c == '.' || c == '_' || c == '~';
-    }
+    bool isUnreserved(unsigned char c) { return std::isalnum(c) || c == '-' || c == '.' || c == '_' || c == '~'; }
 
     std::string encode(const std::string& text, const char* keep)
     {
--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -31,8 +31,8 @@
         Response response;
         response.status = status;
         // It was not handed on now, but may be the resend of one that ran: of that nothing is known here.
-        response.body = std::string(R"({"error":{"reason":"invalid-input","message":")") + message
-            + R"(","ran":"unknown"}})";
+        response.body
+            = std::string(R"({"error":{"reason":"invalid-input","message":")") + message + R"(","ran":"unknown"}})";
         return response;
     }
 
--- a/Source/Core/Model/Validation.cpp
+++ b/Source/Core/Model/Validation.cpp
@@ -89,8 +89,8 @@
     {
         if (!table.document.empty() && table.document.size() <= maximumDocument)
             return Common::success();
-        return fieldError("document", std::to_string(table.document.size()) + " bytes",
-            "1 to " + std::to_string(maximumDocument));
+        return fieldError(
+            "document", std::to_string(table.document.size()) + " bytes", "1 to " + std::to_string(maximumDocument));
     }
 
 } // namespace
--- a/Source/Core/Observe/EventLog.cpp
+++ b/Source/Core/Observe/EventLog.cpp
@@ -10,7 +10,10 @@
     // Longer values are cut: a line stays small whatever a caller sends.
     constexpr size_t longestValue = 240;
 
-    bool isPlain(unsigned char c) { return std::isalnum(c) || std::string_view("-_.:/").find(static_cast<char>(c)) != std::string_view::npos; }
+    bool isPlain(unsigned char c)
+    {
+        return std::isalnum(c) || std::string_view("-_.:/").find(static_cast<char>(c)) != std::string_view::npos;
+    }
 
     void appendValue(std::string& out, std::string_view value)
     {
--- a/Source/Core/Observe/Log.cpp
+++ b/Source/Core/Observe/Log.cpp
@@ -69,8 +69,8 @@
     {
         auto layout = std::make_shared<log4cxx::PatternLayout>(toLogString(linePattern));
         if (path == standardOutput)
-            return makeQueued(std::make_shared<log4cxx::ConsoleAppender>(
-                layout, log4cxx::ConsoleAppender::getSystemOut()));
+            return makeQueued(
+                std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut()));
         if (!path.empty())
             return std::make_shared<log4cxx::FileAppender>(layout, toLogString(path), true);
         return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
--- a/Source/Core/Relay/Assembly.cpp
+++ b/Source/Core/Relay/Assembly.cpp
@@ -19,8 +19,8 @@
 
     size_t pendingGroups(const Assembly::Part& part)
     {
-        return static_cast<size_t>(std::count_if(part.missing.begin(), part.missing.end(),
-            [](const MissingGroup& group) { return group.isPending; }));
+        return static_cast<size_t>(std::count_if(
+            part.missing.begin(), part.missing.end(), [](const MissingGroup& group) { return group.isPending; }));
     }
 
     size_t mayMiss(const Routes::Fan& fan) { return fan.groups.size() - neededGroups(fan, fan.groups.size()); }
@@ -51,11 +51,12 @@
     Refusal mergeRefusals(const Assembly& assembly)
     {
         if (assembly.refusals.empty())
-            return { Common::makeError(Common::Reason::DeadlineExceeded, "gather", "too few groups answered"), false, {} };
+            return { Common::makeError(Common::Reason::DeadlineExceeded, "gather", "too few groups answered"), false,
+                {} };
         Refusal refusal = assembly.refusals.front();
         refusal.hasNotRun = assembly.merged.empty() && !isAwaited(assembly)
-            && std::all_of(assembly.refusals.begin(), assembly.refusals.end(),
-                [](const Refusal& r) { return r.hasNotRun; });
+            && std::all_of(
+                assembly.refusals.begin(), assembly.refusals.end(), [](const Refusal& r) { return r.hasNotRun; });
         if (!refusal.hasNotRun)
             refusal.retryAfter = Common::Milliseconds(0);
         return refusal;
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -225,8 +225,10 @@
 } // namespace
 } // namespace Relay
 
-template <> struct std::hash<Relay::Key> : Relay::KeyHash { };
-template <> struct std::hash<Relay::BundleKey> : Relay::BundleKeyHash { };
+template <> struct std::hash<Relay::Key> : Relay::KeyHash {
+};
+template <> struct std::hash<Relay::BundleKey> : Relay::BundleKeyHash {
+};
 
 namespace Relay {
 
@@ -464,8 +466,8 @@
     if (route->fan)
         gather(call, routes, *route, times, std::move(done));
     else
-        run(call, routes, *route, { { Routes::choosePortion(*route, nextPortion++).group }, std::nullopt, false }, times,
-            std::move(done));
+        run(call, routes, *route, { { Routes::choosePortion(*route, nextPortion++).group }, std::nullopt, false },
+            times, std::move(done));
 }
 
 std::vector<Bundle> Engine::Private::bundlesOf(const Routes::Fan& fan)
@@ -495,8 +497,8 @@
 {
     const GroupName shedKey = route.fan->groups.front();
     double chance = randomChance();
-    bool isTaken = shedders.withValue(
-        shedKey, [&](Limits::LoadShedder& shedder) { return Limits::admits(shedder, chance); });
+    bool isTaken
+        = shedders.withValue(shedKey, [&](Limits::LoadShedder& shedder) { return Limits::admits(shedder, chance); });
     if (!isTaken) {
         refuse(call, routes, Reason::Overloaded, "too many answers are late", refusedRetryAfter, done);
         return;
@@ -506,23 +508,22 @@
     std::vector<std::vector<size_t>> groupsOfBundles;
     for (const Bundle& bundle : plan) {
         groupsOfBundles.push_back(bundle.groups);
-        gathering->bundles.push_back(
-            { nextBundle++, bundle.groups, gathererFor(bundle.domain, times.arrived) });
+        gathering->bundles.push_back({ nextBundle++, bundle.groups, gathererFor(bundle.domain, times.arrived) });
     }
     gathering->assembly = makeAssembly(*route.fan, groupsOfBundles);
     gathering->call = call;
     gathering->table = routes;
     gathering->route = &route;
     gathering->times = times;
-    gathering->done = [self = shared_from_this(), shedKey, aim = times.aim + lateSlack, done = std::move(done)](
-                          Answer answer) {
-        if (!std::holds_alternative<Abandoned>(answer)) {
-            bool isLate = !std::holds_alternative<Merged>(answer) || Clock::now() > aim;
-            self->shedders.withValue(
-                shedKey, [&](Limits::LoadShedder& shedder) { Limits::noteAnswer(shedder, isLate); });
-        }
-        done(std::move(answer));
-    };
+    gathering->done
+        = [self = shared_from_this(), shedKey, aim = times.aim + lateSlack, done = std::move(done)](Answer answer) {
+              if (!std::holds_alternative<Abandoned>(answer)) {
+                  bool isLate = !std::holds_alternative<Merged>(answer) || Clock::now() > aim;
+                  self->shedders.withValue(
+                      shedKey, [&](Limits::LoadShedder& shedder) { Limits::noteAnswer(shedder, isLate); });
+              }
+              done(std::move(answer));
+          };
     if (call->caller) {
         std::weak_ptr<Gathering> weak = gathering;
         call->caller->whenGone([weak] {
@@ -608,7 +609,8 @@
             running->done = std::move(done);
     }
     if (!isAlive) {
-        done(Refusal { Common::makeError(Reason::DeadlineExceeded, "resume", "the bundle has ended"), false, Milliseconds(0) });
+        done(Refusal {
+            Common::makeError(Reason::DeadlineExceeded, "resume", "the bundle has ended"), false, Milliseconds(0) });
         return;
     }
     step(running, id, [&](Query& query) { return resume(query, needed, Clock::now()); });
@@ -631,8 +633,8 @@
                 return;
             }
             Reason reason = result.error().reason;
-            bool hasSentNothing = reason == Reason::Unavailable || reason == Reason::ConnectionFailed
-                || reason == Reason::Overloaded;
+            bool hasSentNothing
+                = reason == Reason::Unavailable || reason == Reason::ConnectionFailed || reason == Reason::Overloaded;
             self->fallBack(delegation, !hasSentNothing, Common::describe(result.error()));
         });
     probeLater(delegation);
@@ -659,8 +661,7 @@
     });
 }
 
-void Engine::Private::fallBack(
-    const std::shared_ptr<Delegation>& delegation, bool mayHaveSent, const std::string& why)
+void Engine::Private::fallBack(const std::shared_ptr<Delegation>& delegation, bool mayHaveSent, const std::string& why)
 {
     auto now = Clock::now();
     {
@@ -726,8 +727,8 @@
     size_t sharers = send.isRepeat ? repeatSharersOf(group) : 0;
     bool hasBudget = groups.withValue(group, [&](GroupState& state) {
         if (send.isRepeat)
-            return Limits::tryTakeRepeat(state.budget, options.repeats, sharers,
-                send.purpose == Purpose::Hedge ? hedgesPart : 1, now);
+            return Limits::tryTakeRepeat(
+                state.budget, options.repeats, sharers, send.purpose == Purpose::Hedge ? hedgesPart : 1, now);
         Limits::countFirstSend(state.budget, options.repeats, now);
         return true;
     });
@@ -808,19 +809,17 @@
     return false;
 }
 
-void Engine::Private::transmit(const RunningPtr& running, const Key& key, const ConnectionPtr& connection,
-    const Common::BackendServerId& server)
+void Engine::Private::transmit(
+    const RunningPtr& running, const Key& key, const ConnectionPtr& connection, const Common::BackendServerId& server)
 {
     Milliseconds left = running->query.times.end - Clock::now();
     auto request = dialect.encode(*running->call, server, std::max(left, Milliseconds(1)));
-    connection->send(request,
-        [self = shared_from_this(), running, key](const Common::Result<Http::Response>& result) {
-            self->ended(running, key, result);
-        });
+    connection->send(request, [self = shared_from_this(), running, key](const Common::Result<Http::Response>& result) {
+        self->ended(running, key, result);
+    });
 }
 
-void Engine::Private::ended(
-    const RunningPtr& running, const Key& key, const Common::Result<Http::Response>& result)
+void Engine::Private::ended(const RunningPtr& running, const Key& key, const Common::Result<Http::Response>& result)
 {
     auto flight = flights.take(key);
     if (!flight)
@@ -831,8 +830,8 @@
         SubAnswer answer = dialect.decode(*running->call, result.value());
         pool.giveBack(flight->server, flight->connection, flight->sentAt, { kindOf(answer.outcome), took }, now);
         if (answer.outcome == SubAnswer::Outcome::Success) {
-            latencies.withValue(running->query.route->name,
-                [&](Routing::LatencyStats& stats) { Routing::record(stats, took); });
+            latencies.withValue(
+                running->query.route->name, [&](Routing::LatencyStats& stats) { Routing::record(stats, took); });
             metrics.observe(Observe::Latency::SubRequest, took, running->query.route->name.value());
         } else {
             Observe::logEvent(Observe::Part::Relay, "server-failed",
@@ -841,8 +840,8 @@
         }
         serveWaiters(flight->group);
         if (!flight->isAbandoned)
-            step(running, key.query,
-                [&](Query& query) { return answered(query, key.attempt, std::move(answer), now); });
+            step(
+                running, key.query, [&](Query& query) { return answered(query, key.attempt, std::move(answer), now); });
         return;
     }
     const Common::Error& error = result.error();
@@ -851,8 +850,8 @@
         { isOurs ? Outcome::Kind::GivenUp : Outcome::Kind::Unreachable, took }, now);
     if (!isOurs) {
         Observe::logEvent(Observe::Part::Relay, "send-failed",
-            { { "request", running->call->id.value() }, { "server", flight->server.value() },
-                { "why", error.message }, { "took_ms", toText(took) } });
+            { { "request", running->call->id.value() }, { "server", flight->server.value() }, { "why", error.message },
+                { "took_ms", toText(took) } });
     }
     serveWaiters(flight->group);
     if (flight->isAbandoned)
@@ -865,8 +864,8 @@
 void Engine::Private::serveWaiters(const GroupName& group)
 {
     for (;;) {
-        auto waiter = groups.withValue(
-            group, [&](GroupState& state) { return Limits::pop(state.waiting, Clock::now()); });
+        auto waiter
+            = groups.withValue(group, [&](GroupState& state) { return Limits::pop(state.waiting, Clock::now()); });
         if (!waiter)
             return;
         RunningPtr running;
@@ -995,8 +994,7 @@
             { "table", std::to_string(running.query.table->number.value()) } });
 }
 
-Engine::Engine(
-    EngineOptions options, Dialect dialect, Peers peers, Common::Timers& timers, Observe::Metrics& metrics)
+Engine::Engine(EngineOptions options, Dialect dialect, Peers peers, Common::Timers& timers, Observe::Metrics& metrics)
     : m_private(std::make_shared<Private>(std::move(options), std::move(dialect), std::move(peers), timers, metrics))
 {
 }
@@ -1053,8 +1051,7 @@
     }
     auto& delegated = std::get<DelegatedCall>(request.body);
     Routes::TablePtr routes = table();
-    const Routes::Route* route
-        = routes ? Routes::match(*routes, delegated.call->host, delegated.call->path) : nullptr;
+    const Routes::Route* route = routes ? Routes::match(*routes, delegated.call->host, delegated.call->path) : nullptr;
     bool isSame = route && route->fan && routes->number == delegated.table
         && std::all_of(delegated.groups.begin(), delegated.groups.end(),
             [&](size_t place) { return place < route->fan->groups.size(); });
--- a/Source/Core/Relay/Query.cpp
+++ b/Source/Core/Relay/Query.cpp
@@ -19,7 +19,8 @@
     constexpr int extraSends = 2;
     // A caller is told to come back that much later. Another instance may have room at once.
     constexpr Milliseconds retryAfter { 40 };
-    // So long after its delivery a bundle can be resumed: two ways between instances, and some time for the other bundles.
+    // So long after its delivery a bundle can be resumed: two ways between instances, and some time for the other
+    // bundles.
     constexpr Milliseconds resumeTime { 60 };
     // Wakes closer than that to the one that is set are left out.
     constexpr Milliseconds wakeSlack { 0.5 };
@@ -320,14 +321,14 @@
         return settle(query, now, std::move(effects));
     case SubAnswer::Outcome::NotRun:
     case SubAnswer::Outcome::OtherServer:
-        query.lastError = Common::makeError(
-            Reason::Overloaded, "relay", "status " + std::to_string(answer.status), server.value());
+        query.lastError
+            = Common::makeError(Reason::Overloaded, "relay", "status " + std::to_string(answer.status), server.value());
         break;
     case SubAnswer::Outcome::Failure:
     case SubAnswer::Outcome::Unusable:
         ++part->mayHaveRun;
-        query.lastError = Common::makeError(
-            Reason::Internal, "relay", "status " + std::to_string(answer.status), server.value());
+        query.lastError
+            = Common::makeError(Reason::Internal, "relay", "status " + std::to_string(answer.status), server.value());
         if (answer.outcome == SubAnswer::Outcome::Failure && !query.route->fan)
             part->answer = std::move(answer);
         break;
--- a/Source/Core/Relay/Query.h
+++ b/Source/Core/Relay/Query.h
@@ -116,8 +116,8 @@
 // The parts are the groups: some of the route's fan, or the one that was chosen among its portions. `needed` of them
 // make a success. A bundle is a part of a call: it is delivered at the aim with whatever is in, and goes on for a while
 // in case that the whole call lacks too much.
-Query makeQuery(Routes::TablePtr, const Routes::Route&, const std::vector<Common::GroupName>&, size_t needed, bool isBundle,
-    const Times&);
+Query makeQuery(Routes::TablePtr, const Routes::Route&, const std::vector<Common::GroupName>&, size_t needed,
+    bool isBundle, const Times&);
 // Of so many groups, those that a fan's answer needs at least.
 size_t neededGroups(const Routes::Fan&, size_t groups);
 
--- a/Source/Core/Relay/ServerPool.cpp
+++ b/Source/Core/Relay/ServerPool.cpp
@@ -19,8 +19,8 @@
 
 } // namespace
 
-std::vector<Routing::Candidate> ServerPool::candidates(const std::vector<Roster::Usable>& servers, Connections limit,
-    const Common::FailureDomain& own, TimePoint now)
+std::vector<Routing::Candidate> ServerPool::candidates(
+    const std::vector<Roster::Usable>& servers, Connections limit, const Common::FailureDomain& own, TimePoint now)
 {
     std::vector<Routing::Candidate> out;
     out.reserve(servers.size());
@@ -71,8 +71,7 @@
 void ServerPool::keepOnly(const std::vector<Common::BackendServerId>& ids)
 {
     std::set<Common::BackendServerId> kept(ids.begin(), ids.end());
-    m_servers.eraseIf(
-        [&](const Common::BackendServerId& id, const Server& server) {
+    m_servers.eraseIf([&](const Common::BackendServerId& id, const Server& server) {
         return server.load.live.empty() && !kept.count(id);
     });
 }
@@ -80,9 +79,8 @@
 size_t ServerPool::openConnections()
 {
     size_t open = 0;
-    m_servers.forEach([&](const Common::BackendServerId&, Server& server) {
-        open += server.idle.size() + server.load.live.size();
-    });
+    m_servers.forEach(
+        [&](const Common::BackendServerId&, Server& server) { open += server.idle.size() + server.load.live.size(); });
     return open;
 }
 
--- a/Source/Core/Relay/ServerPool.h
+++ b/Source/Core/Relay/ServerPool.h
@@ -28,8 +28,8 @@
     // A connection for one request, if the server bears another one of this instance.
     std::optional<Lease> take(const Roster::Usable&, Common::Connections limit, Common::TimePoint now);
     // Ends what take() began. The connection is kept if it is open.
-    void giveBack(const Common::BackendServerId&, ConnectionPtr, Common::TimePoint sentAt, const Outcome&,
-        Common::TimePoint now);
+    void giveBack(
+        const Common::BackendServerId&, ConnectionPtr, Common::TimePoint sentAt, const Outcome&, Common::TimePoint now);
     // Closes the connections of servers that are not among these.
     void keepOnly(const std::vector<Common::BackendServerId>&);
     size_t openConnections();
--- a/Source/Core/Roster/Merged.cpp
+++ b/Source/Core/Roster/Merged.cpp
@@ -28,8 +28,7 @@
         return known.vouchers.empty() ? Standing::Lost : Standing::Serving;
     }
 
-    std::optional<Learned> take(
-        Merged& merged, const Common::InstanceId& source, const Report& report, TimePoint now)
+    std::optional<Learned> take(Merged& merged, const Common::InstanceId& source, const Report& report, TimePoint now)
     {
         auto [it, isNew] = merged.servers.try_emplace(report.server);
         Merged::Known& known = it->second;
@@ -91,8 +90,7 @@
             { report.server, report.address, report.domain, report.incarnation, report.slots, known.warmAt });
     }
     for (auto& [name, servers] : groups) {
-        std::sort(servers.begin(), servers.end(),
-            [](const Usable& a, const Usable& b) { return a.server < b.server; });
+        std::sort(servers.begin(), servers.end(), [](const Usable& a, const Usable& b) { return a.server < b.server; });
     }
     return groups;
 }
--- a/Source/Core/Roster/Registry.cpp
+++ b/Source/Core/Roster/Registry.cpp
@@ -50,8 +50,7 @@
     return Verdict::Taken;
 }
 
-void leave(
-    Registry& registry, const Common::BackendServerId& server, Common::Incarnation incarnation, TimePoint now)
+void leave(Registry& registry, const Common::BackendServerId& server, Common::Incarnation incarnation, TimePoint now)
 {
     auto [it, isNew] = registry.entries.try_emplace(server);
     Registry::Entry& entry = it->second;
--- a/Source/Core/Routes/Table.cpp
+++ b/Source/Core/Routes/Table.cpp
@@ -39,7 +39,8 @@
     Result<void> checkTarget(const Route& route)
     {
         if (route.fan)
-            return route.fan->groups.empty() ? Result<void>(fieldError(route, "groups", "are none")) : Common::success();
+            return route.fan->groups.empty() ? Result<void>(fieldError(route, "groups", "are none"))
+                                             : Common::success();
         double sum = 0;
         for (const Portion& portion : route.portions) {
             if (portion.weight < 0 || !std::isfinite(portion.weight))
@@ -78,9 +79,8 @@
     for (size_t i = 0; i < table.routes.size(); ++i)
         table.byHost[table.routes[i].host].push_back(i);
     for (auto& [host, routes] : table.byHost) {
-        std::stable_sort(routes.begin(), routes.end(), [&](size_t a, size_t b) {
-            return table.routes[a].prefix.size() > table.routes[b].prefix.size();
-        });
+        std::stable_sort(routes.begin(), routes.end(),
+            [&](size_t a, size_t b) { return table.routes[a].prefix.size() > table.routes[b].prefix.size(); });
     }
 }
 
--- a/Source/Core/Wire/MessageCodec.cpp
+++ b/Source/Core/Wire/MessageCodec.cpp
@@ -119,7 +119,8 @@
         }
         case ControlSchema::Request::READ: {
             auto part = in.getRead();
-            return Control::ReadRequest { fromNumber(part.getKind(), Model::Kind::RouteTable), fromText(part.getName()) };
+            return Control::ReadRequest { fromNumber(part.getKind(), Model::Kind::RouteTable),
+                fromText(part.getName()) };
         }
         case ControlSchema::Request::WATCH_FROM:
             return Control::WatchRequest { Revision(in.getWatchFrom()) };
--- a/Source/Core/Wire/ResourceParts.cpp
+++ b/Source/Core/Wire/ResourceParts.cpp
@@ -168,9 +168,8 @@
 
 Control::Change read(ControlSchema::Change::Reader in)
 {
-    Control::Change change { fromText<Common::ChangeId>(in.getId()),
-        fromNumber(in.getAction(), Control::Action::Raise), read(in.getKey()), std::nullopt,
-        Revision(in.getMadeFrom()) };
+    Control::Change change { fromText<Common::ChangeId>(in.getId()), fromNumber(in.getAction(), Control::Action::Raise),
+        read(in.getKey()), std::nullopt, Revision(in.getMadeFrom()) };
     if (in.hasResource())
         change.resource = read(in.getResource());
     return change;
--- a/Source/Core/Wire/RosterCodec.cpp
+++ b/Source/Core/Wire/RosterCodec.cpp
@@ -136,8 +136,8 @@
         reply.table = Common::TableNumber(in.getTableNumber());
         reply.peersVersion = in.getPeersVersion();
         for (auto peer : in.getPeers()) {
-            reply.peers.push_back({ fromText<Common::Address>(peer.getAddress()),
-                fromText<Common::FailureDomain>(peer.getDomain()) });
+            reply.peers.push_back(
+                { fromText<Common::Address>(peer.getAddress()), fromText<Common::FailureDomain>(peer.getDomain()) });
         }
         for (auto shard : in.getShards())
             reply.shards.push_back(read(shard));
--- a/Source/UnitTests/Platform/CodecTest.cpp
+++ b/Source/UnitTests/Platform/CodecTest.cpp
@@ -121,8 +121,8 @@
 TEST(Call, IsForwardedAsItCameLessWhatBelongsToOneConnection)
 {
     auto call = callOf({ { "Host", "h:80" }, { "X-Request-Id", "id" }, { "X-Deadline-Ms", "250" },
-        { "X-Expect-Instance", "forged" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" },
-        { "X-Other", "a" }, { "X-Other", "b" }, { "Transfer-Encoding", "chunked" } });
+        { "X-Expect-Instance", "forged" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "X-Other", "a" },
+        { "X-Other", "b" }, { "Transfer-Encoding", "chunked" } });
     EXPECT_EQ(call->id, RequestId("id"));
     EXPECT_EQ(call->host, "h");
     EXPECT_EQ(call->path, "/a/b%20c");
@@ -133,8 +133,8 @@
     EXPECT_EQ(valueOf(request.fields, "X-Expect-Instance"), "i-1");
     EXPECT_EQ(valueOf(request.fields, "X-Hop"), "absent");
     EXPECT_EQ(valueOf(request.fields, "Transfer-Encoding"), "absent");
-    EXPECT_EQ(std::count_if(request.fields.begin(), request.fields.end(),
-                  [](auto& field) { return field.first == "X-Other"; }),
+    EXPECT_EQ(std::count_if(
+                  request.fields.begin(), request.fields.end(), [](auto& field) { return field.first == "X-Other"; }),
         2);
 }
 
@@ -145,8 +145,7 @@
     EXPECT_EQ(decode(200, { { "X-Server-Stamp", "s" } }).outcome, Outcome::Success);
     EXPECT_EQ(decode(200, { { "X-Server-Stamp", "s" }, { "X-Request-Id", "other" } }).outcome, Outcome::Unusable);
     EXPECT_EQ(decode(200, { { "X-Request-Id", "id" } }).outcome, Outcome::Unusable);
-    EXPECT_EQ(
-        decode(200, { { "X-Server-Stamp", "s" }, { "Content-Encoding", "gzip" } }).outcome, Outcome::Unusable);
+    EXPECT_EQ(decode(200, { { "X-Server-Stamp", "s" }, { "Content-Encoding", "gzip" } }).outcome, Outcome::Unusable);
     EXPECT_EQ(decode(503, { { "X-Not-Executed", "1" } }).outcome, Outcome::NotRun);
     EXPECT_EQ(decode(503, {}).outcome, Outcome::Failure);
     EXPECT_EQ(decode(421, {}).outcome, Outcome::OtherServer);
@@ -155,7 +154,8 @@
 
 TEST(Answer, OfSeveralServersNamesTheirSignaturesAndWhatIsMissing)
 {
-    auto response = Platform::encodeAnswer(Relay::Merged { { "a", "b" }, { { 2, false }, { 3, true }, { 4, false } }, "body" }, RequestId("id"));
+    auto response = Platform::encodeAnswer(
+        Relay::Merged { { "a", "b" }, { { 2, false }, { 3, true }, { 4, false } }, "body" }, RequestId("id"));
     EXPECT_EQ(response.status, 200);
     EXPECT_EQ(response.headers["X-Part-Stamps"], "a,b");
     EXPECT_EQ(response.headers["X-Missing-Parts"], "3");
--- a/Source/UnitTests/Relay/GatherersTest.cpp
+++ b/Source/UnitTests/Relay/GatherersTest.cpp
@@ -1,5 +1,5 @@
-#include "Relay/Assembly.h"
 #include "Relay/Gatherers.h"
+#include "Relay/Assembly.h"
 
 #include <gtest/gtest.h>
 
@@ -66,8 +66,7 @@
         EXPECT_EQ(pickGatherer(two, FailureDomain("a"), instances[3], pauses, random, TimePoint()), Address("a2"));
     pause(pauses, Address("a2"), TimePoint(Milliseconds(100)));
     EXPECT_FALSE(pickGatherer(two, FailureDomain("a"), instances[3], pauses, random, TimePoint()));
-    EXPECT_TRUE(
-        pickGatherer(two, FailureDomain("a"), instances[3], pauses, random, TimePoint(Milliseconds(101))));
+    EXPECT_TRUE(pickGatherer(two, FailureDomain("a"), instances[3], pauses, random, TimePoint(Milliseconds(101))));
     EXPECT_FALSE(pickGatherer(two, FailureDomain("a"), instances[0], {}, random, TimePoint())) << "is one itself";
 }
 
--- a/Source/UnitTests/Relay/QueryTest.cpp
+++ b/Source/UnitTests/Relay/QueryTest.cpp
@@ -64,8 +64,8 @@
 {
     std::vector<AttemptId> ids;
     for (auto& send : all<Send>(start(query, at(0)))) {
-        EXPECT_TRUE(sent(query, send.attempt, BackendServerId("s" + std::to_string(send.attempt.value())), at(0),
-            Milliseconds(40)));
+        EXPECT_TRUE(sent(
+            query, send.attempt, BackendServerId("s" + std::to_string(send.attempt.value())), at(0), Milliseconds(40)));
         ids.push_back(send.attempt);
     }
     return ids;
--- a/Tools/lint.sh
+++ b/Tools/lint.sh
@@ -7,9 +7,9 @@
 jobs=$2
 shift 2
 mkdir -p "$build/lint"
-headers=$(git ls-files -co --exclude-standard 'Source/*.h' .clang-tidy | sort | xargs sha256sum | sha256sum | cut -c1-16)
+headers=$(git ls-files -co --exclude-standard 'Source/*.h' 'platform/*.h' .clang-tidy | sort | xargs sha256sum | sha256sum | cut -c1-16)
 files=("$@")
-[ ${#files[@]} -gt 0 ] || mapfile -t files < <(git ls-files -co --exclude-standard 'Source/*.cpp' | grep -v '\.capnp\.')
+[ ${#files[@]} -gt 0 ] || mapfile -t files < <(git ls-files -co --exclude-standard 'Source/*.cpp' 'platform/*.cpp' | grep -v '\.capnp\.')
 lintOne() {
   key=$(echo "$headers $(sha256sum "$1")" | sha256sum | cut -c1-32)
   [ -e "$build/lint/$key" ] && return 0
