--- /dev/null
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -0,0 +1,242 @@
+"""A system on the platform's protocol on loopback: control and relay processes, and stand-in leafs in this process.
+
+Instances have one port and addresses of their own in 127.0.0.0/8, as machines would.
+"""
+import hashlib
+import http.client
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import struct
+import subprocess
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "../../.."))
+BINARY = os.path.join(os.environ.get("BUILD_DIR", os.path.join(ROOT, "build")), "platform", "corianderlock-platform")
+HOST = "search.example"
+RECORD = 16
+
+SETTINGS = """
+instance: "{ip}:{port}"
+failure_domain: "{domain}"
+roles: [{role}]
+data_folder: "{folder}"
+peer: {{ listen: "{ip}:{port}", heartbeat_ms: 300, silence_ms: 900 }}
+http: {{ listen: "{ip}:{http}", threads: 1 }}
+front_end: {{ {listens} }}
+control:
+  seeds: [{seeds}]
+  found: {found}
+  tolerated: 2
+  claim_shards: 0
+  election_timeout_ms: 400
+  heartbeat_ms: 100
+  snapshot_every: 20
+  kept_entries: 16
+roster: {{ silence_ms: 2000 }}
+relay: {{ return_margin_ms: 10, repeat_ratio: 0.2, repeat_minimum: 60 }}
+stop: {{ balancer_wait_ms: {wait}, finish_bound_ms: 2000 }}
+log: {{ file: "-" }}
+"""
+
+
+def call(address, method, path, body=None, headers=None, timeout=3):
+    """(status, headers, body bytes); status 0 if there was no whole answer."""
+    host, port = address
+    connection = http.client.HTTPConnection(host, port, timeout=timeout)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        return response.status, response.headers, response.read()
+    except (OSError, http.client.HTTPException) as error:
+        return 0, {}, str(error).encode()
+    finally:
+        connection.close()
+
+
+class Leaf:
+    """One backend server: records of its own, a log of what arrived, and faults that a test switches on."""
+
+    def __init__(self, cluster, number, service, zone):
+        self.cluster, self.service, self.zone = cluster, service, zone
+        self.id, self.born, self.seq = f"i-{number:04x}", int(time.time() * 1000) + number, 0
+        self.state, self.delay, self.fault = "ready", 0.0, None
+        self.arrived, self.lock = [], threading.Lock()
+        seed = hashlib.sha256(service.encode()).digest()
+        self.records = [hashlib.sha256(seed + struct.pack(">I", i)).digest()[:RECORD] for i in range(25)]
+        leaf = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args):
+                pass
+
+            def serve(self):
+                leaf.answer(self)
+
+            do_GET = do_POST = serve
+
+        self.server = ThreadingHTTPServer((f"127.0.1.{number}", cluster.port), Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.address = f"127.0.1.{number}:{cluster.port}"
+
+    def answer(self, handler):
+        length = int(handler.headers.get("Content-Length") or 0)
+        body = handler.rfile.read(length)
+        request = handler.headers["X-Request-Id"]
+        with self.lock:
+            self.arrived.append((time.monotonic(), request, handler.command, handler.path, body,
+                                 handler.headers.get("X-Deadline-Ms")))
+        if handler.headers.get("X-Expect-Instance") != self.id:
+            return self.reply(handler, 421, b"", {})
+        if self.fault == "shed":
+            return self.reply(handler, 503, b"", {"X-Not-Executed": "1"})
+        if self.fault == "cut":
+            handler.close_connection = True
+            handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            handler.connection.close()
+            return None
+        if self.delay:
+            time.sleep(self.delay)
+        stamp = {"X-Server-Stamp": f"{self.id}.{request}", "X-Request-Id": request}
+        if self.fault == "fail":
+            return self.reply(handler, 500, b"broken", stamp)
+        return self.reply(handler, 200, b"".join(random.sample(self.records, len(self.records))), stamp)
+
+    def reply(self, handler, status, body, headers):
+        try:
+            handler.send_response(status)
+            for name, value in headers.items():
+                handler.send_header(name, value)
+            handler.send_header("Content-Length", str(len(body)))
+            handler.end_headers()
+            handler.wfile.write(body)
+        except OSError:
+            handler.close_connection = True
+
+    def beat(self, control):
+        self.seq += 1
+        body = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 2,
+                "state": self.state, "warmup_left_ms": 0, "seq": self.seq, "born": self.born}
+        return call(control, "PUT", f"/-/instances/{self.id}", json.dumps(body), timeout=1)[0]
+
+    def count(self, request=None):
+        with self.lock:
+            return sum(1 for row in self.arrived if request is None or row[1] == request)
+
+
+class PlatformCluster:
+    def __init__(self, controls=5, domains=("a", "b", "c")):
+        self.folder = tempfile.mkdtemp(prefix="corianderlock-platform-")
+        self.port = self.find_port()
+        self.controls = [f"127.0.2.{i + 1}" for i in range(controls)]
+        self.relays = {f"127.0.3.{i + 1}": domain for i, domain in enumerate(domains)}
+        self.seeds = self.controls[:3]
+        self.processes, self.leafs, self.stopping = {}, [], threading.Event()
+
+    @staticmethod
+    def find_port():
+        """Four ports in a row that nobody has on any address."""
+        for _ in range(100):
+            port = random.randrange(20000, 30000, 4)
+            try:
+                for i in range(4):
+                    with socket.socket() as probe:
+                        probe.bind(("0.0.0.0", port + i))
+                return port
+            except OSError:
+                continue
+        raise RuntimeError("no free ports")
+
+    def control_address(self, i=0):
+        return self.controls[i], self.port + 2
+
+    def relay_address(self, ip):
+        return ip, self.port + 2
+
+    def start(self, ip, found):
+        role = "control" if ip in self.controls else "relay"
+        listens = f'control: "{ip}:{self.port + 2}"'
+        if role == "relay":
+            listens = f'callers: "{ip}:{self.port + 2}", readiness: "{ip}:{self.port + 3}"'
+        text = SETTINGS.format(
+            ip=ip, port=self.port, http=self.port + 1, role=role, listens=listens, found=str(found).lower(),
+            domain=self.relays.get(ip, "a"), folder=os.path.join(self.folder, "data-" + ip),
+            seeds=", ".join(f'"{seed}:{self.port + 2}"' for seed in self.seeds), wait=600 if role == "relay" else 100)
+        path = os.path.join(self.folder, ip + ".yaml")
+        with open(path, "w", encoding="utf-8") as out:
+            out.write(text)
+        with open(os.path.join(self.folder, ip + ".log"), "ab") as log:
+            self.processes[ip] = subprocess.Popen([BINARY, "--config", path], stdout=log, stderr=log)
+
+    def start_all(self):
+        for ip in self.controls + list(self.relays):
+            self.start(ip, True)
+        threading.Thread(target=self.keep_beating, daemon=True).start()
+
+    def add_leafs(self, services, zones):
+        for service in services:
+            for zone in zones:
+                self.leafs.append(Leaf(self, len(self.leafs) + 1, service, zone))
+
+    def keep_beating(self):
+        turn = 0
+        while not self.stopping.wait(0.3):
+            for leaf in list(self.leafs):
+                for _ in range(len(self.controls)):
+                    turn += 1
+                    if leaf.state == "gone" or leaf.beat(self.control_address(turn % len(self.controls))) == 200:
+                        break
+
+    def log(self, ip):
+        with open(os.path.join(self.folder, ip + ".log"), encoding="utf-8", errors="replace") as lines:
+            return lines.read()
+
+    def signal(self, ip, number, wait=True):
+        process = self.processes[ip]
+        process.send_signal(number)
+        return process.wait(timeout=15) if wait else None
+
+    def wipe(self, ip):
+        shutil.rmtree(os.path.join(self.folder, "data-" + ip), ignore_errors=True)
+
+    def close(self, keep):
+        self.stopping.set()
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
+        for leaf in self.leafs:
+            leaf.server.shutdown()
+        if keep:
+            print("logs are in", self.folder)
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def configuration(version, shards, single, unsafe, **changes):
+    routes = [
+        {"name": "gather", "host": HOST, "path_prefix": "/all/", "type": "safe", "timeout_ms": 2000,
+         "target_latency_ms": 400, "priority": 1, "gather": shards, "max_attempts": 2, "top_k": 5,
+         "min_coverage": 0.5},
+        {"name": "single", "host": HOST, "path_prefix": "/one/", "type": "safe", "timeout_ms": 2000,
+         "target_latency_ms": 400, "priority": 1, "service": single, "max_attempts": 2},
+        {"name": "book", "host": HOST, "path_prefix": "/book/", "type": "unsafe", "timeout_ms": 2000,
+         "target_latency_ms": 400, "priority": 0, "service": unsafe, "max_attempts": 2},
+    ]
+    services = [{"name": name, "health_path": "/health", "max_conns": 26, "protocol": "h1", "tls": False}
+                for name in shards + [single, unsafe]]
+    document = {"version": version, "routes": routes, "services": services,
+                "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
+                           "idle_timeout_ms": 15000}}
+    document.update(changes)
+    return json.dumps(document)
