--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -25,7 +25,7 @@
     // Above the time for which a control instance holds a question.
     constexpr Milliseconds watchTimeout { 4'500 };
     constexpr Milliseconds tableTimeout { 1'500 };
-    constexpr Milliseconds retryPause { 250 };
+    constexpr Milliseconds retryPause { 100 };
     // A control instance that is neither a seed nor a member is followed for so long after its last answer.
     constexpr Milliseconds strangerMemory { 10'000 };
     // A control instance that was silent for so long vouches for no server, if another one answers.
@@ -343,9 +343,9 @@
     m_private->tableListener = std::move(fn);
 }
 
-void RelayRole::relay(Relay::CallPtr call, Relay::Engine::Done done)
+void RelayRole::relay(const Relay::CallPtr& call, Relay::Engine::Done done)
 {
-    m_private->engine.relay(std::move(call), std::move(done));
+    m_private->engine.relay(call, std::move(done));
 }
 
 void RelayRole::handle(std::string_view bytes, const Peer::Reply& reply)
--- a/Source/Core/Daemon/RelayRole.h
+++ b/Source/Core/Daemon/RelayRole.h
@@ -31,7 +31,7 @@
     void start();
     // Calls fn with the limits of each route table that comes in force here.
     void whenTableChanges(std::function<void(const Routes::CallerLimits&)> fn);
-    void relay(Relay::CallPtr, Relay::Engine::Done);
+    void relay(const Relay::CallPtr&, Relay::Engine::Done);
     // Bytes of the service Relay.
     void handle(std::string_view bytes, const Peer::Reply&);
     // Whether callers should be sent here.
--- a/Source/Core/Daemon/ReplicatedState.cpp
+++ b/Source/Core/Daemon/ReplicatedState.cpp
@@ -176,8 +176,9 @@
     }
     if (!settings.control.seeds.empty()) {
         // So many that those which are left after the tolerated losses are a majority.
-        options.targetVoters = static_cast<size_t>(2 * settings.control.tolerated + 1);
-        options.minimumCopies = static_cast<size_t>(settings.control.tolerated + 1);
+        auto tolerated = static_cast<size_t>(settings.control.tolerated);
+        options.targetVoters = 2 * tolerated + 1;
+        options.minimumCopies = tolerated + 1;
     }
     options.keptEntries = static_cast<uint64_t>(settings.control.keptEntries);
     options.shard = id;
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -101,7 +101,7 @@
 
 Server::~Server() { close(); }
 
-Common::Result<std::unique_ptr<Server>> Server::open(ServerOptions options, Handler handler)
+Common::Result<std::unique_ptr<Server>> Server::open(const ServerOptions& options, Handler handler)
 {
     auto p = std::make_shared<Private>();
     p->state->handler = std::move(handler);
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -36,7 +36,7 @@
 // can wait for the last answer.
 class Server {
 public:
-    static Common::Result<std::unique_ptr<Server>> open(ServerOptions, Handler);
+    static Common::Result<std::unique_ptr<Server>> open(const ServerOptions&, Handler);
     ~Server();
 
     // For what arrives from now on.
--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -295,11 +295,11 @@
     m_server->handle(std::move(request), [self](Response response) {
         // Never from inside the handler: an answer may start the next request.
         boost::asio::post(self->m_socket.get_executor(),
-            [self, response = std::move(response)]() mutable { self->answer(std::move(response)); });
+            [self, response = std::move(response)] { self->answer(response); });
     });
 }
 
-void ServerConnection::answer(Response response)
+void ServerConnection::answer(const Response& response)
 {
     if (m_state != State::Answering) {
         m_server->requestEnded();
--- a/Source/Core/Http/ServerConnection.h
+++ b/Source/Core/Http/ServerConnection.h
@@ -72,7 +72,7 @@
     void headArrived();
     void dispatch();
     void refuse(int status, const char* message);
-    void answer(Response);
+    void answer(const Response&);
     void write(const Response&, bool close);
     void written(bool close);
     void linger();
--- a/Source/Core/Peer/Link.cpp
+++ b/Source/Core/Peer/Link.cpp
@@ -69,7 +69,7 @@
         auto promise = address->connect();
         return promise.attach(kj::mv(address));
     });
-    m_tasks.add(m_timer.timeoutAfter(toDuration(m_options.silence), kj::mv(stream))
+    m_tasks.add(m_timer.timeoutAfter(toDuration(m_options.connectTimeout), kj::mv(stream))
                     .then([this](kj::Own<kj::AsyncIoStream>&& it) { connected(kj::mv(it)); },
                         [this](kj::Exception&& e) { connectFailed(e.getDescription().cStr()); }));
 }
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -220,7 +221,7 @@
         return groups;
     }
 
-    std::string toText(Milliseconds time) { return std::to_string(static_cast<int64_t>(time.value() + 0.5)); }
+    std::string toText(Milliseconds time) { return std::to_string(std::lround(time.value())); }
 
 } // namespace
 } // namespace Relay
@@ -276,7 +277,7 @@
     void runBundle(const Gathering&, const AskedBundle&, bool areRepeats, Done);
     void bundleEnded(const GatheringPtr&, size_t index, Answer);
     void resumeBundle(const GatheringPtr&, const ResumePart&);
-    void resumeHere(const BundleKey&, size_t needed, Done);
+    void resumeHere(const BundleKey&, size_t needed, const Done&);
     std::vector<Bundle> bundlesOf(const Routes::Fan&);
     void delegate(const std::shared_ptr<Delegation>&);
     void fallBack(const std::shared_ptr<Delegation>&, bool mayHaveSent, const std::string& why);
@@ -586,7 +587,7 @@
     Done done = [self = shared_from_this(), gathering, index = part.bundle](
                     Answer answer) { self->bundleEnded(gathering, index, std::move(answer)); };
     if (!bundle.gatherer) {
-        resumeHere({ options.self.address, bundle.id }, part.needed, std::move(done));
+        resumeHere({ options.self.address, bundle.id }, part.needed, done);
         return;
     }
     peers.gather(*bundle.gatherer, { options.self.address, ResumeBundle { bundle.id, part.needed } },
@@ -595,7 +596,7 @@
         });
 }
 
-void Engine::Private::resumeHere(const BundleKey& key, size_t needed, Done done)
+void Engine::Private::resumeHere(const BundleKey& key, size_t needed, const Done& done)
 {
     QueryId id;
     RunningPtr running;
@@ -606,7 +607,7 @@
         std::lock_guard lock(running->mutex);
         isAlive = running->query.isDelivered && !running->query.finished;
         if (isAlive)
-            running->done = std::move(done);
+            running->done = done;
     }
     if (!isAlive) {
         done(Refusal {
@@ -1040,13 +1041,13 @@
     m_private->chooseAgain();
 }
 
-void Engine::relay(CallPtr call, Done done) { m_private->relay(call, std::move(done)); }
+void Engine::relay(const CallPtr& call, Done done) { m_private->relay(call, std::move(done)); }
 
-void Engine::gather(const BundleRequest& request, std::function<void(Common::Result<Answer>)> done)
+void Engine::gather(const BundleRequest& request, const std::function<void(Common::Result<Answer>)>& done)
 {
     Done answer = [done](Answer a) { done(std::move(a)); };
     if (auto resume = std::get_if<ResumeBundle>(&request.body)) {
-        m_private->resumeHere({ request.asker, resume->bundle }, resume->needed, std::move(answer));
+        m_private->resumeHere({ request.asker, resume->bundle }, resume->needed, answer);
         return;
     }
     auto& delegated = std::get<DelegatedCall>(request.body);
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -71,9 +71,9 @@
 
     // done is called once, from any thread. NotFound: no route matches. Unavailable: there is no route table yet.
     using Done = std::function<void(Answer)>;
-    void relay(CallPtr, Done);
+    void relay(const CallPtr&, Done);
     // Gathers for another instance. Unavailable if the call was admitted under another route table.
-    void gather(const BundleRequest&, std::function<void(Common::Result<Answer>)> done);
+    void gather(const BundleRequest&, const std::function<void(Common::Result<Answer>)>& done);
     size_t inFlight() const;
 
 private:
