Refuse at once a call whose groups have no known server

Cause: 0.3 to 1.3 s after the loss of all power relays have a route table and not all servers; 2,797 sends found no server and their calls ended in 502 after the other groups had run. Change: if more groups lack a server than the answer may, the call is refused before anything is sent, with a time to come back.

--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -51,6 +51,8 @@
     constexpr Milliseconds lateSlack { 8 };
     constexpr Milliseconds gathererPause { 1'500 };
     constexpr Milliseconds refusedRetryAfter { 50 };
+    // Servers make themselves known about each second.
+    constexpr Milliseconds unservedRetryAfter { 250 };
     // A request is hedged once it has taken longer than this share of the observed ones.
     constexpr double hedgeQuantile = 0.9;
     constexpr Milliseconds shortestHedgeDelay { 8 };
@@ -279,6 +281,7 @@
     void resumeBundle(const GatheringPtr&, const ResumePart&);
     void resumeHere(const BundleKey&, size_t needed, const Done&);
     std::vector<Bundle> bundlesOf(const Routes::Fan&);
+    size_t unservedGroups(const Routes::Fan&) const;
     void delegate(const std::shared_ptr<Delegation>&);
     void fallBack(const std::shared_ptr<Delegation>&, bool mayHaveSent, const std::string& why);
     void probeLater(const std::shared_ptr<Delegation>&);
@@ -492,10 +495,23 @@
     return planBundles(domains, options.self.domain, nextQuery++);
 }
 
+size_t Engine::Private::unservedGroups(const Routes::Fan& fan) const
+{
+    std::lock_guard lock(viewMutex);
+    return static_cast<size_t>(std::count_if(
+        fan.groups.begin(), fan.groups.end(), [this](const GroupName& name) { return !servers->count(name); }));
+}
+
 // Asks the groups in bundles, each in a failure domain that has servers of all of them.
 void Engine::Private::gather(
     const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
 {
+    size_t unserved = unservedGroups(*route.fan);
+    if (unserved > route.fan->groups.size() - neededGroups(*route.fan, route.fan->groups.size())) {
+        refuse(call, routes, Reason::Unavailable, std::to_string(unserved) + " groups have no known server",
+            unservedRetryAfter, done);
+        return;
+    }
     const GroupName shedKey = route.fan->groups.front();
     double chance = randomChance();
     bool isTaken
--- a/Source/UnitTests/Roster/RosterTest.cpp
+++ b/Source/UnitTests/Roster/RosterTest.cpp
@@ -31,7 +31,10 @@
 
 TimePoint at(double ms) { return TimePoint(Milliseconds(ms)); }
 
-Roster::Changes changes(std::vector<Report> reports, bool whole = false) { return { whole, Revision(1), reports }; }
+Roster::Changes changes(std::vector<Report> reports, bool whole = false)
+{
+    return { whole, Revision(1), std::move(reports) };
+}
 
 size_t usableCount(const Roster::Merged& merged)
 {
