Log the whole answer of a gathered call, and wait in a test until all servers are known

Cause of one failed run of PlatformProcessTest (9 problems): the first whole gather was asked for 50 ms before the last shard's servers had renewed themselves at a control instance; the relay said truthfully that one group was missing.

--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -302,7 +302,9 @@
     void transmit(const RunningPtr&, const Key&, const ConnectionPtr&, const Common::BackendServerId&);
     void ended(const RunningPtr&, const Key&, const Common::Result<Http::Response>&);
     void serveWaiters(const GroupName&);
-    void logAnswer(const Running&, const Answer&, Milliseconds took);
+    void logAnswer(const char* event, const Relay::Call&, const Routes::Table&, const Routes::Route&, const Answer&,
+        Milliseconds took, const std::string& what);
+    void noteEnd(const Running&, const Answer&);
 
     std::vector<Roster::Usable> serversOf(const GroupName&) const;
     Connections connectionsOf(const Routes::Table&, const GroupName&) const;
@@ -532,15 +534,17 @@
     gathering->table = routes;
     gathering->route = &route;
     gathering->times = times;
-    gathering->done
-        = [self = shared_from_this(), shedKey, aim = times.aim + lateSlack, done = std::move(done)](Answer answer) {
-              if (!std::holds_alternative<Abandoned>(answer)) {
-                  bool isLate = !std::holds_alternative<Merged>(answer) || Clock::now() > aim;
-                  self->shedders.withValue(
-                      shedKey, [&](Limits::LoadShedder& shedder) { Limits::noteAnswer(shedder, isLate); });
-              }
-              done(std::move(answer));
-          };
+    gathering->done = [self = shared_from_this(), shedKey, call, routes, &route, times, n = plan.size(),
+                          done = std::move(done)](Answer answer) {
+        auto end = Clock::now();
+        if (!std::holds_alternative<Abandoned>(answer)) {
+            bool isLate = !std::holds_alternative<Merged>(answer) || end > times.aim + lateSlack;
+            self->shedders.withValue(
+                shedKey, [&](Limits::LoadShedder& shedder) { Limits::noteAnswer(shedder, isLate); });
+        }
+        self->logAnswer("gathered", *call, *routes, route, answer, end - times.arrived, std::to_string(n) + " bundles");
+        done(std::move(answer));
+    };
     if (call->caller) {
         std::weak_ptr<Gathering> weak = gathering;
         call->caller->whenGone([weak] {
@@ -946,7 +950,7 @@
         done = std::exchange(running->done, nullptr);
     }
     end(running, id);
-    logAnswer(*running, finish.answer, Clock::now() - running->query.times.arrived);
+    noteEnd(*running, finish.answer);
     if (done)
         done(std::move(finish.answer));
 }
@@ -959,7 +963,7 @@
         done = std::exchange(running->done, nullptr);
     }
     Answer answer = std::move(deliver.merged);
-    logAnswer(*running, answer, Clock::now() - running->query.times.arrived);
+    noteEnd(*running, answer);
     if (done)
         done(std::move(answer));
 }
@@ -980,10 +984,10 @@
     --this->running;
 }
 
-void Engine::Private::logAnswer(const Running& running, const Answer& answer, Milliseconds took)
+// One line for a call, or for a bundle of one. Whole answers are sampled.
+void Engine::Private::logAnswer(const char* event, const Relay::Call& call, const Routes::Table& routes,
+    const Routes::Route& route, const Answer& answer, Milliseconds took, const std::string& what)
 {
-    const std::string& route = running.query.route->name.value();
-    metrics.observe(Observe::Latency::Query, took, route);
     std::string outcome = "answered";
     std::string detail;
     bool isServed = true;
@@ -1001,14 +1005,25 @@
         isServed = false;
         outcome = "caller-left";
     }
-    metrics.count(Counter::Queries, outcome);
     // The number of queries so far spreads the sample over all routes.
     if (isServed && nextQuery % servedLogged)
         return;
-    Observe::logEvent(Observe::Part::Relay, outcome,
-        { { "request", running.call->id.value() }, { "route", route }, { "took_ms", toText(took) },
-            { "aim_ms", toText(running.query.route->aim) }, { "detail", detail },
-            { "table", std::to_string(running.query.table->number.value()) } });
+    Observe::logEvent(Observe::Part::Relay, event,
+        { { "request", call.id.value() }, { "outcome", outcome }, { "route", route.name.value() }, { "what", what },
+            { "took_ms", toText(took) }, { "aim_ms", toText(route.aim) }, { "detail", detail },
+            { "table", std::to_string(routes.number.value()) } });
+}
+
+void Engine::Private::noteEnd(const Running& running, const Answer& answer)
+{
+    Milliseconds took = Clock::now() - running.query.times.arrived;
+    const Routes::Route& route = *running.query.route;
+    metrics.observe(Observe::Latency::Query, took, route.name.value());
+    metrics.count(Counter::Queries, std::holds_alternative<Refusal>(answer) ? "refused" : "answered");
+    std::string what = running.bundle
+        ? std::to_string(running.query.parts.size()) + " groups for " + running.bundle->asker.value()
+        : "group " + running.query.parts.front().group.value();
+    logAnswer("ended", *running.call, *running.query.table, route, answer, took, what);
 }
 
 Engine::Engine(EngineOptions options, Dialect dialect, Peers peers, Common::Timers& timers, Observe::Metrics& metrics)
--- a/Source/UnitTests/Processes/platform_test.py
+++ b/Source/UnitTests/Processes/platform_test.py
@@ -148,7 +148,7 @@
         caller.sendall(f"GET /moved/a HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: left\r\nX-Deadline-Ms: 1500\r\n\r\n".encode())
         wait_for(1, lambda: any(leaf.count("left") for leaf in self.leafs_of("one")))
         caller.close()
-        expect(wait_for(1, lambda: "event=caller-left request=left" in self.cluster.log(relay)), "a caller who leaves is noticed")
+        expect(wait_for(1, lambda: "request=left outcome=caller-left" in self.cluster.log(relay)), "a caller who leaves is noticed")
         for leaf in self.leafs_of("one"):
             leaf.delay = 0
 
@@ -221,7 +221,11 @@
         self.cluster.add_leafs(SHARDS + ["one", "book"], ["a", "b"])
         self.cluster.start_all()
         self.check_start()
-        wait_for(3, lambda: self.ask("/all/x")[1] == 200)
+        # All leafs have renewed themselves by then, and all relays have learnt of them.
+        known = wait_for(3, lambda: all(
+            self.ask("/all/x", ip)[2].get("X-Missing-Parts") == "0" and self.ask("/book/0", ip, "POST", b"x")[1] == 200
+            for ip in self.cluster.relays))
+        expect(known, "all servers are known to all relays")
         self.check_operator()
         self.check_requests()
         self.check_faults()
