--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -294,8 +294,8 @@
     m_server->requestBegun();
     m_server->handle(std::move(request), [self](Response response) {
         // Never from inside the handler: an answer may start the next request.
-        boost::asio::post(self->m_socket.get_executor(),
-            [self, response = std::move(response)] { self->answer(response); });
+        boost::asio::post(
+            self->m_socket.get_executor(), [self, response = std::move(response)] { self->answer(response); });
     });
 }
 
