--- a/Source/Core/Backend/Client.cpp
+++ b/Source/Core/Backend/Client.cpp
@@ -69,17 +69,8 @@
         Broken,
     };
 
-    // The server closed the connection before it had the whole request, so it did not run it: as a rule it was lost
-    // while the connection was idle. cpprestsdk says so by its message only.
-    bool isWriteFailure(const Common::Error& error)
-    {
-        return error.reason == Reason::ConnectionLost && error.message.rfind("Failed to write request", 0) == 0;
-    }
-
     Result<SearchAnswer> toSearchAnswer(const Result<Http::Response>& result, const std::string& peer)
     {
-        if (!result && isWriteFailure(result.error()))
-            return Common::makeError(Reason::ConnectionFailed, "write-search", result.error().message, peer);
         if (!result)
             return result.error();
         const Http::Response& response = result.value();
