Answer all that a stopping instance has read, and add a soak with random faults

Change: the end takes no new connection and waits until each one that is open has been answered and closed.

--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -304,11 +304,12 @@
     {
         auto until = Clock::now() + m_settings.stop.finishBound;
         size_t answers = m_http->waitForAnswers(m_settings.stop.finishBound);
-        if (m_openFrontEnd.waitForAnswers)
-            answers += m_openFrontEnd.waitForAnswers(until - Clock::now());
-        while (m_entry && m_entry->inFlight() && Clock::now() < until)
+        if (m_openFrontEnd.finish)
+            answers += m_openFrontEnd.finish(until - Clock::now());
+        auto inFlight = [this] { return (m_entry ? m_entry->inFlight() : 0) + (m_relay ? m_relay->inFlight() : 0); };
+        while (inFlight() && Clock::now() < until)
             sleepFor(workCheckInterval);
-        size_t work = m_entry ? m_entry->inFlight() : 0;
+        size_t work = inFlight();
         if (answers || work)
             LOG_ERROR(Part::Daemon,
                 "Cutting off " << answers << " answers and " << work << " lookups and bookings after "
@@ -336,8 +337,6 @@
         sleepFor(m_settings.stop.balancerWait);
         if (m_entry)
             m_entry->drain();
-        if (m_openFrontEnd.closeIdle)
-            m_openFrontEnd.closeIdle();
         bool whole = waitForWork();
         if (m_entry)
             m_entry->stop();
--- a/Source/Core/Daemon/FrontEnd.h
+++ b/Source/Core/Daemon/FrontEnd.h
@@ -27,9 +27,8 @@
 // A front end that listens.
 struct OpenFrontEnd {
     std::function<void()> closeAfterAnswers; // From now on each answer to a caller closes its connection.
-    std::function<void()> closeIdle;
-    // Waits for the last answer or the bound; returns how many are missing.
-    std::function<size_t(Common::Milliseconds bound)> waitForAnswers;
+    // Takes no new connection and waits for the last answer or the bound; returns how many are missing.
+    std::function<size_t(Common::Milliseconds bound)> finish;
     std::function<void(const Routes::CallerLimits&)> setLimits;
     std::function<void()> close;
 };
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -8,6 +8,7 @@
 
 #include <charconv>
 #include <future>
+#include <thread>
 
 using Common::Reason;
 
@@ -21,6 +22,8 @@
     constexpr int backlog = 1'024;
     // Before the next try when no descriptor is left.
     constexpr Common::Milliseconds acceptPause { 20 };
+    // Between two looks at what is still open before the end.
+    constexpr Common::Milliseconds finishInterval { 5 };
 
     Common::Result<tcp::endpoint> readEndpoint(const std::string& address)
     {
@@ -49,6 +52,7 @@
     Common::Result<void> listen(const std::string& address);
     void accept();
     void accepted(const boost::system::error_code&, tcp::socket);
+    void stopAccepting();
 };
 
 Common::Result<void> Server::Private::listen(const std::string& address)
@@ -94,6 +98,20 @@
     accept();
 }
 
+// Returns once no further connection will be taken.
+void Server::Private::stopAccepting()
+{
+    std::promise<void> done;
+    boost::asio::post(loop, [self = shared_from_this(), &done] {
+        self->closed = true;
+        boost::system::error_code ignored; // It is gone either way.
+        self->acceptor.close(ignored);
+        self->pause.cancel();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
 Server::Server(std::shared_ptr<Private> p)
     : m_private(std::move(p))
 {
@@ -117,28 +135,28 @@
 
 void Server::closeAfterAnswers() { m_private->state->closing = true; }
 
-void Server::closeIdle()
+size_t Server::finish(Common::Milliseconds bound)
 {
-    for (auto& connection : m_private->state->connections())
-        connection->closeIfIdle();
+    closeAfterAnswers();
+    m_private->stopAccepting();
+    auto until = Common::Clock::now() + bound;
+    for (;;) {
+        auto open = m_private->state->connections();
+        if (open.empty() || Common::Clock::now() >= until)
+            return inFlight();
+        for (auto& connection : open)
+            connection->closeIfIdle();
+        std::this_thread::sleep_for(Common::Clock::toChrono(finishInterval));
+    }
 }
 
 size_t Server::waitForAnswers(Common::Milliseconds bound) { return m_private->state->waitUntilIdle(bound); }
 
 void Server::close()
 {
-    auto p = m_private;
-    std::promise<void> done;
-    boost::asio::post(p->loop, [p, &done] {
-        p->closed = true;
-        boost::system::error_code ignored; // It is gone either way.
-        p->acceptor.close(ignored);
-        p->pause.cancel();
-        done.set_value();
-    });
-    done.get_future().wait();
-    p->state->close();
-    for (auto& connection : p->state->connections())
+    m_private->stopAccepting();
+    m_private->state->close();
+    for (auto& connection : m_private->state->connections())
         connection->close();
 }
 
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -45,8 +45,9 @@
     size_t inFlight() const;
     // From now on each answer closes its connection.
     void closeAfterAnswers();
-    // Closes the connections that have no request.
-    void closeIdle();
+    // Takes no new connection, closes those without a request, and waits until the others have been answered and closed
+    // or the bound is over; returns how many requests were still in flight.
+    size_t finish(Common::Milliseconds bound);
     // Waits until nothing is in flight or the bound is over; returns how many were still in flight.
     size_t waitForAnswers(Common::Milliseconds bound);
     // Stops listening and closes all connections. Requests in flight are lost, so wait for them first.
--- a/Source/UnitTests/Http/ServerTest.cpp
+++ b/Source/UnitTests/Http/ServerTest.cpp
@@ -94,3 +94,24 @@
     ASSERT_TRUE(answer) << answer.error();
     EXPECT_EQ(answer.value().status, 200);
 }
+
+TEST(Server, FinishTakesNoNewConnectionAndAnswersWhatItHasRead)
+{
+    Common::Address address;
+    std::promise<Http::Responder> pending;
+    auto server
+        = openServer([&](const Http::Request&, const Http::Responder& done) { pending.set_value(done); }, address);
+    ASSERT_TRUE(server);
+    Http::Connection idle(address, Http::Reuse::Allowed, timeout);
+    Http::Connection busy(address, Http::Reuse::Allowed, timeout);
+    auto result = post(busy, "slow");
+    auto respond = pending.get_future().get();
+    auto finished = std::async(std::launch::async, [&] { return server->finish(timeout); });
+    EXPECT_EQ(finished.wait_for(std::chrono::milliseconds(50)), std::future_status::timeout);
+    auto refused = post(idle, "late").get();
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().reason, Common::Reason::ConnectionFailed);
+    respond({});
+    EXPECT_EQ(finished.get(), 0u);
+    ASSERT_TRUE(result.get());
+}
--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -67,7 +67,7 @@
         self.cluster, self.service, self.zone = cluster, service, zone
         self.id, self.born, self.seq = f"i-{number:04x}", int(time.time() * 1000) + number, 0
         self.state, self.delay, self.fault = "ready", 0.0, None
-        self.arrived, self.lock = [], threading.Lock()
+        self.arrived, self.runs, self.lock = [], set(), threading.Lock()
         seed = hashlib.sha256(service.encode()).digest()
         self.records = [hashlib.sha256(seed + struct.pack(">I", i)).digest()[:RECORD] for i in range(25)]
         leaf = self
@@ -100,10 +100,14 @@
         if self.fault == "shed":
             return self.reply(handler, 503, b"", {"X-Not-Executed": "1"})
         if self.fault == "cut":
+            with self.lock:
+                self.runs.add(request)
             handler.close_connection = True
             handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             handler.connection.close()
             return None
+        with self.lock:
+            self.runs.add(request)
         if self.delay:
             time.sleep(self.delay)
         stamp = {"X-Server-Stamp": f"{self.id}.{request}", "X-Request-Id": request}
@@ -128,6 +132,10 @@
                 "state": self.state, "warmup_left_ms": 0, "seq": self.seq, "born": self.born}
         return call(control, "PUT", f"/-/instances/{self.id}", json.dumps(body), timeout=1)[0]
 
+    def ran(self, request):
+        with self.lock:
+            return request in self.runs
+
     def count(self, request=None):
         with self.lock:
             return sum(1 for row in self.arrived if request is None or row[1] == request)
--- /dev/null
+++ b/Source/UnitTests/Processes/platform_soak.py
@@ -0,0 +1,226 @@
+#!/usr/bin/env python3
+"""Random faults on real processes behind the adapter, with the promises checked while they go on.
+
+From outside: kills, pauses, restarts, stops and wiped disks of control instances and relays, faults and drains of leafs,
+changes of the configuration, overlapping as the seed says. At most two control instances are lost at a time, as the
+settings tolerate. Prints the seed; --keep leaves the logs.
+"""
+import argparse
+import json
+import os
+import random
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from platform_cluster import HOST, PlatformCluster, call, configuration  # noqa: E402
+
+SHARDS = ["s0", "s1", "s2", "s3"]
+LOST_AT_ONCE = 2
+DRAIN_SECONDS = 3.0
+ACK_SECONDS = 5.0
+CATCH_UP_SECONDS = 4.0
+RECOVER_SECONDS = 12.0
+
+
+class Soak:
+    def __init__(self, seed, seconds):
+        self.random = random.Random(seed)
+        self.seconds = seconds
+        self.cluster = PlatformCluster()
+        self.lock = threading.Lock()
+        self.problems, self.number, self.served, self.asked = [], 0, 0, 0
+        self.version, self.acknowledged, self.lost_until = 10, 10, {}
+        self.stop = threading.Event()
+
+    def problem(self, text):
+        with self.lock:
+            self.problems.append(text)
+        print("PROBLEM:", text, flush=True)
+
+    def records(self):
+        leafs = {leaf.service: leaf for leaf in self.cluster.leafs if leaf.service in SHARDS}
+        return {name: leaf.records for name, leaf in leafs.items()}
+
+    def request(self, kind):
+        with self.lock:
+            self.number += 1
+            request = f"q{self.number:06x}"
+        relay = self.random.choice(list(self.cluster.relays))
+        path, method, body = {"all": ("/all/x", "GET", None), "one": ("/one/x", "GET", None),
+                              "book": ("/book/x", "POST", b"b")}[kind]
+        headers = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "1500"}
+        status, headers, body = call(self.cluster.relay_address(relay), method, path, body, headers, 3)
+        with self.lock:
+            self.asked += 1
+            self.served += status == 200
+        self.check(kind, request, status, headers, body)
+
+    def check(self, kind, request, status, headers, body):
+        """What a caller may rely on, whatever fails."""
+        runs = [(leaf, row) for leaf in self.cluster.leafs if leaf.service == "book"
+                for row in list(leaf.arrived) if row[1] == request]
+        if kind == "book" and sum(1 for leaf, _ in runs if leaf.ran(request)) > 1:
+            self.problem(f"{request}: a booking ran on {len(runs)} servers")
+        if kind == "book" and status in (429, 503) and any(leaf.ran(request) for leaf, _ in runs):
+            self.problem(f"{request}: refused as not run, and it ran")
+        if status == 404:
+            self.problem(f"{request}: 404 on a route that each configuration has")
+        if kind != "all" or status != 200:
+            return
+        stamps = [s.strip() for s in headers.get("X-Part-Stamps", "").split(",")]
+        missing = int(headers.get("X-Missing-Parts", "0"))
+        services = [leaf.service for stamp in stamps for leaf in self.cluster.leafs if stamp == f"{leaf.id}.{request}"]
+        if len(services) != len(stamps) or len(set(services)) != len(services) or len(services) + missing != len(SHARDS):
+            self.problem(f"{request}: parts {stamps}, {missing} missing")
+            return
+        best = sorted((r for s in services for r in self.records()[s]), reverse=True)[:5]
+        if body != b"".join(best):
+            self.problem(f"{request}: not the greatest records of {services}")
+
+    def callers(self):
+        while not self.stop.wait(0.02):
+            self.request(self.random.choice(["all", "all", "one", "book"]))
+
+    def lost(self):
+        now = time.monotonic()
+        return [ip for ip, until in self.lost_until.items() if until > now]
+
+    def change(self):
+        self.version += self.random.choice([1, 2, 5])
+        document = configuration(self.version, SHARDS, "one", "book")
+        for control in self.random.sample(range(len(self.cluster.controls)), 2):
+            if call(self.cluster.control_address(control), "PUT", "/-/config", document, timeout=2)[0] == 200:
+                self.acknowledged = max(self.acknowledged, self.version)
+                return
+
+    def read(self):
+        before = self.acknowledged
+        control = self.random.randrange(len(self.cluster.controls))
+        status, _, body = call(self.cluster.control_address(control), "GET", "/-/config", timeout=2)
+        if status == 200 and json.loads(body)["version"] < before:
+            self.problem(f"control {control} reads {json.loads(body)['version']}, acknowledged was {before}")
+
+    def lose_control(self):
+        ip = self.random.choice(self.cluster.controls)
+        if ip in self.lost() or len(self.lost()) >= LOST_AT_ONCE:
+            return
+        how = self.random.choice(["kill", "wipe", "pause", "stop"])
+        length = self.random.uniform(0.1, 2.0)
+        self.lost_until[ip] = time.monotonic() + length + 1 + CATCH_UP_SECONDS
+        print(f"control {ip}: {how} for {length:.1f} s", flush=True)
+        self.lose(ip, how, length)
+
+    def lose_relay(self):
+        ip = self.random.choice(list(self.cluster.relays))
+        if ip not in self.lost():
+            length = self.random.uniform(0.1, 1.5)
+            self.lost_until[ip] = time.monotonic() + length + 4
+            self.lose(ip, self.random.choice(["kill", "pause", "stop"]), length)
+
+    def lose(self, ip, how, length):
+        def run():
+            process = self.cluster.processes[ip]
+            if how == "pause":
+                process.send_signal(signal.SIGSTOP)
+                time.sleep(length)
+                process.send_signal(signal.SIGCONT)
+                return
+            code = self.cluster.signal(ip, signal.SIGTERM if how == "stop" else signal.SIGKILL)
+            if how == "stop" and code != 0:
+                self.problem(f"{ip} ended with {code} on SIGTERM")
+            if how == "wipe":
+                self.cluster.wipe(ip)
+            time.sleep(length)
+            self.cluster.start(ip, False)
+        threading.Thread(target=run, daemon=True).start()
+
+    def hurt_leaf(self):
+        leaf = self.random.choice(self.cluster.leafs)
+        leaf.fault, leaf.delay = self.random.choice([(None, 0), (None, 0), ("fail", 0), ("shed", 0), ("cut", 0), (None, 0.6)])
+
+    def drain_leaf(self):
+        leaf = self.random.choice(self.cluster.leafs)
+        others = [o for o in self.cluster.leafs if o.service == leaf.service and o is not leaf]
+        if leaf.state != "ready" or any(o.state != "ready" for o in others):
+            return
+
+        def run():
+            leaf.state = "draining"
+            while not any(leaf.beat(self.cluster.control_address(i)) == 200 for i in range(len(self.cluster.controls))):
+                if self.stop.wait(0.1):
+                    return
+            calm = not self.lost()
+            time.sleep(DRAIN_SECONDS)
+            before = leaf.count()
+            time.sleep(0.5)
+            if calm and not self.lost() and leaf.count() > before:
+                self.problem(f"{leaf.id} got {leaf.count() - before} requests {DRAIN_SECONDS} s after it said draining")
+            leaf.born, leaf.seq, leaf.state = leaf.born + 60_000, 0, "ready"
+        threading.Thread(target=run, daemon=True).start()
+
+    def run(self):
+        self.cluster.add_leafs(SHARDS + ["one", "book"], ["a", "b"])
+        self.cluster.start_all()
+        first = configuration(self.version, SHARDS, "one", "book")
+        end = time.monotonic() + ACK_SECONDS
+        while call(self.cluster.control_address(0), "PUT", "/-/config", first, timeout=2)[0] != 200:
+            if time.monotonic() > end:
+                self.problem("the first configuration was not taken")
+                return
+            time.sleep(0.1)
+        time.sleep(2)
+        threads = [threading.Thread(target=self.callers, daemon=True) for _ in range(3)]
+        for thread in threads:
+            thread.start()
+        steps = [self.change, self.change, self.read, self.read, self.lose_control, self.lose_relay, self.hurt_leaf,
+                 self.hurt_leaf, self.drain_leaf]
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            self.random.choice(steps)()
+            time.sleep(self.random.uniform(0.05, 0.5))
+        self.check_recovery()
+        self.stop.set()
+        for thread in threads:
+            thread.join()
+
+    def check_recovery(self):
+        for leaf in self.cluster.leafs:
+            leaf.fault, leaf.delay = None, 0
+        end = time.monotonic() + RECOVER_SECONDS + 4
+        versions = []
+        while time.monotonic() < end:
+            versions = [call(self.cluster.control_address(i), "GET", "/-/config", timeout=2)
+                        for i in range(len(self.cluster.controls))]
+            if all(status == 200 and json.loads(body)["version"] >= self.acknowledged for status, _, body in versions):
+                break
+            time.sleep(0.2)
+        else:
+            self.problem(f"not all read {self.acknowledged} at the end: {[v[0] for v in versions]}")
+        asked, served = self.asked, self.served
+        time.sleep(2)
+        if self.served - served < 0.9 * (self.asked - asked):
+            self.problem(f"{self.served - served} of {self.asked - asked} served at the end")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--keep", action="store_true")
+    args = parser.parse_args()
+    seed = args.seed if args.seed is not None else random.SystemRandom().randrange(1 << 30)
+    print(f"seed {seed}, {args.seconds} s", flush=True)
+    soak = Soak(seed, args.seconds)
+    try:
+        soak.run()
+    finally:
+        soak.cluster.close(args.keep or bool(soak.problems))
+    print(f"seed {seed}: {soak.served} of {soak.asked} served, {len(soak.problems)} problems")
+    return 1 if soak.problems else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
