Tell followers of each other together, and fetch tables inside the failure domain

Ruled out: heartbeats of our connections. Change: the list is made each 500 ms and asked of one control instance; changes of 100 ms are told together; a relay fetches a route table from a control instance of its own domain and from another one only if that is behind.

--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -1,5 +1,6 @@
 #include "Daemon/RelayRole.h"
 
+#include "Common/Hash.h"
 #include "Observe/EventLog.h"
 #include "Roster/Messages.h"
 #include "Wire/RelayCodec.h"
@@ -39,6 +40,7 @@
         std::vector<Common::Revision> revisions;
         std::optional<TimePoint> heardAt;
         bool isLost { true };
+        Common::FailureDomain domain;
         std::vector<Roster::Peer> peers; // Instances that follow it.
         uint64_t peersVersion { 0 };
     };
@@ -74,15 +76,17 @@
     Roster::Merged merged;
     Common::TableNumber table; // In force here.
     bool isFetching { false };
-    std::vector<Roster::Peer> instances; // Of all control instances that answer.
+    std::vector<Roster::Peer> instances; // As the primary control instance knows them.
     std::function<void(const Routes::CallerLimits&)> tableListener;
 
     void follow(const Address&);
     void ask(const Address&);
     void answered(const Address&, const Result<std::string>&);
     void take(const Address&, const Roster::WatchReply&);
-    void fetchTable(const Address&);
-    void takeTable(const Address&, const Result<std::string>&);
+    void fetchTable(const Address& from, const Address& reporter);
+    void takeTable(const Address& from, const Address& reporter, const Result<std::string>&);
+    Address primary() const;
+    Address nearSource(const Address& reporter) const;
     bool gatherInstances();
     void publish();
     void sweepLater();
@@ -139,6 +143,7 @@
         request.revisions = it->second.revisions;
         request.table = table;
         request.peersVersion = it->second.peersVersion;
+        request.wantsPeers = address == primary();
     }
     request.peer = { use.settings.peer.listen, use.settings.failureDomain };
     request.isLeaving = draining;
@@ -151,7 +156,16 @@
     auto reply = result ? Wire::decodeWatchReply(result.value()) : Result<Roster::WatchReply>(result.error());
     if (reply) {
         take(address, reply.value());
-        ask(address);
+        bool awaitsTable = false;
+        {
+            std::lock_guard lock(mutex);
+            awaitsTable = reply.value().table > table;
+        }
+        // Until the table is here, each question is answered at once.
+        if (awaitsTable)
+            use.timers.after(retryPause, [self = shared_from_this(), address] { self->ask(address); });
+        else
+            ask(address);
         return;
     }
     bool isNews = false;
@@ -183,6 +197,7 @@
     std::vector<Roster::Learned> learned;
     bool wasLost = false;
     bool needsTable = false;
+    Address near;
     std::vector<Address> toFollow;
     {
         std::lock_guard lock(mutex);
@@ -212,7 +227,9 @@
         if (!reply.members.empty())
             members = { reply.members.begin(), reply.members.end() };
         toFollow = reply.members;
+        source.domain = reply.domain;
         needsTable = reply.table > table && !std::exchange(isFetching, true);
+        near = nearSource(address);
         if (gatherInstances())
             engine.setInstances(instances);
     }
@@ -229,40 +246,65 @@
     for (const Address& member : toFollow)
         follow(member);
     if (needsTable)
-        fetchTable(address);
+        fetchTable(near, address);
 }
 
-// Called with the mutex held. Returns whether the list has changed.
-bool RelayRole::Private::gatherInstances()
+// Called with the mutex held: the control instance that is asked for the list of instances. Those that answer are
+// spread over the relays.
+Address RelayRole::Private::primary() const
 {
-    std::set<Roster::Peer> all;
+    Address best;
+    uint64_t least = UINT64_MAX;
     for (auto& [address, source] : sources) {
-        if (!source.isLost)
-            all.insert(source.peers.begin(), source.peers.end());
+        uint64_t hash = Common::hash64(address.value() + " " + use.settings.instance.value());
+        if (!source.isLost && hash < least) {
+            least = hash;
+            best = address;
+        }
     }
-    std::vector<Roster::Peer> list(all.begin(), all.end());
-    if (list.empty() || list == instances)
+    return best;
+}
+
+// Called with the mutex held. Returns whether the list has changed.
+bool RelayRole::Private::gatherInstances()
+{
+    auto it = sources.find(primary());
+    if (it == sources.end() || it->second.peers.empty() || it->second.peers == instances)
         return false;
-    instances = std::move(list);
+    instances = it->second.peers;
     return true;
 }
 
-void RelayRole::Private::fetchTable(const Address& address)
+// Called with the mutex held. A table is large, so it is fetched inside the own failure domain if that can be.
+Address RelayRole::Private::nearSource(const Address& reporter) const
+{
+    for (auto& [address, source] : sources) {
+        if (!source.isLost && source.domain == use.settings.failureDomain)
+            return address;
+    }
+    return reporter;
+}
+
+void RelayRole::Private::fetchTable(const Address& from, const Address& reporter)
 {
-    use.peers.call(address, Peer::Service::Roster, Wire::encode(Roster::Request(Roster::TableRequest {})), tableTimeout,
-        [self = shared_from_this(), address](const Result<std::string>& result) { self->takeTable(address, result); });
+    use.peers.call(from, Peer::Service::Roster, Wire::encode(Roster::Request(Roster::TableRequest {})), tableTimeout,
+        [self = shared_from_this(), from, reporter](
+            const Result<std::string>& result) { self->takeTable(from, reporter, result); });
 }
 
-void RelayRole::Private::takeTable(const Address& address, const Result<std::string>& result)
+void RelayRole::Private::takeTable(const Address& from, const Address& reporter, const Result<std::string>& result)
 {
     auto reply = result ? Wire::decodeTableReply(result.value()) : Result<Roster::TableReply>(result.error());
     auto decoded = reply ? use.decodeTable(reply.value().document) : Result<Routes::Table>(reply.error());
     std::function<void(const Routes::CallerLimits&)> listener;
     bool isNewer = false;
+    bool goesOn = false;
     {
         std::lock_guard lock(mutex);
-        isFetching = false;
         isNewer = decoded && reply.value().number > table;
+        // The near one may be behind, or silent.
+        goesOn = !isNewer && from != reporter;
+        isFetching = goesOn;
         if (isNewer) {
             table = reply.value().number;
             listener = tableListener;
@@ -272,15 +314,16 @@
     }
     if (!decoded) {
         Observe::logEvent(Part::Control, "routes-not-read",
-            { { "address", address.value() }, { "why", Common::describe(decoded.error()) } });
-        return;
+            { { "address", from.value() }, { "why", Common::describe(decoded.error()) } });
     }
+    if (goesOn)
+        fetchTable(reporter, reporter);
     if (!isNewer)
         return;
     use.metrics.set(Observe::Gauge::RevisionApplied, static_cast<double>(reply.value().number.value()));
     Observe::logEvent(Part::Control, "routes-in-force",
         { { "table", std::to_string(reply.value().number.value()) },
-            { "routes", std::to_string(decoded.value().routes.size()) }, { "from", address.value() } });
+            { "routes", std::to_string(decoded.value().routes.size()) }, { "from", from.value() } });
     if (listener)
         listener(decoded.value().limits);
 }
--- a/Source/Core/Daemon/RosterKeeper.cpp
+++ b/Source/Core/Daemon/RosterKeeper.cpp
@@ -25,7 +25,7 @@
     // A follower that did not ask for so long does not count any more.
     constexpr Milliseconds followerMemory { 8'000 };
     // Changes of that time are told together.
-    constexpr Milliseconds flushDelay { 15 };
+    constexpr Milliseconds flushDelay { 100 };
     constexpr Milliseconds sweepInterval { 500 };
     // Servers that left or were lost are remembered so long, so that a late renewal does not bring them back.
     constexpr Milliseconds forgetAfter { 120'000 };
@@ -85,6 +85,8 @@
     std::mutex watchMutex; // Guards what follows.
     std::vector<Watcher> watchers;
     std::unordered_map<Common::InstanceId, Follower> followers;
+    std::vector<Roster::Peer> peers; // Of the followers, as they are told.
+    uint64_t peersVersion { 0 };
 
     Shard& shardOf(const Common::BackendServerId& server)
     {
@@ -98,6 +100,7 @@
     Roster::WatchReply replyTo(const Roster::WatchRequest&);
     static bool hasNews(const Roster::WatchRequest&, const Roster::WatchReply&);
     void noteChange(const Roster::Report&);
+    void listPeers();
 };
 
 void RosterKeeper::Private::noteChange(const Roster::Report& report)
@@ -134,11 +137,25 @@
                 members.push_back(seed);
         }
         self->use.controlClient.setMembers(std::move(members));
+        self->listPeers();
         self->flush();
         self->sweepLater();
     });
 }
 
+// Followers that come at the same time are told together: each list goes to all of them.
+void RosterKeeper::Private::listPeers()
+{
+    std::lock_guard lock(watchMutex);
+    peers.clear();
+    for (auto& [id, follower] : followers) {
+        if (!follower.isLeaving)
+            peers.push_back(follower.peer);
+    }
+    std::sort(peers.begin(), peers.end());
+    peersVersion = versionOf(peers);
+}
+
 void RosterKeeper::Private::flushLater()
 {
     if (flushPending.exchange(true))
@@ -176,6 +193,7 @@
 {
     Roster::WatchReply reply;
     reply.epoch = epoch;
+    reply.domain = use.settings.failureDomain;
     reply.table = use.control.routeTableNumber();
     reply.members = use.control.memberAddresses();
     bool isKnown = request.epoch == epoch && request.revisions.size() == shardCount;
@@ -185,14 +203,9 @@
         reply.shards.push_back(Roster::changesSince(shards[i].registry, from));
     }
     std::lock_guard lock(watchMutex);
-    for (auto& [id, follower] : followers) {
-        if (!follower.isLeaving)
-            reply.peers.push_back(follower.peer);
-    }
-    std::sort(reply.peers.begin(), reply.peers.end());
-    reply.peersVersion = versionOf(reply.peers);
-    if (reply.peersVersion == request.peersVersion)
-        reply.peers.clear();
+    reply.peersVersion = request.wantsPeers ? peersVersion : request.peersVersion;
+    if (reply.peersVersion != request.peersVersion)
+        reply.peers = peers;
     return reply;
 }
 
--- a/Source/Core/Roster/Messages.h
+++ b/Source/Core/Roster/Messages.h
@@ -23,6 +23,7 @@
     Common::InstanceId follower;
     Peer peer; // The follower.
     bool isLeaving { false }; // It takes no more work of its peers.
+    bool wantsPeers { false }; // A follower asks one control instance for them.
     uint64_t peersVersion { 0 }; // Of the list that it has.
     Epoch epoch; // Of the answers so far; 0 before the first.
     std::vector<Common::Revision> revisions; // One for each shard of the registry; empty before the first answer.
@@ -34,6 +35,7 @@
     std::vector<Changes> shards;
     Common::TableNumber table; // The committed one.
     std::vector<Common::Address> members; // The control instances.
+    Common::FailureDomain domain; // Of the control instance.
     std::vector<Peer> peers; // Instances that asked lately, in order; empty if the follower has this version.
     uint64_t peersVersion { 0 }; // A hash of the list, equal at all control instances that know the same.
 };
--- a/Source/Core/Wire/Roster.capnp
+++ b/Source/Core/Wire/Roster.capnp
@@ -32,6 +32,7 @@
   domain @5 :Text;
   isLeaving @6 :Bool;
   peersVersion @7 :UInt64; # Of the list of peers that the follower has.
+  wantsPeers @8 :Bool;
 }
 
 struct Peer {
@@ -47,6 +48,7 @@
   members @3 :List(Text); # Addresses of the control instances.
   peers @4 :List(Peer); # Instances that asked lately; empty if the follower has this version.
   peersVersion @6 :UInt64;
+  domain @7 :Text; # Of the control instance.
 }
 
 struct TableRequest {
--- a/Source/Core/Wire/Roster.capnp.h
+++ b/Source/Core/Wire/Roster.capnp.h
@@ -99,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -421,6 +421,8 @@
 
   inline  ::uint64_t getPeersVersion() const;
 
+  inline bool getWantsPeers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -490,6 +492,9 @@
   inline  ::uint64_t getPeersVersion();
   inline void setPeersVersion( ::uint64_t value);
 
+  inline bool getWantsPeers();
+  inline void setWantsPeers(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -641,6 +646,9 @@
 
   inline  ::uint64_t getPeersVersion() const;
 
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -703,6 +711,13 @@
   inline  ::uint64_t getPeersVersion();
   inline void setPeersVersion( ::uint64_t value);
 
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1464,6 +1479,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WatchRequest::Reader::getWantsPeers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool WatchRequest::Builder::getWantsPeers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void WatchRequest::Builder::setWantsPeers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1694,6 +1723,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WatchReply::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool WatchReply::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WatchReply::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WatchReply::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void WatchReply::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WatchReply::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void WatchReply::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WatchReply::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t TableRequest::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/RosterCodec.cpp
+++ b/Source/Core/Wire/RosterCodec.cpp
@@ -64,6 +64,7 @@
         out.setDomain(toText(request.peer.domain));
         out.setIsLeaving(request.isLeaving);
         out.setPeersVersion(request.peersVersion);
+        out.setWantsPeers(request.wantsPeers);
         auto revisions = out.initRevisions(static_cast<unsigned>(request.revisions.size()));
         for (unsigned i = 0; i < revisions.size(); ++i)
             revisions.set(i, request.revisions[i].value());
@@ -78,6 +79,7 @@
         request.peer = { fromText<Common::Address>(in.getAddress()), fromText<Common::FailureDomain>(in.getDomain()) };
         request.isLeaving = in.getIsLeaving();
         request.peersVersion = in.getPeersVersion();
+        request.wantsPeers = in.getWantsPeers();
         for (auto revision : in.getRevisions())
             request.revisions.emplace_back(revision);
         return request;
@@ -114,6 +116,7 @@
     out.setEpoch(reply.epoch.value());
     out.setTableNumber(reply.table.value());
     out.setPeersVersion(reply.peersVersion);
+    out.setDomain(toText(reply.domain));
     auto peers = out.initPeers(static_cast<unsigned>(reply.peers.size()));
     for (unsigned i = 0; i < peers.size(); ++i) {
         peers[i].setAddress(toText(reply.peers[i].address));
@@ -135,6 +138,7 @@
         reply.epoch = Roster::Epoch(in.getEpoch());
         reply.table = Common::TableNumber(in.getTableNumber());
         reply.peersVersion = in.getPeersVersion();
+        reply.domain = fromText<Common::FailureDomain>(in.getDomain());
         for (auto peer : in.getPeers()) {
             reply.peers.push_back(
                 { fromText<Common::Address>(peer.getAddress()), fromText<Common::FailureDomain>(peer.getDomain()) });
