--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -45,13 +45,6 @@
         uint64_t peersVersion { 0 };
     };
 
-    const char* standingName(Roster::Standing standing)
-    {
-        return standing == Roster::Standing::Serving ? "serving"
-            : standing == Roster::Standing::Leaving  ? "leaving"
-                                                     : "lost";
-    }
-
 } // namespace
 
 struct RelayRole::Private : std::enable_shared_from_this<RelayRole::Private> {
@@ -239,8 +232,8 @@
     for (const Roster::Learned& l : learned)
         Observe::logEvent(Part::Roster, "server-learned",
             { { "server", l.server.value() }, { "group", l.group.value() },
-                { "incarnation", std::to_string(l.incarnation.value()) }, { "standing", standingName(l.standing) },
-                { "from", address.value() } });
+                { "incarnation", std::to_string(l.incarnation.value()) },
+                { "standing", Roster::standingName(l.standing) }, { "from", address.value() } });
     if (!learned.empty() || wasLost)
         publish();
     for (const Address& member : toFollow)
--- a/Source/Core/Daemon/RosterKeeper.cpp
+++ b/Source/Core/Daemon/RosterKeeper.cpp
@@ -55,19 +55,6 @@
         return Common::hash64(text);
     }
 
-    const char* standingName(Roster::Standing standing)
-    {
-        switch (standing) {
-        case Roster::Standing::Serving:
-            return "serving";
-        case Roster::Standing::Leaving:
-            return "leaving";
-        case Roster::Standing::Lost:
-            return "lost";
-        }
-        return "";
-    }
-
 } // namespace
 
 struct RosterKeeper::Private : std::enable_shared_from_this<RosterKeeper::Private> {
@@ -108,7 +95,7 @@
     Observe::logEvent(Part::Roster, "server-changed",
         { { "server", report.server.value() }, { "group", report.group.value() }, { "address", report.address.value() },
             { "incarnation", std::to_string(report.incarnation.value()) },
-            { "sequence", std::to_string(report.sequence) }, { "standing", standingName(report.standing) } });
+            { "sequence", std::to_string(report.sequence) }, { "standing", Roster::standingName(report.standing) } });
     flushLater();
 }
 
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -62,21 +62,6 @@
         return out + request.body;
     }
 
-    std::optional<tcp::endpoint> endpointOf(const std::string& peer)
-    {
-        size_t colon = peer.rfind(':');
-        if (colon == std::string::npos)
-            return std::nullopt;
-        unsigned short port = 0;
-        boost::system::error_code error;
-        auto ip = boost::asio::ip::make_address(peer.substr(0, colon), error);
-        const char* end = peer.data() + peer.size();
-        auto read = std::from_chars(peer.data() + colon + 1, end, port);
-        if (error || read.ec != std::errc() || read.ptr != end)
-            return std::nullopt;
-        return tcp::endpoint(ip, port);
-    }
-
 } // namespace
 
 struct Connection::Private : std::enable_shared_from_this<Connection::Private> {
@@ -141,7 +126,7 @@
 void Connection::Private::connect()
 {
     closeSocket();
-    auto endpoint = endpointOf(peer);
+    auto endpoint = Loops::readEndpoint(peer);
     boost::system::error_code error;
     if (endpoint)
         socket.open(endpoint->protocol(), error);
--- a/Source/Core/Http/Loops.cpp
+++ b/Source/Core/Http/Loops.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 
 #include <atomic>
+#include <charconv>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -66,6 +67,21 @@
 
     boost::asio::io_context& currentOrNext() { return current ? *current : next(); }
 
+    std::optional<boost::asio::ip::tcp::endpoint> readEndpoint(const std::string& address)
+    {
+        size_t colon = address.rfind(':');
+        if (colon == std::string::npos)
+            return std::nullopt;
+        unsigned short port = 0;
+        boost::system::error_code error;
+        auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
+        const char* end = address.data() + address.size();
+        auto read = std::from_chars(address.data() + colon + 1, end, port);
+        if (error || read.ec != std::errc() || read.ptr != end)
+            return std::nullopt;
+        return boost::asio::ip::tcp::endpoint(ip, port);
+    }
+
 } // namespace Loops
 
 void setThreadCount(int n) { wantedThreads = n > 0 ? n : 1; }
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
-#include <charconv>
 #include <future>
 #include <thread>
 
@@ -25,21 +24,6 @@
     // Between two looks at what is still open before the end.
     constexpr Common::Milliseconds finishInterval { 5 };
 
-    Common::Result<tcp::endpoint> readEndpoint(const std::string& address)
-    {
-        size_t colon = address.rfind(':');
-        unsigned short port = 0;
-        boost::system::error_code error;
-        if (colon != std::string::npos) {
-            const char* end = address.data() + address.size();
-            auto read = std::from_chars(address.data() + colon + 1, end, port);
-            auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
-            if (!error && read.ec == std::errc() && read.ptr == end)
-                return tcp::endpoint(ip, port);
-        }
-        return Common::makeError(Reason::InvalidInput, "listen", "expected an IP address and a port", address);
-    }
-
 } // namespace
 
 struct Server::Private : std::enable_shared_from_this<Server::Private> {
@@ -57,13 +41,15 @@
 
 Common::Result<void> Server::Private::listen(const std::string& address)
 {
-    BOOST_OUTCOME_TRY(endpoint, readEndpoint(address));
+    auto endpoint = Loops::readEndpoint(address);
+    if (!endpoint)
+        return Common::makeError(Reason::InvalidInput, "listen", "expected an IP address and a port", address);
     boost::system::error_code error;
-    acceptor.open(endpoint.protocol(), error);
+    acceptor.open(endpoint->protocol(), error);
     if (!error)
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     if (!error)
-        acceptor.bind(endpoint, error);
+        acceptor.bind(*endpoint, error);
     if (!error)
         acceptor.listen(backlog, error);
     if (error)
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -18,8 +18,6 @@
     // Servers make themselves known about each second.
     constexpr Milliseconds unservedRetryAfter { 250 };
 
-    double randomChance() { return localRandom().unit(); }
-
     std::vector<GroupName> groupsAt(const Routes::Fan& fan, const std::vector<size_t>& places)
     {
         std::vector<GroupName> groups;
@@ -42,7 +40,7 @@
         return;
     }
     const GroupName shedKey = route.fan->groups.front();
-    double chance = randomChance();
+    double chance = localRandom().unit();
     bool isTaken
         = shedders.withValue(shedKey, [&](Limits::LoadShedder& shedder) { return Limits::admits(shedder, chance); });
     if (!isTaken) {
--- a/Source/Core/Roster/Records.h
+++ b/Source/Core/Roster/Records.h
@@ -17,6 +17,9 @@
     Lost, // Not renewed for a while.
 };
 
+// "serving", "leaving", "lost".
+const char* standingName(Standing);
+
 // What a backend server says of itself at each renewal.
 struct Report {
     Common::BackendServerId server;
