--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -11,21 +11,9 @@
 
 namespace {
 
-    // The way between two instances and back, kept back from the time in which an answer is wanted.
-    constexpr Milliseconds delegationMargin { 3 };
-    constexpr Milliseconds refusedRetryAfter { 50 };
     // One in so many served requests is logged; all others are.
     constexpr uint64_t servedLogged = 64;
 
-    std::vector<GroupName> groupsAt(const Routes::Fan& fan, const std::vector<size_t>& places)
-    {
-        std::vector<GroupName> groups;
-        groups.reserve(places.size());
-        for (size_t place : places)
-            groups.push_back(fan.groups[place]);
-        return groups;
-    }
-
 } // namespace
 
 Common::Random& localRandom()
@@ -229,29 +217,6 @@
 
 void Engine::relay(const CallPtr& call, Done done) { m_private->relay(call, std::move(done)); }
 
-void Engine::gather(const BundleRequest& request, const std::function<void(Common::Result<Answer>)>& done)
-{
-    Done answer = [done](Answer a) { done(std::move(a)); };
-    if (auto resume = std::get_if<ResumeBundle>(&request.body)) {
-        m_private->resumeHere({ request.asker, resume->bundle }, resume->needed, answer);
-        return;
-    }
-    auto& delegated = std::get<DelegatedCall>(request.body);
-    Routes::TablePtr routes = table();
-    const Routes::Route* route = routes ? Routes::match(*routes, delegated.call->host, delegated.call->path) : nullptr;
-    bool isSame = route && route->fan && routes->number == delegated.table
-        && std::all_of(delegated.groups.begin(), delegated.groups.end(),
-            [&](size_t place) { return place < route->fan->groups.size(); });
-    if (!isSame || delegated.groups.empty()) {
-        done(Common::makeError(Reason::Unavailable, "gather", "another route table is in force here"));
-        return;
-    }
-    auto arrived = Clock::now() - delegated.waited;
-    m_private->run(delegated.call, routes, *route,
-        { groupsAt(*route->fan, delegated.groups), BundleKey { request.asker, delegated.bundle }, false },
-        m_private->timesOf(*delegated.call, *route, arrived, delegationMargin), std::move(answer));
-}
-
 size_t Engine::inFlight() const { return static_cast<size_t>(std::max<int64_t>(m_private->running, 0)); }
 
 } // namespace Relay
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -8,13 +8,14 @@
 
 namespace {
 
+    // The way between two instances and back, kept back from the time in which an answer is wanted.
+    constexpr Milliseconds delegationMargin { 3 };
     // A gatherer that has not answered so long after the aim is probed, and passed by if it is silent.
     constexpr Milliseconds probeAfterAim { 10 };
     constexpr Milliseconds probeTimeout { 40 };
     // Answers of bundles come so long after the aim, and are in time all the same.
     constexpr Milliseconds lateSlack { 8 };
     constexpr Milliseconds gathererPause { 1'500 };
-    constexpr Milliseconds refusedRetryAfter { 50 };
     // Servers make themselves known about each second.
     constexpr Milliseconds unservedRetryAfter { 250 };
 
@@ -228,4 +229,27 @@
     runBundle(gathering, delegation->bundle, mayHaveSent, std::move(done));
 }
 
+void Engine::gather(const BundleRequest& request, const std::function<void(Common::Result<Answer>)>& done)
+{
+    Done answer = [done](Answer a) { done(std::move(a)); };
+    if (auto resume = std::get_if<ResumeBundle>(&request.body)) {
+        m_private->resumeHere({ request.asker, resume->bundle }, resume->needed, answer);
+        return;
+    }
+    auto& delegated = std::get<DelegatedCall>(request.body);
+    Routes::TablePtr routes = table();
+    const Routes::Route* route = routes ? Routes::match(*routes, delegated.call->host, delegated.call->path) : nullptr;
+    bool isSame = route && route->fan && routes->number == delegated.table
+        && std::all_of(delegated.groups.begin(), delegated.groups.end(),
+            [&](size_t place) { return place < route->fan->groups.size(); });
+    if (!isSame || delegated.groups.empty()) {
+        done(Common::makeError(Reason::Unavailable, "gather", "another route table is in force here"));
+        return;
+    }
+    auto arrived = Clock::now() - delegated.waited;
+    m_private->run(delegated.call, routes, *route,
+        { groupsAt(*route->fan, delegated.groups), BundleKey { request.asker, delegated.bundle }, false },
+        m_private->timesOf(*delegated.call, *route, arrived, delegationMargin), std::move(answer));
+}
+
 } // namespace Relay
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -29,6 +29,9 @@
 using Common::TimePoint;
 using Observe::Counter;
 
+// What a caller is told whose call has not run: another instance may have room at once.
+inline constexpr Milliseconds refusedRetryAfter { 50 };
+
 struct Key {
     QueryId query;
     AttemptId attempt;
