--- a/Source/Core/Control/Configuration.h
+++ b/Source/Core/Control/Configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Control/Change.h"
+#include "Control/Holders.h"
 
 #include <cstdint>
 #include <deque>
@@ -42,6 +43,7 @@
     std::map<Model::ResourceKey, StoredResource> resources;
     std::deque<Delta> history; // The latest revisions, without gaps; the last one is `revision`.
     std::deque<RememberedChange> remembered; // Oldest first.
+    Holders holders; // Of leases on the configuration. Not a resource: they take no revision.
 
     // Derived from `remembered` by rebuildIndexes(): the place of an id, counted from the first change ever remembered.
     std::unordered_map<Common::ChangeId, uint64_t> rememberedAt;
--- a/Source/Core/Control/Leases.cpp
+++ b/Source/Core/Control/Leases.cpp
@@ -53,6 +53,21 @@
 {
 }
 
+void takeOver(LeaseTable& table, const Holders& holders)
+{
+    if (table.knowsHolders)
+        return;
+    table.knowsHolders = true;
+    for (const auto& [id, instance] : holders) {
+        auto [it, isNew] = table.leases.try_emplace(id);
+        if (!isNew)
+            continue;
+        it->second.instance = instance;
+        it->second.expiresAt = table.electedAt + table.duration;
+        it->second.changedAt = nextNumber(table);
+    }
+}
+
 Common::Result<LeaseGranted> renew(LeaseTable& table, const Renewal& renewal, TimePoint now, Common::Revision sent)
 {
     LeaseGranted granted { table.duration, std::nullopt };
@@ -110,10 +125,20 @@
     return !holds(it->second, now);
 }
 
+std::vector<EndedLease> endedHolders(const LeaseTable& table, const Holders& holders, TimePoint now)
+{
+    std::vector<EndedLease> ended;
+    for (const auto& [id, instance] : holders) {
+        if (hasNoLease(table, id, instance.incarnation, now))
+            ended.push_back({ id, instance.incarnation });
+    }
+    return ended;
+}
+
 RevisionStatus revisionStatus(const LeaseTable& table, Common::Revision revision, TimePoint now)
 {
     RevisionStatus status;
-    status.newLeader = isNewLeader(table, now);
+    status.newLeader = !table.knowsHolders;
     for (const auto& [id, lease] : table.leases) {
         if (holds(lease, now) && lease.applied < revision)
             status.missing.push_back(id);
--- a/Source/Core/Control/Leases.h
+++ b/Source/Core/Control/Leases.h
@@ -3,6 +3,7 @@
 #include "Common/Clock.h"
 #include "Common/Error.h"
 #include "Common/Ids.h"
+#include "Control/Holders.h"
 
 #include <cstdint>
 #include <map>
@@ -14,16 +15,6 @@
 inline constexpr Common::Milliseconds leaseTime { 4'000 };
 inline constexpr Common::Milliseconds leaseRenewalInterval { 1'000 };
 
-// One of our processes, as others reach it.
-struct LiveInstance {
-    Common::InstanceId id;
-    Common::Incarnation incarnation;
-    Common::Address address;
-    Common::FailureDomain domain;
-
-    friend bool operator==(const LiveInstance&, const LiveInstance&) = default;
-};
-
 // An instance that holds, held or gave back a lease.
 struct Lease {
     LiveInstance instance;
@@ -43,10 +34,11 @@
 
 // Volatile state of the leader of log shard 0: who may take work, and what each has applied.
 //
-// A new leader does not know whom its predecessor gave leases. Whoever has not renewed with the new leader within one
-// lease time after its election holds no lease any more, so until then nothing is said to be in force. This needs the
-// caller to grant a renewal only when a quorum has confirmed it as leader after the renewal came in: such a grant
-// was asked for before the next leader's election, and holders count from their asking.
+// A new leader takes over the holders that its log names: each counts until it has renewed with the new leader, or
+// until one lease time after the election, when a lease of an earlier leader has surely ended. Until then nothing is
+// said to be in force. This needs the caller to grant a renewal only when a quorum has confirmed it as leader after the
+// renewal came in, and only when the log names the holder: such a grant was asked for before the next leader's
+// election, and holders count from their asking.
 struct LeaseTable {
     LeaseTable(Common::Term, Common::TimePoint electedAt, Common::Milliseconds = leaseTime);
 
@@ -55,8 +47,13 @@
     LiveListNumber listNumber;
     uint64_t forgottenAt { 0 }; // Ends up to this list number are no longer listed one by one.
     std::map<Common::InstanceId, Lease> leases;
+    bool knowsHolders { false }; // Those of earlier leaders were taken over.
 };
 
+// To be called once, with the holders of a log that is current: a quorum has confirmed the lead. Changes nothing when
+// they were taken over already.
+void takeOver(LeaseTable&, const Holders&);
+
 // Asks for a lease, and says which revision the instance has applied.
 struct Renewal {
     LiveInstance instance;
@@ -80,13 +77,6 @@
 // lease, claims that it left running are orphans.
 bool release(LeaseTable&, const Common::InstanceId&, Common::Incarnation);
 
-struct EndedLease {
-    Common::InstanceId id;
-    Common::Incarnation incarnation;
-
-    friend bool operator==(const EndedLease&, const EndedLease&) = default;
-};
-
 // Ends the leases that ran out and names them, each once: their claims are orphans. Leases that ended long ago are
 // forgotten.
 std::vector<EndedLease> expired(LeaseTable&, Common::TimePoint now);
@@ -95,6 +85,9 @@
 // then claims that still run for such an owner are orphans, also if its lease ended while there was no leader.
 bool hasNoLease(const LeaseTable&, const Common::InstanceId&, Common::Incarnation, Common::TimePoint now);
 
+// The holders that the log names and whose leases have surely ended.
+std::vector<EndedLease> endedHolders(const LeaseTable&, const Holders&, Common::TimePoint now);
+
 enum class RevisionState {
     Applying,
     InForce,
@@ -103,7 +96,7 @@
 struct RevisionStatus {
     RevisionState state { RevisionState::Applying };
     std::vector<Common::InstanceId> missing; // Lease holders that have not said that they applied it.
-    bool newLeader { false }; // Elected less than a lease time ago: there may be holders that it does not know.
+    bool newLeader { false }; // There may be holders that the leader does not know yet.
 
     friend bool operator==(const RevisionStatus&, const RevisionStatus&) = default;
 };
--- a/Source/Core/Control/StateMachine.cpp
+++ b/Source/Core/Control/StateMachine.cpp
@@ -13,6 +13,7 @@
         Once::Claims& claims;
 
         CommandOutcome operator()(const Change&) const { return wrongShard(); }
+        CommandOutcome operator()(const HolderChange&) const { return wrongShard(); }
         CommandOutcome operator()(const Once::Claim& claim) const { return Once::apply(claims, claim); }
         CommandOutcome operator()(const Once::Outcome& outcome) const { return Once::apply(claims, outcome); }
         CommandOutcome operator()(const Once::Orphan& orphan) const
@@ -45,15 +46,19 @@
 {
     if (auto* claims = std::get_if<Once::Claims>(&state))
         return std::visit(ClaimsVisitor { *claims }, command);
-    const auto* change = std::get_if<Change>(&command);
-    if (!change)
+    auto& configuration = std::get<Configuration>(state);
+    if (const auto* change = std::get_if<Change>(&command))
+        return applyChange(configuration, *change);
+    const auto* holders = std::get_if<HolderChange>(&command);
+    if (!holders)
         return wrongShard();
-    return applyChange(std::get<Configuration>(state), *change);
+    applyChange(configuration.holders, *holders);
+    return Acknowledged {};
 }
 
 std::optional<Common::LogShardId> shardOf(const Command& command, uint32_t logShards)
 {
-    if (std::holds_alternative<Change>(command))
+    if (std::holds_alternative<Change>(command) || std::holds_alternative<HolderChange>(command))
         return configurationShard;
     if (const auto* claim = std::get_if<Once::Claim>(&command))
         return Once::logShardOf(claim->id, logShards);
--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -77,6 +77,8 @@
     void serve(const Control::StatusRequest&, const Peer::Reply&);
     void serve(const Control::ReleaseRequest&, const Peer::Reply&);
     Control::RenewReply renew(const Control::RenewRequest&);
+    bool isKnownHolder(const Control::LiveInstance&) const;
+    void takeOverHolders();
     Control::Changes changesSince(Common::Revision) const;
     Common::Revision currentRevision() const;
 
@@ -200,6 +202,26 @@
         });
 }
 
+// Called when a quorum has confirmed the lead, with leaseMutex held.
+void ControlRole::Private::takeOverHolders()
+{
+    if (!leases || leases->knowsHolders)
+        return;
+    state->withConfiguration([&](const Control::Configuration& c) { Control::takeOver(*leases, c.holders); });
+    LOG_INFO(Part::Control,
+        "Took over " << leases->leases.size() << " holders of leases in term " << leases->listNumber.term << ".");
+}
+
+bool ControlRole::Private::isKnownHolder(const Control::LiveInstance& instance) const
+{
+    bool known = false;
+    state->withConfiguration([&](const Control::Configuration& c) {
+        auto it = c.holders.find(instance.id);
+        known = it != c.holders.end() && it->second == instance;
+    });
+    return known;
+}
+
 // Called when a quorum has confirmed the lead after the request came in; see Control::LeaseTable.
 Control::RenewReply ControlRole::Private::renew(const Control::RenewRequest& request)
 {
@@ -207,6 +229,7 @@
     std::lock_guard lock(leaseMutex);
     if (!leases)
         return { notLeading(), {} };
+    takeOverHolders();
     grant.changes = changesSince(request.applied);
     auto granted = Control::renew(*leases, { request.instance, request.applied }, Clock::now(), grant.changes.revision);
     if (!granted)
@@ -225,10 +248,23 @@
 {
     auto self = shared_from_this();
     state->confirmConfiguration([self, request, reply](const Result<void>& confirmed) {
-        if (!confirmed)
+        if (!confirmed) {
             self->answer(reply, Control::RenewReply { confirmed.error(), self->hint() });
-        else
-            self->answer(reply, self->renew(request));
+            return;
+        }
+        auto granted = self->renew(request);
+        if (std::holds_alternative<Common::Error>(granted.result) || self->isKnownHolder(request.instance)) {
+            self->answer(reply, granted);
+            return;
+        }
+        // The grant goes out once the log names the holder; until then the table counts a lease that nobody uses.
+        self->state->propose(configurationShard, Control::HolderChange { { request.instance }, {} },
+            [self, reply, granted](const Result<Control::CommandOutcome>& outcome) {
+                if (outcome)
+                    self->answer(reply, granted);
+                else
+                    self->answer(reply, Control::RenewReply { outcome.error(), self->hint() });
+            });
     });
 }
 
@@ -312,6 +348,7 @@
             self->answer(reply, Control::StatusReply { error, {} });
             return;
         }
+        self->takeOverHolders();
         found.status = Control::revisionStatus(*self->leases, asked, Clock::now());
         self->answer(reply, Control::StatusReply { found, {} });
     });
@@ -351,6 +388,7 @@
 // behind; the orphan command is decided by the log shard itself.
 void ControlRole::Private::sweep()
 {
+    Control::HolderChange left;
     {
         std::lock_guard lock(leaseMutex);
         auto now = Clock::now();
@@ -361,6 +399,15 @@
             LOG_WARNING(Part::Control, "The lease of " << ended.id << " has run out.");
         }
         noteInForce();
+        state->withConfiguration(
+            [&](const Control::Configuration& c) { left.left = Control::endedHolders(*leases, c.holders, now); });
+    }
+    if (!left.left.empty()) {
+        state->propose(configurationShard, left, [](const Result<Control::CommandOutcome>& outcome) {
+            // Proposed again with the next sweep.
+            if (!outcome)
+                LOG_INFO(Part::Control, "Holders whose leases ended are still in the log: " << outcome.error() << ".");
+        });
     }
     for (uint32_t i = 1; i <= state->claimShards(); ++i) {
         LogShardId shard(i);
--- a/Source/Core/Wire/CommandParts.cpp
+++ b/Source/Core/Wire/CommandParts.cpp
@@ -9,6 +9,30 @@
 
 namespace {
 
+    void writeHolders(ControlSchema::HolderChange::Builder out, const Control::HolderChange& change)
+    {
+        auto joined = out.initJoined(change.joined.size());
+        for (unsigned i = 0; i < joined.size(); ++i)
+            write(joined[i], change.joined[i]);
+        auto left = out.initLeft(change.left.size());
+        for (unsigned i = 0; i < left.size(); ++i) {
+            left[i].setId(toText(change.left[i].id));
+            left[i].setIncarnation(change.left[i].incarnation.value());
+        }
+    }
+
+    Control::HolderChange readHolders(ControlSchema::HolderChange::Reader in)
+    {
+        Control::HolderChange change;
+        for (auto part : in.getJoined())
+            change.joined.push_back(read(part));
+        for (auto part : in.getLeft()) {
+            change.left.push_back(
+                { fromText<Common::InstanceId>(part.getId()), Common::Incarnation(part.getIncarnation()) });
+        }
+        return change;
+    }
+
     struct CommandWriter {
         ControlSchema::Command::Builder& out;
 
@@ -17,6 +41,7 @@
         void operator()(const Once::Outcome& outcome) const { write(out.initOutcome(), outcome); }
         void operator()(const Once::Orphan& orphan) const { write(out.initOrphan(), orphan); }
         void operator()(const Once::Expire& expire) const { out.setExpire(expire.now.value()); }
+        void operator()(const Control::HolderChange& change) const { writeHolders(out.initHolders(), change); }
     };
 
     struct CommandOutcomeWriter {
@@ -31,6 +56,20 @@
 
 } // namespace
 
+void write(ControlSchema::LiveInstance::Builder out, const Control::LiveInstance& instance)
+{
+    out.setId(toText(instance.id));
+    out.setIncarnation(instance.incarnation.value());
+    out.setAddress(toText(instance.address));
+    out.setDomain(toText(instance.domain));
+}
+
+Control::LiveInstance read(ControlSchema::LiveInstance::Reader in)
+{
+    return { fromText<Common::InstanceId>(in.getId()), Common::Incarnation(in.getIncarnation()),
+        fromText<Common::Address>(in.getAddress()), fromText<Common::FailureDomain>(in.getDomain()) };
+}
+
 void write(ControlSchema::Command::Builder out, const Control::Command& command)
 {
     out.setFormatVersion(formatVersion);
@@ -51,6 +90,8 @@
         return read(in.getOrphan());
     case ControlSchema::Command::EXPIRE:
         return Once::Expire { Once::LogTime(in.getExpire()) };
+    case ControlSchema::Command::HOLDERS:
+        return readHolders(in.getHolders());
     }
     failDecode("unknown kind of command");
 }
--- a/Source/Core/Wire/Control.capnp
+++ b/Source/Core/Wire/Control.capnp
@@ -157,6 +157,23 @@
   }
 }
 
+struct LiveInstance {
+  id @0 :Text;
+  incarnation @1 :UInt64;
+  address @2 :Text;
+  domain @3 :Text;
+}
+
+struct EndedLease {
+  id @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct HolderChange {
+  joined @0 :List(LiveInstance);
+  left @1 :List(EndedLease);
+}
+
 struct Command {
   formatVersion @0 :UInt32;
   union {
@@ -165,6 +182,7 @@
     outcome @3 :Outcome;
     orphan @4 :Orphan;
     expire @5 :UInt64;
+    holders @6 :HolderChange;
   }
 }
 
@@ -193,6 +211,7 @@
   resources @4 :List(StoredResource);
   history @5 :List(Delta);
   remembered @6 :List(RememberedChange);
+  holders @7 :List(LiveInstance);
 }
 
 struct ClaimRecord {
@@ -225,13 +244,6 @@
   maximumKeptBytes @9 :UInt64;
 }
 
-struct LiveInstance {
-  id @0 :Text;
-  incarnation @1 :UInt64;
-  address @2 :Text;
-  domain @3 :Text;
-}
-
 struct LiveListNumber {
   term @0 :UInt64;
   number @1 :UInt64;
--- a/Source/Core/Wire/Control.capnp.h
+++ b/Source/Core/Wire/Control.capnp.h
@@ -37,13 +37,15 @@
 CAPNP_DECLARE_SCHEMA(b66eecd4befe4c2e);
 CAPNP_DECLARE_SCHEMA(d8c09dc072d483c6);
 CAPNP_DECLARE_SCHEMA(c287997baada7110);
+CAPNP_DECLARE_SCHEMA(d05c40de569b694d);
+CAPNP_DECLARE_SCHEMA(84f602edc89fd122);
+CAPNP_DECLARE_SCHEMA(b0692ae73b6f7006);
 CAPNP_DECLARE_SCHEMA(bc6ca42c04f17bad);
 CAPNP_DECLARE_SCHEMA(d1155483c85be107);
 CAPNP_DECLARE_SCHEMA(e24eb59cd2256351);
 CAPNP_DECLARE_SCHEMA(92b797c2c9824dcf);
 CAPNP_DECLARE_SCHEMA(f716fdc4ef1c70a6);
 CAPNP_DECLARE_SCHEMA(cacd91481fc22239);
-CAPNP_DECLARE_SCHEMA(d05c40de569b694d);
 CAPNP_DECLARE_SCHEMA(c8b91dc8246a067f);
 CAPNP_DECLARE_SCHEMA(d6359dc49774a35b);
 CAPNP_DECLARE_SCHEMA(f008049174289343);
@@ -402,6 +404,51 @@
   };
 };
 
+struct LiveInstance {
+  LiveInstance() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d05c40de569b694d, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndedLease {
+  EndedLease() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84f602edc89fd122, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HolderChange {
+  HolderChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b0692ae73b6f7006, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Command {
   Command() = delete;
 
@@ -414,6 +461,7 @@
     OUTCOME,
     ORPHAN,
     EXPIRE,
+    HOLDERS,
   };
 
   struct _capnpPrivate {
@@ -469,7 +517,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(92b797c2c9824dcf, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(92b797c2c9824dcf, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -511,21 +559,6 @@
   };
 };
 
-struct LiveInstance {
-  LiveInstance() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d05c40de569b694d, 1, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct LiveListNumber {
   LiveListNumber() = delete;
 
@@ -2886,9 +2919,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Command::Reader {
+class LiveInstance::Reader {
 public:
-  typedef Command Reads;
+  typedef LiveInstance Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2903,27 +2936,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline  ::uint32_t getFormatVersion() const;
-
-  inline bool isChange() const;
-  inline bool hasChange() const;
-  inline  ::Wire::ControlSchema::Change::Reader getChange() const;
-
-  inline bool isClaim() const;
-  inline bool hasClaim() const;
-  inline  ::Wire::ControlSchema::Claim::Reader getClaim() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool isOutcome() const;
-  inline bool hasOutcome() const;
-  inline  ::Wire::ControlSchema::Outcome::Reader getOutcome() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline bool isOrphan() const;
-  inline bool hasOrphan() const;
-  inline  ::Wire::ControlSchema::Orphan::Reader getOrphan() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline bool isExpire() const;
-  inline  ::uint64_t getExpire() const;
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2937,9 +2959,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Command::Builder {
+class LiveInstance::Builder {
 public:
-  typedef Command Builds;
+  typedef LiveInstance Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2953,45 +2975,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline  ::uint32_t getFormatVersion();
-  inline void setFormatVersion( ::uint32_t value);
-
-  inline bool isChange();
-  inline bool hasChange();
-  inline  ::Wire::ControlSchema::Change::Builder getChange();
-  inline void setChange( ::Wire::ControlSchema::Change::Reader value);
-  inline  ::Wire::ControlSchema::Change::Builder initChange();
-  inline void adoptChange(::capnp::Orphan< ::Wire::ControlSchema::Change>&& value);
-  inline ::capnp::Orphan< ::Wire::ControlSchema::Change> disownChange();
-
-  inline bool isClaim();
-  inline bool hasClaim();
-  inline  ::Wire::ControlSchema::Claim::Builder getClaim();
-  inline void setClaim( ::Wire::ControlSchema::Claim::Reader value);
-  inline  ::Wire::ControlSchema::Claim::Builder initClaim();
-  inline void adoptClaim(::capnp::Orphan< ::Wire::ControlSchema::Claim>&& value);
-  inline ::capnp::Orphan< ::Wire::ControlSchema::Claim> disownClaim();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool isOutcome();
-  inline bool hasOutcome();
-  inline  ::Wire::ControlSchema::Outcome::Builder getOutcome();
-  inline void setOutcome( ::Wire::ControlSchema::Outcome::Reader value);
-  inline  ::Wire::ControlSchema::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::Wire::ControlSchema::Outcome>&& value);
-  inline ::capnp::Orphan< ::Wire::ControlSchema::Outcome> disownOutcome();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline bool isOrphan();
-  inline bool hasOrphan();
-  inline  ::Wire::ControlSchema::Orphan::Builder getOrphan();
-  inline void setOrphan( ::Wire::ControlSchema::Orphan::Reader value);
-  inline  ::Wire::ControlSchema::Orphan::Builder initOrphan();
-  inline void adoptOrphan(::capnp::Orphan< ::Wire::ControlSchema::Orphan>&& value);
-  inline ::capnp::Orphan< ::Wire::ControlSchema::Orphan> disownOrphan();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline bool isExpire();
-  inline  ::uint64_t getExpire();
-  inline void setExpire( ::uint64_t value);
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3003,9 +3009,9 @@
 };
 
 #if !CAPNP_LITE
-class Command::Pipeline {
+class LiveInstance::Pipeline {
 public:
-  typedef Command Pipelines;
+  typedef LiveInstance Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3019,9 +3025,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class CommandOutcome::Reader {
+class EndedLease::Reader {
 public:
-  typedef CommandOutcome Reads;
+  typedef EndedLease Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3036,26 +3042,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline  ::uint32_t getFormatVersion() const;
-
-  inline bool isChange() const;
-  inline bool hasChange() const;
-  inline  ::Wire::ControlSchema::ChangeOutcome::Reader getChange() const;
-
-  inline bool isClaim() const;
-  inline bool hasClaim() const;
-  inline  ::Wire::ControlSchema::ClaimOutcome::Reader getClaim() const;
-
-  inline bool isRecord() const;
-  inline  ::uint16_t getRecord() const;
-
-  inline bool isAcknowledged() const;
-  inline  ::capnp::Void getAcknowledged() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool isRefused() const;
-  inline bool hasRefused() const;
-  inline  ::Wire::ControlSchema::Error::Reader getRefused() const;
+  inline  ::uint64_t getIncarnation() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3069,9 +3059,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CommandOutcome::Builder {
+class EndedLease::Builder {
 public:
-  typedef CommandOutcome Builds;
+  typedef EndedLease Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3085,41 +3075,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline  ::uint32_t getFormatVersion();
-  inline void setFormatVersion( ::uint32_t value);
-
-  inline bool isChange();
-  inline bool hasChange();
-  inline  ::Wire::ControlSchema::ChangeOutcome::Builder getChange();
-  inline void setChange( ::Wire::ControlSchema::ChangeOutcome::Reader value);
-  inline  ::Wire::ControlSchema::ChangeOutcome::Builder initChange();
-  inline void adoptChange(::capnp::Orphan< ::Wire::ControlSchema::ChangeOutcome>&& value);
-  inline ::capnp::Orphan< ::Wire::ControlSchema::ChangeOutcome> disownChange();
-
-  inline bool isClaim();
-  inline bool hasClaim();
-  inline  ::Wire::ControlSchema::ClaimOutcome::Builder getClaim();
-  inline void setClaim( ::Wire::ControlSchema::ClaimOutcome::Reader value);
-  inline  ::Wire::ControlSchema::ClaimOutcome::Builder initClaim();
-  inline void adoptClaim(::capnp::Orphan< ::Wire::ControlSchema::ClaimOutcome>&& value);
-  inline ::capnp::Orphan< ::Wire::ControlSchema::ClaimOutcome> disownClaim();
-
-  inline bool isRecord();
-  inline  ::uint16_t getRecord();
-  inline void setRecord( ::uint16_t value);
-
-  inline bool isAcknowledged();
-  inline  ::capnp::Void getAcknowledged();
-  inline void setAcknowledged( ::capnp::Void value = ::capnp::VOID);
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool isRefused();
-  inline bool hasRefused();
-  inline  ::Wire::ControlSchema::Error::Builder getRefused();
-  inline void setRefused( ::Wire::ControlSchema::Error::Reader value);
-  inline  ::Wire::ControlSchema::Error::Builder initRefused();
-  inline void adoptRefused(::capnp::Orphan< ::Wire::ControlSchema::Error>&& value);
-  inline ::capnp::Orphan< ::Wire::ControlSchema::Error> disownRefused();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3131,9 +3095,9 @@
 };
 
 #if !CAPNP_LITE
-class CommandOutcome::Pipeline {
+class EndedLease::Pipeline {
 public:
-  typedef CommandOutcome Pipelines;
+  typedef EndedLease Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3147,9 +3111,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RememberedChange::Reader {
+class HolderChange::Reader {
 public:
-  typedef RememberedChange Reads;
+  typedef HolderChange Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3164,13 +3128,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline  ::uint64_t getBody() const;
+  inline bool hasJoined() const;
+  inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Reader getJoined() const;
 
-  inline bool hasOutcome() const;
-  inline  ::Wire::ControlSchema::ChangeOutcome::Reader getOutcome() const;
+  inline bool hasLeft() const;
+  inline  ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>::Reader getLeft() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3184,9 +3146,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RememberedChange::Builder {
+class HolderChange::Builder {
 public:
-  typedef RememberedChange Builds;
+  typedef HolderChange Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3200,22 +3162,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline  ::uint64_t getBody();
-  inline void setBody( ::uint64_t value);
+  inline bool hasJoined();
+  inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Builder getJoined();
+  inline void setJoined( ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Builder initJoined(unsigned int size);
+  inline void adoptJoined(::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>> disownJoined();
 
-  inline bool hasOutcome();
-  inline  ::Wire::ControlSchema::ChangeOutcome::Builder getOutcome();
-  inline void setOutcome( ::Wire::ControlSchema::ChangeOutcome::Reader value);
-  inline  ::Wire::ControlSchema::ChangeOutcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::Wire::ControlSchema::ChangeOutcome>&& value);
-  inline ::capnp::Orphan< ::Wire::ControlSchema::ChangeOutcome> disownOutcome();
+  inline bool hasLeft();
+  inline  ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>::Builder getLeft();
+  inline void setLeft( ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>::Builder initLeft(unsigned int size);
+  inline void adoptLeft(::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>> disownLeft();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3227,9 +3186,378 @@
 };
 
 #if !CAPNP_LITE
-class RememberedChange::Pipeline {
+class HolderChange::Pipeline {
 public:
-  typedef RememberedChange Pipelines;
+  typedef HolderChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Command::Reader {
+public:
+  typedef Command Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline  ::uint32_t getFormatVersion() const;
+
+  inline bool isChange() const;
+  inline bool hasChange() const;
+  inline  ::Wire::ControlSchema::Change::Reader getChange() const;
+
+  inline bool isClaim() const;
+  inline bool hasClaim() const;
+  inline  ::Wire::ControlSchema::Claim::Reader getClaim() const;
+
+  inline bool isOutcome() const;
+  inline bool hasOutcome() const;
+  inline  ::Wire::ControlSchema::Outcome::Reader getOutcome() const;
+
+  inline bool isOrphan() const;
+  inline bool hasOrphan() const;
+  inline  ::Wire::ControlSchema::Orphan::Reader getOrphan() const;
+
+  inline bool isExpire() const;
+  inline  ::uint64_t getExpire() const;
+
+  inline bool isHolders() const;
+  inline bool hasHolders() const;
+  inline  ::Wire::ControlSchema::HolderChange::Reader getHolders() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Command::Builder {
+public:
+  typedef Command Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline  ::uint32_t getFormatVersion();
+  inline void setFormatVersion( ::uint32_t value);
+
+  inline bool isChange();
+  inline bool hasChange();
+  inline  ::Wire::ControlSchema::Change::Builder getChange();
+  inline void setChange( ::Wire::ControlSchema::Change::Reader value);
+  inline  ::Wire::ControlSchema::Change::Builder initChange();
+  inline void adoptChange(::capnp::Orphan< ::Wire::ControlSchema::Change>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::Change> disownChange();
+
+  inline bool isClaim();
+  inline bool hasClaim();
+  inline  ::Wire::ControlSchema::Claim::Builder getClaim();
+  inline void setClaim( ::Wire::ControlSchema::Claim::Reader value);
+  inline  ::Wire::ControlSchema::Claim::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Wire::ControlSchema::Claim>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::Claim> disownClaim();
+
+  inline bool isOutcome();
+  inline bool hasOutcome();
+  inline  ::Wire::ControlSchema::Outcome::Builder getOutcome();
+  inline void setOutcome( ::Wire::ControlSchema::Outcome::Reader value);
+  inline  ::Wire::ControlSchema::Outcome::Builder initOutcome();
+  inline void adoptOutcome(::capnp::Orphan< ::Wire::ControlSchema::Outcome>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::Outcome> disownOutcome();
+
+  inline bool isOrphan();
+  inline bool hasOrphan();
+  inline  ::Wire::ControlSchema::Orphan::Builder getOrphan();
+  inline void setOrphan( ::Wire::ControlSchema::Orphan::Reader value);
+  inline  ::Wire::ControlSchema::Orphan::Builder initOrphan();
+  inline void adoptOrphan(::capnp::Orphan< ::Wire::ControlSchema::Orphan>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::Orphan> disownOrphan();
+
+  inline bool isExpire();
+  inline  ::uint64_t getExpire();
+  inline void setExpire( ::uint64_t value);
+
+  inline bool isHolders();
+  inline bool hasHolders();
+  inline  ::Wire::ControlSchema::HolderChange::Builder getHolders();
+  inline void setHolders( ::Wire::ControlSchema::HolderChange::Reader value);
+  inline  ::Wire::ControlSchema::HolderChange::Builder initHolders();
+  inline void adoptHolders(::capnp::Orphan< ::Wire::ControlSchema::HolderChange>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::HolderChange> disownHolders();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Command::Pipeline {
+public:
+  typedef Command Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CommandOutcome::Reader {
+public:
+  typedef CommandOutcome Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline  ::uint32_t getFormatVersion() const;
+
+  inline bool isChange() const;
+  inline bool hasChange() const;
+  inline  ::Wire::ControlSchema::ChangeOutcome::Reader getChange() const;
+
+  inline bool isClaim() const;
+  inline bool hasClaim() const;
+  inline  ::Wire::ControlSchema::ClaimOutcome::Reader getClaim() const;
+
+  inline bool isRecord() const;
+  inline  ::uint16_t getRecord() const;
+
+  inline bool isAcknowledged() const;
+  inline  ::capnp::Void getAcknowledged() const;
+
+  inline bool isRefused() const;
+  inline bool hasRefused() const;
+  inline  ::Wire::ControlSchema::Error::Reader getRefused() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CommandOutcome::Builder {
+public:
+  typedef CommandOutcome Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline  ::uint32_t getFormatVersion();
+  inline void setFormatVersion( ::uint32_t value);
+
+  inline bool isChange();
+  inline bool hasChange();
+  inline  ::Wire::ControlSchema::ChangeOutcome::Builder getChange();
+  inline void setChange( ::Wire::ControlSchema::ChangeOutcome::Reader value);
+  inline  ::Wire::ControlSchema::ChangeOutcome::Builder initChange();
+  inline void adoptChange(::capnp::Orphan< ::Wire::ControlSchema::ChangeOutcome>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::ChangeOutcome> disownChange();
+
+  inline bool isClaim();
+  inline bool hasClaim();
+  inline  ::Wire::ControlSchema::ClaimOutcome::Builder getClaim();
+  inline void setClaim( ::Wire::ControlSchema::ClaimOutcome::Reader value);
+  inline  ::Wire::ControlSchema::ClaimOutcome::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::Wire::ControlSchema::ClaimOutcome>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::ClaimOutcome> disownClaim();
+
+  inline bool isRecord();
+  inline  ::uint16_t getRecord();
+  inline void setRecord( ::uint16_t value);
+
+  inline bool isAcknowledged();
+  inline  ::capnp::Void getAcknowledged();
+  inline void setAcknowledged( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isRefused();
+  inline bool hasRefused();
+  inline  ::Wire::ControlSchema::Error::Builder getRefused();
+  inline void setRefused( ::Wire::ControlSchema::Error::Reader value);
+  inline  ::Wire::ControlSchema::Error::Builder initRefused();
+  inline void adoptRefused(::capnp::Orphan< ::Wire::ControlSchema::Error>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::Error> disownRefused();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CommandOutcome::Pipeline {
+public:
+  typedef CommandOutcome Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RememberedChange::Reader {
+public:
+  typedef RememberedChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint64_t getBody() const;
+
+  inline bool hasOutcome() const;
+  inline  ::Wire::ControlSchema::ChangeOutcome::Reader getOutcome() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RememberedChange::Builder {
+public:
+  typedef RememberedChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint64_t getBody();
+  inline void setBody( ::uint64_t value);
+
+  inline bool hasOutcome();
+  inline  ::Wire::ControlSchema::ChangeOutcome::Builder getOutcome();
+  inline void setOutcome( ::Wire::ControlSchema::ChangeOutcome::Reader value);
+  inline  ::Wire::ControlSchema::ChangeOutcome::Builder initOutcome();
+  inline void adoptOutcome(::capnp::Orphan< ::Wire::ControlSchema::ChangeOutcome>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::ChangeOutcome> disownOutcome();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RememberedChange::Pipeline {
+public:
+  typedef RememberedChange Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3278,6 +3606,9 @@
   inline bool hasRemembered() const;
   inline  ::capnp::List< ::Wire::ControlSchema::RememberedChange,  ::capnp::Kind::STRUCT>::Reader getRemembered() const;
 
+  inline bool hasHolders() const;
+  inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Reader getHolders() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3339,6 +3670,13 @@
   inline void adoptRemembered(::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::RememberedChange,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::RememberedChange,  ::capnp::Kind::STRUCT>> disownRemembered();
 
+  inline bool hasHolders();
+  inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Builder getHolders();
+  inline void setHolders( ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Builder initHolders(unsigned int size);
+  inline void adoptHolders(::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>> disownHolders();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3623,134 +3961,28 @@
 
   inline bool hasRecords();
   inline  ::capnp::List< ::Wire::ControlSchema::ClaimRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::Wire::ControlSchema::ClaimRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::ControlSchema::ClaimRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::ClaimRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::ClaimRecord,  ::capnp::Kind::STRUCT>> disownRecords();
-
-  inline bool hasOrphaned();
-  inline  ::capnp::List< ::Wire::ControlSchema::Orphan,  ::capnp::Kind::STRUCT>::Builder getOrphaned();
-  inline void setOrphaned( ::capnp::List< ::Wire::ControlSchema::Orphan,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::ControlSchema::Orphan,  ::capnp::Kind::STRUCT>::Builder initOrphaned(unsigned int size);
-  inline void adoptOrphaned(::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::Orphan,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::Orphan,  ::capnp::Kind::STRUCT>> disownOrphaned();
-
-  inline bool hasTombstones();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTombstones();
-  inline void setTombstones( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setTombstones(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTombstones(unsigned int size);
-  inline void adoptTombstones(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTombstones();
-
-  inline  ::uint64_t getMaximumKeptBytes();
-  inline void setMaximumKeptBytes( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class ClaimsSnapshot::Pipeline {
-public:
-  typedef ClaimsSnapshot Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class LiveInstance::Reader {
-public:
-  typedef LiveInstance Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
-
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class LiveInstance::Builder {
-public:
-  typedef LiveInstance Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline void setRecords( ::capnp::List< ::Wire::ControlSchema::ClaimRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::ControlSchema::ClaimRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::ClaimRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::ClaimRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasOrphaned();
+  inline  ::capnp::List< ::Wire::ControlSchema::Orphan,  ::capnp::Kind::STRUCT>::Builder getOrphaned();
+  inline void setOrphaned( ::capnp::List< ::Wire::ControlSchema::Orphan,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::ControlSchema::Orphan,  ::capnp::Kind::STRUCT>::Builder initOrphaned(unsigned int size);
+  inline void adoptOrphaned(::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::Orphan,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::Orphan,  ::capnp::Kind::STRUCT>> disownOrphaned();
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool hasTombstones();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTombstones();
+  inline void setTombstones( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTombstones(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTombstones(unsigned int size);
+  inline void adoptTombstones(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTombstones();
 
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+  inline  ::uint64_t getMaximumKeptBytes();
+  inline void setMaximumKeptBytes( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3762,9 +3994,9 @@
 };
 
 #if !CAPNP_LITE
-class LiveInstance::Pipeline {
+class ClaimsSnapshot::Pipeline {
 public:
-  typedef LiveInstance Pipelines;
+  typedef ClaimsSnapshot Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7274,84 +7506,316 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimOutcome::Reader::isHeldUnknown() const {
-  return which() == ClaimOutcome::HELD_UNKNOWN;
+inline bool ClaimOutcome::Reader::isHeldUnknown() const {
+  return which() == ClaimOutcome::HELD_UNKNOWN;
+}
+inline bool ClaimOutcome::Builder::isHeldUnknown() {
+  return which() == ClaimOutcome::HELD_UNKNOWN;
+}
+inline bool ClaimOutcome::Reader::hasHeldUnknown() const {
+  if (which() != ClaimOutcome::HELD_UNKNOWN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimOutcome::Builder::hasHeldUnknown() {
+  if (which() != ClaimOutcome::HELD_UNKNOWN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::ControlSchema::Attempt::Reader ClaimOutcome::Reader::getHeldUnknown() const {
+  KJ_IREQUIRE((which() == ClaimOutcome::HELD_UNKNOWN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Wire::ControlSchema::Attempt::Builder ClaimOutcome::Builder::getHeldUnknown() {
+  KJ_IREQUIRE((which() == ClaimOutcome::HELD_UNKNOWN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimOutcome::Builder::setHeldUnknown( ::Wire::ControlSchema::Attempt::Reader value) {
+  _builder.setDataField<ClaimOutcome::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ClaimOutcome::HELD_UNKNOWN);
+  ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::ControlSchema::Attempt::Builder ClaimOutcome::Builder::initHeldUnknown() {
+  _builder.setDataField<ClaimOutcome::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ClaimOutcome::HELD_UNKNOWN);
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimOutcome::Builder::adoptHeldUnknown(
+    ::capnp::Orphan< ::Wire::ControlSchema::Attempt>&& value) {
+  _builder.setDataField<ClaimOutcome::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ClaimOutcome::HELD_UNKNOWN);
+  ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::ControlSchema::Attempt> ClaimOutcome::Builder::disownHeldUnknown() {
+  KJ_IREQUIRE((which() == ClaimOutcome::HELD_UNKNOWN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimOutcome::Reader::isRefused() const {
+  return which() == ClaimOutcome::REFUSED;
+}
+inline bool ClaimOutcome::Builder::isRefused() {
+  return which() == ClaimOutcome::REFUSED;
+}
+inline  ::uint16_t ClaimOutcome::Reader::getRefused() const {
+  KJ_IREQUIRE((which() == ClaimOutcome::REFUSED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ClaimOutcome::Builder::getRefused() {
+  KJ_IREQUIRE((which() == ClaimOutcome::REFUSED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ClaimOutcome::Builder::setRefused( ::uint16_t value) {
+  _builder.setDataField<ClaimOutcome::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ClaimOutcome::REFUSED);
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LiveInstance::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LiveInstance::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LiveInstance::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LiveInstance::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LiveInstance::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LiveInstance::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LiveInstance::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LiveInstance::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LiveInstance::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LiveInstance::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LiveInstance::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LiveInstance::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LiveInstance::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LiveInstance::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LiveInstance::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LiveInstance::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LiveInstance::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LiveInstance::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LiveInstance::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool LiveInstance::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LiveInstance::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LiveInstance::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LiveInstance::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LiveInstance::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LiveInstance::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LiveInstance::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LiveInstance::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool EndedLease::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndedLease::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EndedLease::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EndedLease::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndedLease::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EndedLease::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndedLease::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EndedLease::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EndedLease::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool ClaimOutcome::Builder::isHeldUnknown() {
-  return which() == ClaimOutcome::HELD_UNKNOWN;
+
+inline  ::uint64_t EndedLease::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool ClaimOutcome::Reader::hasHeldUnknown() const {
-  if (which() != ClaimOutcome::HELD_UNKNOWN) return false;
+inline void EndedLease::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HolderChange::Reader::hasJoined() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimOutcome::Builder::hasHeldUnknown() {
-  if (which() != ClaimOutcome::HELD_UNKNOWN) return false;
+inline bool HolderChange::Builder::hasJoined() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Wire::ControlSchema::Attempt::Reader ClaimOutcome::Reader::getHeldUnknown() const {
-  KJ_IREQUIRE((which() == ClaimOutcome::HELD_UNKNOWN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Reader HolderChange::Reader::getJoined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Wire::ControlSchema::Attempt::Builder ClaimOutcome::Builder::getHeldUnknown() {
-  KJ_IREQUIRE((which() == ClaimOutcome::HELD_UNKNOWN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Builder HolderChange::Builder::getJoined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ClaimOutcome::Builder::setHeldUnknown( ::Wire::ControlSchema::Attempt::Reader value) {
-  _builder.setDataField<ClaimOutcome::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ClaimOutcome::HELD_UNKNOWN);
-  ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::set(_builder.getPointerField(
+inline void HolderChange::Builder::setJoined( ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Wire::ControlSchema::Attempt::Builder ClaimOutcome::Builder::initHeldUnknown() {
-  _builder.setDataField<ClaimOutcome::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ClaimOutcome::HELD_UNKNOWN);
-  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Builder HolderChange::Builder::initJoined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ClaimOutcome::Builder::adoptHeldUnknown(
-    ::capnp::Orphan< ::Wire::ControlSchema::Attempt>&& value) {
-  _builder.setDataField<ClaimOutcome::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ClaimOutcome::HELD_UNKNOWN);
-  ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::adopt(_builder.getPointerField(
+inline void HolderChange::Builder::adoptJoined(
+    ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Wire::ControlSchema::Attempt> ClaimOutcome::Builder::disownHeldUnknown() {
-  KJ_IREQUIRE((which() == ClaimOutcome::HELD_UNKNOWN),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::Attempt>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>> HolderChange::Builder::disownJoined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimOutcome::Reader::isRefused() const {
-  return which() == ClaimOutcome::REFUSED;
+inline bool HolderChange::Reader::hasLeft() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimOutcome::Builder::isRefused() {
-  return which() == ClaimOutcome::REFUSED;
+inline bool HolderChange::Builder::hasLeft() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::uint16_t ClaimOutcome::Reader::getRefused() const {
-  KJ_IREQUIRE((which() == ClaimOutcome::REFUSED),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>::Reader HolderChange::Reader::getLeft() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t ClaimOutcome::Builder::getRefused() {
-  KJ_IREQUIRE((which() == ClaimOutcome::REFUSED),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>::Builder HolderChange::Builder::getLeft() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ClaimOutcome::Builder::setRefused( ::uint16_t value) {
-  _builder.setDataField<ClaimOutcome::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ClaimOutcome::REFUSED);
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void HolderChange::Builder::setLeft( ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>::Builder HolderChange::Builder::initLeft(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HolderChange::Builder::adoptLeft(
+    ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>> HolderChange::Builder::disownLeft() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::EndedLease,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline  ::Wire::ControlSchema::Command::Which Command::Reader::which() const {
@@ -7619,6 +8083,60 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Command::Reader::isHolders() const {
+  return which() == Command::HOLDERS;
+}
+inline bool Command::Builder::isHolders() {
+  return which() == Command::HOLDERS;
+}
+inline bool Command::Reader::hasHolders() const {
+  if (which() != Command::HOLDERS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasHolders() {
+  if (which() != Command::HOLDERS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::ControlSchema::HolderChange::Reader Command::Reader::getHolders() const {
+  KJ_IREQUIRE((which() == Command::HOLDERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::HolderChange>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Wire::ControlSchema::HolderChange::Builder Command::Builder::getHolders() {
+  KJ_IREQUIRE((which() == Command::HOLDERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::HolderChange>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::setHolders( ::Wire::ControlSchema::HolderChange::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Command::HOLDERS);
+  ::capnp::_::PointerHelpers< ::Wire::ControlSchema::HolderChange>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::ControlSchema::HolderChange::Builder Command::Builder::initHolders() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Command::HOLDERS);
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::HolderChange>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::adoptHolders(
+    ::capnp::Orphan< ::Wire::ControlSchema::HolderChange>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Command::HOLDERS);
+  ::capnp::_::PointerHelpers< ::Wire::ControlSchema::HolderChange>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::ControlSchema::HolderChange> Command::Builder::disownHolders() {
+  KJ_IREQUIRE((which() == Command::HOLDERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::HolderChange>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::Wire::ControlSchema::CommandOutcome::Which CommandOutcome::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
@@ -8101,6 +8619,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool ConfigurationSnapshot::Reader::hasHolders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationSnapshot::Builder::hasHolders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Reader ConfigurationSnapshot::Reader::getHolders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Builder ConfigurationSnapshot::Builder::getHolders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ConfigurationSnapshot::Builder::setHolders( ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>::Builder ConfigurationSnapshot::Builder::initHolders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationSnapshot::Builder::adoptHolders(
+    ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>> ConfigurationSnapshot::Builder::disownHolders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::ControlSchema::LiveInstance,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::Wire::ControlSchema::ClaimRecord::Which ClaimRecord::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
@@ -8659,122 +9211,6 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LiveInstance::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool LiveInstance::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader LiveInstance::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder LiveInstance::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LiveInstance::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder LiveInstance::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void LiveInstance::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> LiveInstance::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t LiveInstance::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t LiveInstance::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LiveInstance::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool LiveInstance::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool LiveInstance::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader LiveInstance::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder LiveInstance::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void LiveInstance::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder LiveInstance::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void LiveInstance::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> LiveInstance::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool LiveInstance::Reader::hasDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool LiveInstance::Builder::hasDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader LiveInstance::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder LiveInstance::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void LiveInstance::Builder::setDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder LiveInstance::Builder::initDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void LiveInstance::Builder::adoptDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> LiveInstance::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
 inline  ::uint64_t LiveListNumber::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/ControlCodec.cpp
+++ b/Source/Core/Wire/ControlCodec.cpp
@@ -46,6 +46,10 @@
             configuration.remembered.push_back({ fromText<Common::ChangeId>(part.getId()),
                 Common::Fingerprint(part.getBody()), read(part.getOutcome()) });
         }
+        for (auto part : in.getHolders()) {
+            Control::LiveInstance holder = read(part);
+            configuration.holders.emplace(holder.id, std::move(holder));
+        }
         checkHistory(configuration);
         rebuildIndexes(configuration);
         return configuration;
@@ -89,6 +93,10 @@
     auto remembered = out.initRemembered(configuration.remembered.size());
     for (i = 0; i < remembered.size(); ++i)
         writeRemembered(remembered[i], configuration.remembered[i]);
+    auto holders = out.initHolders(configuration.holders.size());
+    i = 0;
+    for (const auto& [id, holder] : configuration.holders)
+        write(holders[i++], holder);
     return flatBytes(message);
 }
 
--- a/Source/Core/Wire/MessageCodec.cpp
+++ b/Source/Core/Wire/MessageCodec.cpp
@@ -15,20 +15,6 @@
     using Wire::read;
     using Wire::write;
 
-    void write(ControlSchema::LiveInstance::Builder out, const Control::LiveInstance& instance)
-    {
-        out.setId(toText(instance.id));
-        out.setIncarnation(instance.incarnation.value());
-        out.setAddress(toText(instance.address));
-        out.setDomain(toText(instance.domain));
-    }
-
-    Control::LiveInstance read(ControlSchema::LiveInstance::Reader in)
-    {
-        return { fromText<InstanceId>(in.getId()), Incarnation(in.getIncarnation()),
-            fromText<Common::Address>(in.getAddress()), fromText<Common::FailureDomain>(in.getDomain()) };
-    }
-
     void write(ControlSchema::LiveListNumber::Builder out, const Control::LiveListNumber& number)
     {
         out.setTerm(number.term.value());
--- a/Source/UnitTests/Wire/ControlCodecTest.cpp
+++ b/Source/UnitTests/Wire/ControlCodecTest.cpp
@@ -157,6 +157,8 @@
 {
     if (changes.random().chance(0.3))
         return changes.next(configuration);
+    if (changes.random().chance(0.1))
+        return HolderChange { { live }, { { live.id, live.incarnation }, { Common::InstanceId("entry-2"), {} } } };
     return std::visit([](const auto& it) { return Command(it); }, claims.next());
 }
 
@@ -173,6 +175,8 @@
             Command command = commandOf(changes, claims, configuration);
             if (const auto* change = std::get_if<Change>(&command))
                 applyChange(configuration, *change);
+            if (const auto* change = std::get_if<HolderChange>(&command))
+                applyChange(configuration.holders, { change->joined, {} });
             auto decoded = Wire::decodeCommand(Wire::encode(command));
             ASSERT_TRUE(decoded && decoded.value() == command);
             roundTrip(changes.random(), Wire::encode(command), Wire::decodeCommand);
@@ -203,6 +207,15 @@
     EXPECT_FALSE(status.leader);
 }
 
+TEST(ControlCodec, HoldersOfLeasesAreInTheSnapshot)
+{
+    Configuration configuration;
+    applyChange(configuration.holders, { { live }, {} });
+    auto decoded = Wire::decodeConfiguration(Wire::encodeSnapshot(configuration));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded.value().holders, configuration.holders);
+}
+
 TEST(ControlCodec, AnUnknownFormatVersionIsAnError)
 {
     std::string bytes = Wire::encode(Command(Once::Expire { Once::LogTime(1) }));
