Carry the stand-ins and the load tool by the product's own HTTP library

Cause: two HTTP stacks stood side by side; cpprestsdk sends POSTs again by itself, so the load tool needed fresh clients to stay honest.

Change: HttpFront, Announcer and HttpTransport use Http::Server, Http::Connection and the new Http::Pool (idle connections kept for the next request). Of cpprestsdk only its JSON stays. A request that the stand-in leaves unanswered keeps its connection until its caller closes it, or until the stand-in stops.

One check changed: the load test's text of a header has the space that this library writes after the colon.

--- a/Source/Core/Load/HttpTransport.cpp
+++ b/Source/Core/Load/HttpTransport.cpp
@@ -1,44 +1,40 @@
-#define _TURN_OFF_PLATFORM_STRING // NOLINT(bugprone-reserved-identifier): the library names it.
 #include "Load/Transport.h"
 
-#include <map>
+#include "Http/Pool.h"
+#include "Json/Reader.h"
+
 #include <memory>
 #include <utility>
 
-#include <cpprest/http_client.h>
-
 namespace Load {
 
 namespace {
 
-    namespace Http = web::http;
-    using Client = web::http::client::http_client;
-    using Json = web::json::value;
+    using Common::Reason;
+    using Json::Value;
+
+    constexpr int ok = 200;
 
     struct Settings {
         std::string path;
         Mode mode { Mode::Query };
         std::optional<Common::Milliseconds> deadline;
-        Http::client::http_client_config config;
-        std::map<Common::Address, std::shared_ptr<Client>> pooled;
+        Common::Milliseconds timeout;
+        Http::Pool pool;
     };
 
-    std::shared_ptr<Client> makeClient(const Common::Address& entry, const Settings& settings)
+    Http::Request makeRequest(const Attempt& attempt, const Settings& settings)
     {
-        return std::make_shared<Client>("http://" + entry.value(), settings.config);
-    }
-
-    Http::http_request makeRequest(const Attempt& attempt, const Settings& settings)
-    {
-        Json body;
-        body["q"] = Json::string(attempt.query);
+        Value body;
+        body["q"] = Value::string(attempt.query);
         if (settings.deadline)
-            body["deadline_ms"] = Json::number(settings.deadline->value());
-        Http::http_request request(Http::methods::POST);
-        request.set_request_uri(settings.path);
-        request.set_body(body);
+            body["deadline_ms"] = Value::number(settings.deadline->value());
+        Http::Request request;
+        request.method = "POST";
+        request.path = settings.path;
+        request.body = body.serialize();
         if (settings.mode == Mode::Booking)
-            request.headers().add("X-Request-Id", attempt.request.value());
+            request.headers["X-Request-Id"] = attempt.request.value();
         return request;
     }
 
@@ -49,11 +45,11 @@
         return ran == "refused-by-backend-server" ? Ending::RefusedByBackendServer : Ending::Unknown;
     }
 
-    Answer readAnswer(int status, const Json& body, Mode mode)
+    Answer readAnswer(int status, const Value& body, Mode mode)
     {
         Answer answer;
         answer.status = status;
-        if (status == Http::status_codes::OK) {
+        if (status == ok) {
             answer.ending = Ending::Done;
             if (mode == Mode::Booking)
                 return answer;
@@ -61,58 +57,45 @@
             answer.coverage = Common::Ratio(body.at("coverage").as_double());
             return answer;
         }
-        const Json& error = body.at("error");
+        const Value& error = body.at("error");
         answer.reason = error.at("reason").as_string();
         if (error.has_field("ran"))
             answer.ending = endingOf(error.at("ran").as_string());
         return answer;
     }
 
-    Answer takeAnswer(const pplx::task<std::string>& task, int status, Mode mode)
+    Answer takeAnswer(const Common::Result<Http::Response>& result, Mode mode)
     {
+        if (!result)
+            return { 0, result.error().reason == Reason::DeadlineExceeded ? "timeout" : "connection-error" };
         try {
-            return readAnswer(status, Json::parse(task.get()), mode);
+            return readAnswer(result.value().status, Value::parse(result.value().body), mode);
         } catch (const web::json::json_exception&) {
-            return { status, "malformed-answer" };
-        } catch (const std::exception&) {
-            return { 0, "answer-cut-off" };
+            return { result.value().status, "malformed-answer" };
         }
     }
 
-    void send(const Settings& settings, const Attempt& attempt, std::function<void(Answer)> done)
+    void send(Settings& settings, const Attempt& attempt, std::function<void(Answer)> done)
     {
-        // The library sends a POST again by itself when a pooled connection closes; on a fresh one it does not.
-        const bool isFresh = settings.mode == Mode::Booking;
-        auto client = isFresh ? makeClient(attempt.entry, settings) : settings.pooled.at(attempt.entry);
-        client->request(makeRequest(attempt, settings))
-            .then([client, done = std::move(done), mode = settings.mode](const pplx::task<Http::http_response>& task) {
-                Http::http_response response;
-                try {
-                    response = task.get();
-                } catch (const Http::http_exception& e) {
-                    const bool isLate = e.error_code() == std::errc::timed_out;
-                    return done({ 0, isLate ? "timeout" : "connection-error" });
-                } catch (const std::exception&) {
-                    return done({ 0, "connection-error" });
-                }
-                response.extract_utf8string(true).then(
-                    [done, mode, status = response.status_code()](
-                        const pplx::task<std::string>& body) { done(takeAnswer(body, status, mode)); });
-            });
+        auto finish = [done = std::move(done), mode = settings.mode](
+                          const Common::Result<Http::Response>& result) { done(takeAnswer(result, mode)); };
+        if (settings.mode == Mode::Query) {
+            settings.pool.send(attempt.entry, makeRequest(attempt, settings), finish);
+            return;
+        }
+        // On a connection of its own, so that no earlier request's connection can take a booking with it.
+        auto connection = std::make_shared<Http::Connection>(attempt.entry, Http::Reuse::Never, settings.timeout);
+        connection->send(makeRequest(attempt, settings),
+            [connection, finish](const Common::Result<Http::Response>& result) { finish(result); });
     }
 
 } // namespace
 
 Transport httpTransport(const Options& options)
 {
-    auto settings = std::make_shared<Settings>();
     const std::string kind = options.mode == Mode::Booking ? "/v1/run/" : "/v1/query/";
-    settings->path = kind + web::uri::encode_data_string(options.route.value());
-    settings->mode = options.mode;
-    settings->deadline = options.deadline;
-    settings->config.set_timeout(Common::Clock::toChrono(options.timeout));
-    for (const Common::Address& entry : options.entries)
-        settings->pooled.emplace(entry, makeClient(entry, *settings));
+    auto settings = std::make_shared<Settings>(Settings {
+        kind + options.route.value(), options.mode, options.deadline, options.timeout, Http::Pool(options.timeout) });
     return { [settings](const Attempt& attempt, std::function<void(Answer)> done) {
         send(*settings, attempt, std::move(done));
     } };
--- a/Source/Core/Load/ReportJson.cpp
+++ b/Source/Core/Load/ReportJson.cpp
@@ -1,4 +1,3 @@
-#define _TURN_OFF_PLATFORM_STRING // NOLINT(bugprone-reserved-identifier): the library names it.
 #include "Load/Report.h"
 
 #include <utility>
--- a/Source/StandIn/Announcer.cpp
+++ b/Source/StandIn/Announcer.cpp
@@ -1,31 +1,23 @@
-#define _TURN_OFF_PLATFORM_STRING // NOLINT(bugprone-reserved-identifier): the library names it.
 #include "StandIn/Announcer.h"
 
+#include "Http/Pool.h"
 #include "StandIn/Encoding.h"
 
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 
-#include <cpprest/http_client.h>
-
 namespace StandIn {
 
-namespace {
-
-    namespace Http = web::http;
-    using HttpClient = web::http::client::http_client;
-
-} // namespace
-
 struct Announcer::Private {
     void work();
     void announce();
 
     AnnouncerOptions options;
     Source source;
-    std::vector<std::unique_ptr<HttpClient>> clients; // One for each entry.
+    std::optional<Http::Pool> connections;
     uint64_t sequence { 0 };
 
     std::mutex mutex; // Guards all below.
@@ -53,15 +45,13 @@
     size_t n = sequence;
     for (Announcement& announcement : source()) {
         announcement.sequence = sequence;
-        Http::http_request request(Http::methods::POST);
-        request.set_request_uri("/v1/announcements");
-        request.set_body(encodeAnnouncement(announcement), "application/json");
-        clients[n++ % clients.size()]->request(request).then([](const pplx::task<Http::http_response>& task) {
-            try {
-                task.get();
-            } catch (const std::exception&) {
-                // The next announcement goes to the next entry.
-            }
+        Http::Request request;
+        request.method = "POST";
+        request.path = "/v1/announcements";
+        request.body = encodeAnnouncement(announcement);
+        const Common::Address& entry = options.entries[n++ % options.entries.size()];
+        connections->send(entry, request, [](const Common::Result<Http::Response>&) {
+            // After a failure the next announcement goes to the next entry.
         });
     }
 }
@@ -72,11 +62,8 @@
     auto& d = *m_private;
     d.options = std::move(options);
     d.source = std::move(source);
-    Http::client::http_client_config config;
-    config.set_timeout(Common::Clock::toChrono(d.options.period));
-    for (const auto& entry : d.options.entries)
-        d.clients.push_back(std::make_unique<HttpClient>("http://" + entry.value(), config));
-    if (!d.clients.empty())
+    d.connections.emplace(d.options.period);
+    if (!d.options.entries.empty())
         d.thread = std::thread([this] { m_private->work(); });
 }
 
--- a/Source/StandIn/HttpFront.cpp
+++ b/Source/StandIn/HttpFront.cpp
@@ -1,20 +1,17 @@
-#define _TURN_OFF_PLATFORM_STRING // NOLINT(bugprone-reserved-identifier): the library names it.
 #include "StandIn/HttpFront.h"
 
+#include "Http/Server.h"
 #include "StandIn/Encoding.h"
 
 #include <charconv>
-#include <condition_variable>
-#include <deque>
+#include <map>
 #include <mutex>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include <arpa/inet.h>
-#include <cpprest/http_listener.h>
 #include <netinet/in.h>
-#include <pplx/threadpool.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,47 +19,55 @@
 
 namespace {
 
-    namespace Http = web::http;
-    using Listener = web::http::experimental::listener::http_listener;
-
     constexpr int openAttempts = 20;
-    constexpr size_t maximumUnanswered = 16 << 10;
-    constexpr Http::status_code clientClosedRequest = 499;
+    constexpr int ok = 200;
+    constexpr int badRequestStatus = 400;
+    constexpr int notFound = 404;
+    constexpr int conflict = 409;
+    constexpr int clientClosedRequest = 499;
+    constexpr int internalError = 500;
+    constexpr int unavailable = 503;
+    constexpr int gatewayTimeout = 504;
 
     struct Answer {
-        Http::status_code status { Http::status_codes::OK };
+        int status { ok };
         std::string body;
         bool notRun { false };
     };
 
+    // A request with the way to answer it.
+    struct Exchange {
+        Http::Request request;
+        Http::Responder respond;
+    };
+
     Answer refusal(Verdict verdict)
     {
-        using Codes = Http::status_codes;
         switch (verdict) {
         case Verdict::Shedding:
-            return { Codes::ServiceUnavailable, encodeError("shedding", "the server sheds load"), true };
+            return { unavailable, encodeError("shedding", "the server sheds load"), true };
         case Verdict::Draining:
-            return { Codes::ServiceUnavailable, encodeError("draining", "the server is draining"), true };
+            return { unavailable, encodeError("draining", "the server is draining"), true };
         case Verdict::NoSlots:
-            return { Codes::ServiceUnavailable, encodeError("no-slots", "all slots are taken"), true };
+            return { unavailable, encodeError("no-slots", "all slots are taken"), true };
         case Verdict::WrongVersion:
-            return { Codes::Conflict, encodeError("wrong-version", "this index version is not here"), true };
+            return { conflict, encodeError("wrong-version", "this index version is not here"), true };
         case Verdict::WrongShard:
-            return { Codes::Conflict, encodeError("wrong-shard", "this shard is not here"), true };
+            return { conflict, encodeError("wrong-shard", "this shard is not here"), true };
         case Verdict::Cancelled:
             return { clientClosedRequest, encodeError("cancelled", "the search was cancelled"), false };
         case Verdict::DeadlinePassed:
-            return { Codes::GatewayTimeout, encodeError("deadline", "the deadline passed"), false };
+            return { gatewayTimeout, encodeError("deadline", "the deadline passed"), false };
         case Verdict::Done:
         case Verdict::NeverAnswered:
             break;
         }
-        return { Codes::InternalError, encodeError("internal", "no refusal"), false };
+        return { internalError, encodeError("internal", "no refusal"), false };
     }
 
     Answer badRequest(const Common::Error& error)
     {
-        return { Http::status_codes::BadRequest, encodeError("bad-request", error.message), true };
+        return { badRequestStatus, encodeError("bad-request", error.message), true };
     }
 
     uint16_t portFromKernel()
@@ -79,12 +84,6 @@
         return isBound ? ntohs(in.sin_port) : 0;
     }
 
-    std::string header(const Http::http_request& request, const std::string& name)
-    {
-        auto it = request.headers().find(name);
-        return it == request.headers().end() ? std::string() : it->second;
-    }
-
 } // namespace
 
 struct HttpFront::Private : std::enable_shared_from_this<HttpFront::Private> {
@@ -92,174 +91,159 @@
         : backend(b)
         , defaultShardCount(shardCount)
         , address(std::move(a))
-        , listener("http://" + address.value())
     {
     }
 
-    void route(const Http::http_request&);
-    void search(const Http::http_request&, const std::string& body);
-    void run(const Http::http_request&, const std::string& body);
-    void cancel(const Http::http_request&, const std::vector<std::string>& path);
-    void changeFaults(const Http::http_request&, const std::string& body);
-    void changeVersions(const Http::http_request&, const std::string& body);
-    void reply(const Http::http_request&, const Answer&);
-    void leaveUnanswered(const Http::http_request&);
-    void withBody(const Http::http_request&, void (Private::*)(const Http::http_request&, const std::string&));
-    void done();
+    void route(const Exchange&);
+    void search(const Exchange&);
+    void run(const Exchange&);
+    void cancel(const Exchange&, const std::vector<std::string>& path);
+    void changeFaults(const Exchange&);
+    void changeVersions(const Exchange&);
+    void reply(const Exchange&, const Answer&);
+    void leaveUnanswered(const Exchange&);
+    void giveUp(uint64_t number);
 
     Backend& backend;
     const uint32_t defaultShardCount;
     const Common::Address address;
-    Listener listener;
+    std::unique_ptr<Http::Server> server;
     ConnectionActions actions;
 
     std::mutex mutex; // Guards all below.
-    std::condition_variable idle;
-    int64_t inFlight { 0 };
-    std::deque<Http::http_request> unanswered;
+    std::map<uint64_t, Http::Responder> unanswered;
+    uint64_t nextUnanswered { 1 };
 };
 
-void HttpFront::Private::route(const Http::http_request& request)
+void HttpFront::Private::route(const Exchange& exchange)
 {
-    {
-        std::lock_guard lock(mutex);
-        ++inFlight;
-    }
-    const std::string path = request.relative_uri().path();
-    const bool isPost = request.method() == Http::methods::POST;
-    const bool isAdmin = path.starts_with("/admin/");
-    if (!isAdmin && backend.faults().mute)
-        return leaveUnanswered(request);
+    const std::string& path = exchange.request.path;
+    const std::string& method = exchange.request.method;
+    const bool isPost = method == "POST";
+    if (!path.starts_with("/admin/") && backend.faults().mute)
+        return leaveUnanswered(exchange);
     if (isPost && path == "/v1/search")
-        return withBody(request, &Private::search);
+        return search(exchange);
     if (isPost && path == "/v1/run")
-        return withBody(request, &Private::run);
+        return run(exchange);
     if (isPost && path == "/admin/fault")
-        return withBody(request, &Private::changeFaults);
+        return changeFaults(exchange);
     if (isPost && path == "/admin/versions")
-        return withBody(request, &Private::changeVersions);
-    if (request.method() == Http::methods::GET && path == "/health")
-        return reply(request, { Http::status_codes::OK, encodeHealth(backend.reportedLoad()) });
-    if (request.method() == Http::methods::GET && path == "/load")
-        return reply(request, { Http::status_codes::OK, encodeLoad(backend.reportedLoad()) });
-    const auto parts = web::uri::split_path(path);
-    if (request.method() == Http::methods::DEL && parts.size() == 4 && parts[0] == "v1" && parts[1] == "search")
-        return cancel(request, parts);
-    reply(request, { Http::status_codes::NotFound, encodeError("not-found", path), true });
+        return changeVersions(exchange);
+    if (method == "GET" && path == "/health")
+        return reply(exchange, { ok, encodeHealth(backend.reportedLoad()) });
+    if (method == "GET" && path == "/load")
+        return reply(exchange, { ok, encodeLoad(backend.reportedLoad()) });
+    const auto parts = Http::splitPath(path);
+    if (method == "DELETE" && parts.size() == 4 && parts[0] == "v1" && parts[1] == "search")
+        return cancel(exchange, parts);
+    reply(exchange, { notFound, encodeError("not-found", path), true });
 }
 
-void HttpFront::Private::withBody(
-    const Http::http_request& request, void (Private::*fn)(const Http::http_request&, const std::string&))
+void HttpFront::Private::search(const Exchange& exchange)
 {
-    Http::http_request(request).extract_utf8string(true).then(
-        [self = shared_from_this(), request, fn](const pplx::task<std::string>& task) {
-            std::string body;
-            try {
-                body = task.get();
-            } catch (const std::exception& e) {
-                const auto error = Common::makeError(Common::Reason::InvalidInput, "read-body", e.what());
-                return self->reply(request, badRequest(error));
-            }
-            (self.get()->*fn)(request, body);
-        });
-}
-
-void HttpFront::Private::search(const Http::http_request& request, const std::string& body)
-{
-    auto decoded = decodeSearch(body);
+    auto decoded = decodeSearch(exchange.request.body);
     if (!decoded)
-        return reply(request, badRequest(decoded.error()));
-    backend.search(decoded.value(), [self = shared_from_this(), request](const SearchOutcome& outcome) {
+        return reply(exchange, badRequest(decoded.error()));
+    backend.search(decoded.value(), [self = shared_from_this(), exchange](const SearchOutcome& outcome) {
         if (outcome.verdict == Verdict::NeverAnswered)
-            return self->leaveUnanswered(request);
+            return self->leaveUnanswered(exchange);
         if (outcome.verdict != Verdict::Done)
-            return self->reply(request, refusal(outcome.verdict));
-        self->reply(request, { Http::status_codes::OK, encodeAnswer(outcome.answer) });
+            return self->reply(exchange, refusal(outcome.verdict));
+        self->reply(exchange, { ok, encodeAnswer(outcome.answer) });
     });
 }
 
-void HttpFront::Private::run(const Http::http_request& request, const std::string& body)
+void HttpFront::Private::run(const Exchange& exchange)
 {
-    const RunRequest run { Common::RequestId(header(request, "X-Request-Id")), body, {} };
+    const std::string& body = exchange.request.body;
+    const RunRequest run { Common::RequestId(Http::headerOf(exchange.request.headers, "x-request-id")), body, {} };
     if (run.request.value().empty() || !isJson(body)) {
         const auto error = Common::makeError(Common::Reason::InvalidInput, "run", "X-Request-Id and JSON are needed");
-        return reply(request, badRequest(error));
+        return reply(exchange, badRequest(error));
     }
-    backend.run(run, [self = shared_from_this(), request, id = run.request](Verdict verdict) {
+    backend.run(run, [self = shared_from_this(), exchange, id = run.request](Verdict verdict) {
         if (verdict == Verdict::NeverAnswered)
-            return self->leaveUnanswered(request);
+            return self->leaveUnanswered(exchange);
         if (verdict != Verdict::Done)
-            return self->reply(request, refusal(verdict));
-        self->reply(request, { Http::status_codes::OK, encodeTicket(id) });
+            return self->reply(exchange, refusal(verdict));
+        self->reply(exchange, { ok, encodeTicket(id) });
     });
 }
 
-void HttpFront::Private::cancel(const Http::http_request& request, const std::vector<std::string>& path)
+void HttpFront::Private::cancel(const Exchange& exchange, const std::vector<std::string>& path)
 {
     uint32_t shard = 0;
     const std::string& text = path[3];
     auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), shard);
     if (ec != std::errc() || end != text.data() + text.size())
-        return reply(request, badRequest(Common::makeError(Common::Reason::InvalidInput, "cancel", "shard")));
-    const bool found = backend.cancel(QueryName(web::uri::decode(path[2])), Common::ShardId(shard));
-    reply(request, { Http::status_codes::OK, found ? R"({"cancelled": true})" : R"({"cancelled": false})" });
+        return reply(exchange, badRequest(Common::makeError(Common::Reason::InvalidInput, "cancel", "shard")));
+    const bool found = backend.cancel(QueryName(path[2]), Common::ShardId(shard));
+    reply(exchange, { ok, found ? R"({"cancelled": true})" : R"({"cancelled": false})" });
 }
 
-void HttpFront::Private::changeFaults(const Http::http_request& request, const std::string& body)
+void HttpFront::Private::changeFaults(const Exchange& exchange)
 {
-    auto change = decodeFaults(body, backend.faults());
+    auto change = decodeFaults(exchange.request.body, backend.faults());
     if (!change)
-        return reply(request, badRequest(change.error()));
+        return reply(exchange, badRequest(change.error()));
     backend.setFaults(change.value().faults);
-    reply(request, { Http::status_codes::OK, encodeFaults(change.value().faults) });
+    reply(exchange, { ok, encodeFaults(change.value().faults) });
     if (change.value().silenceConnections && actions.silence)
         actions.silence();
     if (change.value().closeConnections && actions.close)
         actions.close();
 }
 
-void HttpFront::Private::changeVersions(const Http::http_request& request, const std::string& body)
+void HttpFront::Private::changeVersions(const Exchange& exchange)
 {
-    auto sets = decodeVersions(body, defaultShardCount);
+    auto sets = decodeVersions(exchange.request.body, defaultShardCount);
     if (!sets)
-        return reply(request, badRequest(sets.error()));
+        return reply(exchange, badRequest(sets.error()));
     backend.setReplicas(sets.value());
-    reply(request, { Http::status_codes::OK, "{}" });
+    reply(exchange, { ok, "{}" });
 }
 
-void HttpFront::Private::reply(const Http::http_request& request, const Answer& answer)
+void HttpFront::Private::reply(const Exchange& exchange, const Answer& answer)
 {
-    Http::http_response response(answer.status);
-    response.set_body(answer.body, "application/json");
+    Http::Response response;
+    response.status = answer.status;
+    response.body = answer.body;
     if (answer.notRun)
-        response.headers().add("X-Not-Run", "1");
-    request.reply(response).then([self = shared_from_this()](const pplx::task<void>& task) {
-        try {
-            task.get();
-        } catch (const std::exception&) {
-            // The other side has gone; nobody is left to tell.
-        }
-        self->done();
-    });
+        response.headers["X-Not-Run"] = "1";
+    exchange.respond(std::move(response));
 }
 
-// cpprestsdk answers a request that is dropped, so it is kept instead.
-void HttpFront::Private::leaveUnanswered(const Http::http_request& request)
+// The connection stays as it is until the caller closes it.
+// The connection stays as it is until the caller closes it or the front is to become idle.
+void HttpFront::Private::leaveUnanswered(const Exchange& exchange)
 {
+    uint64_t number = 0;
     {
         std::lock_guard lock(mutex);
-        unanswered.push_back(request);
-        if (unanswered.size() > maximumUnanswered)
-            unanswered.pop_front();
+        number = nextUnanswered++;
+        unanswered.emplace(number, exchange.respond);
     }
-    done();
+    exchange.request.caller->whenGone([weak = weak_from_this(), number] {
+        if (auto self = weak.lock())
+            self->giveUp(number);
+    });
 }
 
-void HttpFront::Private::done()
+void HttpFront::Private::giveUp(uint64_t number)
 {
-    std::lock_guard lock(mutex);
-    if (!--inFlight)
-        idle.notify_all();
+    Http::Responder respond;
+    {
+        std::lock_guard lock(mutex);
+        auto it = unanswered.find(number);
+        if (it == unanswered.end())
+            return;
+        respond = std::move(it->second);
+        unanswered.erase(it);
+    }
+    Http::Response nothing;
+    nothing.drop = true;
+    respond(std::move(nothing));
 }
 
 HttpFront::HttpFront(std::shared_ptr<Private> p)
@@ -267,14 +251,7 @@
 {
 }
 
-HttpFront::~HttpFront()
-{
-    try {
-        m_private->listener.close().wait();
-    } catch (const std::exception&) {
-        // It was not open.
-    }
-}
+HttpFront::~HttpFront() { m_private->server->close(); }
 
 Common::Result<std::unique_ptr<HttpFront>> HttpFront::open(Backend& backend, uint32_t defaultShardCount)
 {
@@ -290,17 +267,14 @@
 Common::Result<std::unique_ptr<HttpFront>> HttpFront::openAt(
     Backend& backend, uint32_t defaultShardCount, const Common::Address& address)
 {
-    try {
-        auto d = std::make_shared<Private>(backend, defaultShardCount, address);
-        d->listener.support([it = std::weak_ptr<Private>(d)](const Http::http_request& request) {
-            if (auto self = it.lock())
-                self->route(request);
-        });
-        d->listener.open().wait();
-        return std::unique_ptr<HttpFront>(new HttpFront(std::move(d)));
-    } catch (const std::exception& e) {
-        return Common::makeError(Common::Reason::Unavailable, "listen", e.what(), address.value());
-    }
+    auto d = std::make_shared<Private>(backend, defaultShardCount, address);
+    Http::Handler handler = [it = std::weak_ptr<Private>(d)](Http::Request request, Http::Responder respond) {
+        if (auto self = it.lock())
+            self->route({ std::move(request), std::move(respond) });
+    };
+    BOOST_OUTCOME_TRY(server, Http::Server::open({ address, {} }, std::move(handler)));
+    d->server = std::move(server);
+    return std::unique_ptr<HttpFront>(new HttpFront(std::move(d)));
 }
 
 void HttpFront::setConnectionActions(ConnectionActions actions) { m_private->actions = std::move(actions); }
@@ -309,15 +283,15 @@
 
 bool HttpFront::waitUntilIdle(Common::Milliseconds bound)
 {
-    std::unique_lock lock(m_private->mutex);
-    return m_private->idle.wait_for(lock, Common::Clock::toChrono(bound), [&] { return !m_private->inFlight; });
-}
-
-void setHttpThreads(int n)
-{
-    // The library refuses a second time.
-    static std::once_flag once;
-    std::call_once(once, [n] { crossplat::threadpool::initialize_with_threads(n); });
+    std::vector<uint64_t> numbers;
+    {
+        std::lock_guard lock(m_private->mutex);
+        for (auto& [number, respond] : m_private->unanswered)
+            numbers.push_back(number);
+    }
+    for (uint64_t number : numbers)
+        m_private->giveUp(number);
+    return !m_private->server->waitForAnswers(bound);
 }
 
 } // namespace StandIn
--- a/Source/StandIn/HttpFront.h
+++ b/Source/StandIn/HttpFront.h
@@ -32,7 +32,8 @@
     // Before the first request.
     void setConnectionActions(ConnectionActions);
     Common::Address address() const;
-    // Waits until each request has its answer, but not longer than the bound; returns whether all had.
+    // Waits until each request has its answer, but not longer than the bound; returns whether all had. Connections of
+    // requests that are left unanswered are closed first.
     bool waitUntilIdle(Common::Milliseconds bound);
 
 private:
@@ -42,8 +43,4 @@
     std::shared_ptr<Private> m_private;
 };
 
-// The number of threads that all HTTP fronts and clients of this process share. Call it before the first of them; later
-// calls change nothing.
-void setHttpThreads(int);
-
 } // namespace StandIn
--- a/Source/StandIn/Program.cpp
+++ b/Source/StandIn/Program.cpp
@@ -1,5 +1,6 @@
 #include "StandIn/Program.h"
 
+#include "Http/Server.h"
 #include "StandIn/Announcer.h"
 #include "StandIn/Encoding.h"
 #include "StandIn/Gate.h"
@@ -170,7 +171,7 @@
     d->startedAt = Common::Clock::now();
     BOOST_OUTCOME_TRY(runLog, RunLog::open(options.runLog));
     d->runLog = std::move(runLog);
-    setHttpThreads(options.httpThreads);
+    Http::setThreadCount(options.httpThreads);
     d->gateThreads = std::make_unique<GateThreads>(options.gateThreads);
     d->timers.emplace(timerShards);
     d->options = std::move(options);
--- a/Source/UnitTests/Http/ConnectionTest.cpp
+++ b/Source/UnitTests/Http/ConnectionTest.cpp
@@ -29,8 +29,8 @@
 RawServer::Reply closeOnPost(int, int, const std::string& head)
 {
     if (head.rfind("POST", 0) == 0)
-        return { "", RawServer::After::Close };
-    return { okReply(), RawServer::After::KeepOpen };
+        return { "", RawServer::After::Close, "" };
+    return { okReply(), RawServer::After::KeepOpen, "" };
 }
 
 } // namespace
@@ -93,7 +93,9 @@
 
 TEST(Connection, CancelEndsARequestThatIsNotAnswered)
 {
-    RawServer server([](int, int, const std::string&) { return RawServer::Reply { "", RawServer::After::Silence }; });
+    RawServer server([](int, int, const std::string&) {
+        return RawServer::Reply { "", RawServer::After::Silence, "" };
+    });
     Http::Connection connection(server.address(), Http::Reuse::Allowed, timeout);
     std::promise<Common::Result<Http::Response>> promise;
     connection.send({}, [&](Common::Result<Http::Response> result) { promise.set_value(std::move(result)); });
@@ -107,7 +109,9 @@
 
 TEST(Connection, TimeoutIsNotAProofThatItDidNotRun)
 {
-    RawServer server([](int, int, const std::string&) { return RawServer::Reply { "", RawServer::After::Silence }; });
+    RawServer server([](int, int, const std::string&) {
+        return RawServer::Reply { "", RawServer::After::Silence, "" };
+    });
     Http::Connection connection(server.address(), Http::Reuse::Never, Milliseconds(50));
     auto result = exchange(connection, "POST");
     ASSERT_FALSE(result);
--- a/Source/UnitTests/Http/RawServer.cpp
+++ b/Source/UnitTests/Http/RawServer.cpp
@@ -8,12 +8,14 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
 
 namespace HttpTest {
 
 namespace {
 
     constexpr size_t readSize = 4'096;
+    constexpr std::chrono::milliseconds laterTime { 50 };
 
     // Length of the body that the head names.
     size_t bodyLength(const std::string& head)
@@ -22,12 +24,14 @@
         return at == std::string::npos ? 0 : std::stoul(head.substr(at + 16));
     }
 
-    // Takes one whole request out of the buffer, reading more as needed. Returns its head, or "" at the end.
-    std::string readRequest(int fd, std::string& buf)
+    // Takes one request out of the buffer, reading more as needed. Returns its head, or "" at the end.
+    std::string readRequest(int fd, std::string& buf, RawServer::Answer answer)
     {
         char bytes[readSize];
         for (;;) {
             auto end = buf.find("\r\n\r\n");
+            if (end != std::string::npos && answer == RawServer::Answer::AtHead)
+                return buf.substr(0, end);
             if (end != std::string::npos && buf.size() >= end + 4 + bodyLength(buf.substr(0, end))) {
                 std::string head = buf.substr(0, end);
                 buf.erase(0, end + 4 + bodyLength(head));
@@ -48,8 +52,9 @@
         + "\r\n\r\n" + body;
 }
 
-RawServer::RawServer(Script script)
+RawServer::RawServer(Script script, Answer answer)
     : m_script(std::move(script))
+    , m_answer(answer)
 {
     m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address {};
@@ -70,9 +75,11 @@
     ::close(m_listener);
     {
         std::lock_guard lock(m_mutex);
+        m_isEnding = true;
         for (int fd : m_open)
             ::shutdown(fd, SHUT_RDWR);
     }
+    m_ending.notify_all();
     for (auto& thread : m_threads)
         thread.join();
 }
@@ -103,7 +110,7 @@
 {
     std::string buf;
     for (int request = 0;; ++request) {
-        std::string head = readRequest(fd, buf);
+        std::string head = readRequest(fd, buf, m_answer);
         if (head.empty())
             break;
         {
@@ -113,8 +120,18 @@
         Reply reply = m_script(connection, request, head);
         if (!reply.bytes.empty() && ::write(fd, reply.bytes.data(), reply.bytes.size()) < 0)
             break;
+        if (!reply.later.empty()) {
+            std::this_thread::sleep_for(laterTime);
+            if (::write(fd, reply.later.data(), reply.later.size()) < 0)
+                break;
+        }
         if (reply.after == After::Close)
             break;
+        if (m_answer == Answer::AtHead) {
+            std::unique_lock lock(m_mutex);
+            m_ending.wait(lock, [this] { return m_isEnding; });
+            break;
+        }
     }
     std::lock_guard lock(m_mutex);
     m_open.erase(std::remove(m_open.begin(), m_open.end(), fd), m_open.end());
--- a/Source/UnitTests/Http/RawServer.h
+++ b/Source/UnitTests/Http/RawServer.h
@@ -3,6 +3,7 @@
 #include "Common/Ids.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -23,11 +24,18 @@
     struct Reply {
         std::string bytes;
         After after { After::KeepOpen };
+        std::string later; // Sent 50 ms after the rest.
     };
     // connection counts connections from 0, request the requests on it from 0.
     using Script = std::function<Reply(int connection, int request, const std::string& head)>;
 
-    explicit RawServer(Script);
+    // When a request is answered.
+    enum class Answer {
+        AtEnd,
+        AtHead, // Its body is never read, and no further request on the connection.
+    };
+
+    explicit RawServer(Script, Answer = Answer::AtEnd);
     ~RawServer();
 
     Common::Address address() const;
@@ -40,12 +48,15 @@
     void serve(int fd, int connection);
 
     Script m_script;
+    const Answer m_answer;
     int m_listener { -1 };
     int m_port { 0 };
     std::atomic<int> m_connections { 0 };
     mutable std::mutex m_mutex; // Guards what follows.
     std::vector<std::string> m_heads;
     std::vector<int> m_open;
+    bool m_isEnding { false };
+    std::condition_variable m_ending;
     std::vector<std::thread> m_threads;
     std::thread m_acceptor;
 };
--- a/Source/UnitTests/Load/HttpTransportTest.cpp
+++ b/Source/UnitTests/Load/HttpTransportTest.cpp
@@ -125,7 +125,7 @@
     EXPECT_EQ(answer.status, 503);
     EXPECT_EQ(answer.reason, "overloaded");
     EXPECT_EQ(answer.ending, Load::Ending::NotRun);
-    EXPECT_NE(entry.lastRequest().find("X-Request-Id:load-1-7\r\n"), std::string::npos) << entry.lastRequest();
+    EXPECT_NE(entry.lastRequest().find("X-Request-Id: load-1-7\r\n"), std::string::npos) << entry.lastRequest();
 }
 
 TEST(LoadHttpTransport, TellsMalformedAnswers)
