Send heartbeats to a peer only while it owes an answer

Cause: each connection between instances carried a heartbeat a second, about 250 bytes both ways, also when nothing was asked on it.

Ruled out: longer intervals alone; they delay the notice of a silent peer by as much.

Change: an idle connection carries nothing; a connection on which a call timed out still counts as owing an answer, so it is replaced as before. The new test of an idle connection fails on the old code (3,896 bytes in 0.6 s).

--- a/Source/Core/Peer/Link.cpp
+++ b/Source/Core/Peer/Link.cpp
@@ -104,6 +104,9 @@
         request.setLogicalTime(m_options.logicalTime.stamp());
     request.setPayload(kj::arrayPtr(reinterpret_cast<const kj::byte*>(call->payload.data()), call->payload.size()));
     call->payload = std::string();
+    if (!owesAnswer())
+        m_connection->lastAnswer = Common::Clock::now();
+    m_connection->isUnheard = true;
     m_connection->sent.emplace(id, call);
     auto answer = request.send().then(
         [this, id](capnp::Response<Schema::Endpoint::CallResults>&& response) { answered(id, response); },
@@ -117,7 +120,7 @@
 
 void Link::answered(uint64_t id, capnp::Response<Schema::Endpoint::CallResults>& response)
 {
-    m_connection->lastAnswer = Common::Clock::now();
+    heard();
     if (m_options.logicalTime.observe)
         m_options.logicalTime.observe(response.getLogicalTime());
     finish(m_connection->sent.at(id), readResult(response, m_address.value()));
@@ -133,17 +136,30 @@
     finish(m_connection->sent.at(id), error(Common::Reason::Internal, "call", why));
 }
 
-// Sends heartbeats, and drops a connection that has taken bytes and answered nothing for too long.
+// A call that timed out counts too: its connection may be of no use any more.
+bool Link::owesAnswer() const { return m_connection->isUnheard || !m_connection->sent.empty(); }
+
+void Link::heard()
+{
+    m_connection->lastAnswer = Common::Clock::now();
+    m_connection->isUnheard = false;
+}
+
+// While the peer owes an answer, sends heartbeats when it says nothing by itself, and drops a connection that has taken
+// bytes and answered nothing for too long. An idle connection costs nothing.
 kj::Promise<void> Link::watch(uint64_t connectionId)
 {
     return m_timer.afterDelay(toDuration(m_options.heartbeat)).then([this, connectionId]() -> kj::Promise<void> {
         if (!m_connection || m_connectionId != connectionId)
             return kj::READY_NOW;
-        if (Common::Clock::now() - m_connection->lastAnswer > m_options.silence) {
+        Common::Milliseconds silent = Common::Clock::now() - m_connection->lastAnswer;
+        if (owesAnswer() && silent > m_options.silence) {
             drop("no heartbeat was answered");
             return kj::READY_NOW;
         }
-        sendHeartbeat();
+        // Half an interval, so that answers just after each look do not double the time between heartbeats.
+        if (owesAnswer() && silent * 2 > m_options.heartbeat)
+            sendHeartbeat();
         return watch(connectionId);
     });
 }
@@ -151,8 +167,7 @@
 void Link::sendHeartbeat()
 {
     m_connection->tasks.add(m_connection->endpoint.heartbeatRequest().send().then(
-        [this](auto&&) { m_connection->lastAnswer = Common::Clock::now(); },
-        [this](kj::Exception&& e) { dropLater(e.getDescription().cStr()); }));
+        [this](auto&&) { heard(); }, [this](kj::Exception&& e) { dropLater(e.getDescription().cStr()); }));
 }
 
 // A task of the connection can't destroy the connection, and so itself; the link does that in the next turn.
--- a/Source/Core/Peer/Link.h
+++ b/Source/Core/Peer/Link.h
@@ -48,7 +48,8 @@
         kj::Own<kj::AsyncIoStream> stream;
         capnp::TwoPartyClient client;
         Schema::Endpoint::Client endpoint;
-        Common::TimePoint lastAnswer;
+        Common::TimePoint lastAnswer; // While the peer owes none: the last time at which that was so.
+        bool isUnheard { false }; // Nothing has come since the last call was sent.
         CallMap sent;
         kj::TaskSet tasks; // Last: goes first.
     };
@@ -60,6 +61,8 @@
     void answered(uint64_t id, capnp::Response<Schema::Endpoint::CallResults>&);
     void failed(uint64_t id, const kj::Exception&);
     kj::Promise<void> watch(uint64_t connectionId);
+    bool owesAnswer() const;
+    void heard();
     void sendHeartbeat();
     void dropLater(std::string why);
     void drop(const std::string& why);
--- a/Source/UnitTests/Peer/PeerTest.cpp
+++ b/Source/UnitTests/Peer/PeerTest.cpp
@@ -10,9 +10,11 @@
 #include <future>
 #include <iostream>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -87,11 +89,71 @@
 
     Common::Address address() const { return Common::Address("127.0.0.1:" + std::to_string(m_port)); }
 
+    // Takes one of the connections that were made; -1 if there is none within the time.
+    int accept(std::chrono::milliseconds time)
+    {
+        pollfd waiting { m_fd, POLLIN, 0 };
+        return ::poll(&waiting, 1, static_cast<int>(time.count())) > 0 ? ::accept(m_fd, nullptr, nullptr) : -1;
+    }
+
 private:
     int m_fd;
     int m_port { 0 };
 };
 
+// Hands on one connection to a server and counts the bytes of both ways.
+class CountingProxy {
+public:
+    explicit CountingProxy(const Common::Address& server)
+        : m_server(server)
+        , m_thread([this] { work(); })
+    {
+    }
+
+    ~CountingProxy()
+    {
+        m_stopping = true;
+        m_thread.join();
+    }
+    CountingProxy(const CountingProxy&) = delete;
+    CountingProxy& operator=(const CountingProxy&) = delete;
+
+    Common::Address address() const { return m_listener.address(); }
+    size_t bytes() const { return m_bytes; }
+
+private:
+    void work()
+    {
+        int client = -1;
+        while (client < 0 && !m_stopping)
+            client = m_listener.accept(std::chrono::milliseconds(20));
+        int server = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in to {};
+        to.sin_family = AF_INET;
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        to.sin_port = htons(static_cast<uint16_t>(std::stoi(m_server.value().substr(m_server.value().find(':') + 1))));
+        EXPECT_EQ(::connect(server, reinterpret_cast<sockaddr*>(&to), sizeof(to)), 0);
+        pollfd both[] { { client, POLLIN, 0 }, { server, POLLIN, 0 } };
+        char buf[4'096];
+        while (!m_stopping) {
+            ::poll(both, 2, 20);
+            for (int i = 0; i < 2; ++i) {
+                ssize_t n = both[i].revents ? ::recv(both[i].fd, buf, sizeof buf, MSG_DONTWAIT) : 0;
+                if (n > 0)
+                    m_bytes += static_cast<size_t>(::send(both[1 - i].fd, buf, static_cast<size_t>(n), MSG_NOSIGNAL));
+            }
+        }
+        ::close(client);
+        ::close(server);
+    }
+
+    const Common::Address m_server;
+    SilentPeer m_listener;
+    std::atomic<size_t> m_bytes { 0 };
+    std::atomic<bool> m_stopping { false };
+    std::thread m_thread;
+};
+
 } // namespace
 
 TEST(Peer, CallsAndCarriesLogicalTime)
@@ -237,6 +299,35 @@
     ASSERT_TRUE(answer) << answer.error();
 }
 
+TEST(Peer, AnIdleConnectionCarriesNothingAndIsKept)
+{
+    auto server = echoServer(anyPort);
+    CountingProxy proxy(server->address());
+    Peer::Client client(clientOptions());
+    ASSERT_TRUE(callNow(client, proxy.address(), "x"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    size_t before = proxy.bytes();
+    // Ten heartbeats long, and longer than an unanswered connection may live.
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    EXPECT_EQ(proxy.bytes(), before);
+    EXPECT_TRUE(callNow(client, proxy.address(), "y")) << "the proxy takes no second connection";
+}
+
+TEST(Peer, AConnectionOnWhichACallTimedOutIsReplaced)
+{
+    SilentPeer silent;
+    Peer::Client client(clientOptions());
+    EXPECT_EQ(reasonOf(callNow(client, silent.address(), "x", Milliseconds(60))), Reason::DeadlineExceeded);
+    int first = silent.accept(longWait);
+    EXPECT_GE(first, 0);
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    EXPECT_EQ(reasonOf(callNow(client, silent.address(), "x", Milliseconds(60))), Reason::DeadlineExceeded);
+    int second = silent.accept(longWait);
+    EXPECT_GE(second, 0);
+    ::close(first);
+    ::close(second);
+}
+
 TEST(Peer, PendingBytesAreBounded)
 {
     SilentPeer silent;
