Let the slow spell of a server fade while nothing is sent to it

Cause: the average latency of a server changed only with answers. A server that was slow for some seconds and was passed by got nothing after that, so it stayed passed by, and its groups were asked in other domains.

Change: what exceeds the server's usual latency (an average over 400 samples) halves each 2 s without a request, until one goes there again.

The unit test fails without the change.

--- a/Source/Core/Relay/Load.cpp
+++ b/Source/Core/Relay/Load.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr double averageWindow = 12; // Samples.
+    // Samples. More than a slow spell of some seconds brings, so that the usual outlasts it.
+    constexpr double usualWindow = 400;
     constexpr double outlierRatio = 4; // A sample counts as at most this many times the average.
     constexpr Milliseconds unknownLatency { 10 };
     // A request that takes longer than usual by this factor, and than this time, shows a server that stands still.
@@ -18,6 +20,8 @@
     constexpr Milliseconds stallFloor { 25 };
     constexpr int maximumDoublings = 8;
     constexpr double troubleWindow = 15; // Requests.
+    // The excess over the usual of an unused server counts half after that time: slow spells last seconds.
+    constexpr Milliseconds fadeHalfLife { 2'000 };
     // What a request that has to be sent again is taken to cost: repeats are scarcer than time.
     constexpr Milliseconds troubleCost { 250 };
 
@@ -43,10 +47,12 @@
     {
         if (load.latency.value() <= 0) {
             load.latency = took;
+            load.usualLatency = took;
             return;
         }
         Milliseconds bounded = std::min(took, load.latency * outlierRatio);
         load.latency += (bounded - load.latency) / averageWindow;
+        load.usualLatency += (bounded - load.usualLatency) / usualWindow;
     }
 
 } // namespace
@@ -58,6 +64,7 @@
     auto it = std::find(load.live.begin(), load.live.end(), sentAt);
     if (it != load.live.end())
         load.live.erase(it);
+    load.heardAt = now;
     if (outcome.kind != Outcome::Kind::GivenUp) {
         double trouble = outcome.kind == Outcome::Kind::Answered ? 0 : 1;
         load.troubleShare += (trouble - load.troubleShare) / troubleWindow;
@@ -90,6 +97,10 @@
 {
     Milliseconds expected = load.latency.value() > 0 ? load.latency : unknownLatency;
     expected += troubleCost * load.troubleShare;
+    Milliseconds usual = load.usualLatency.value() > 0 ? load.usualLatency : unknownLatency;
+    Milliseconds unused = now - load.heardAt;
+    if (expected > usual && unused > Milliseconds(0))
+        expected = usual + (expected - usual) * std::exp2(-unused.value() / fadeHalfLife.value());
     if (load.live.empty())
         return expected;
     Milliseconds oldest = now - *std::min_element(load.live.begin(), load.live.end());
--- a/Source/UnitTests/Relay/LoadTest.cpp
+++ b/Source/UnitTests/Relay/LoadTest.cpp
@@ -65,3 +65,17 @@
     }
     EXPECT_LT(expectedLatency(load, at(8'000)).value(), 40);
 }
+
+TEST(Load, ASlowSpellFadesWhileNothingIsSent)
+{
+    Load load = answering(30);
+    for (int i = 0; i < 80; ++i) {
+        begin(load, at(2'000 + i * 50));
+        end(load, at(2'000 + i * 50), { Outcome::Kind::Answered, Milliseconds(250) }, at(2'000 + i * 50 + 250));
+    }
+    Common::TimePoint last = load.heardAt;
+    EXPECT_GT(expectedLatency(load, last + Milliseconds(10)).value(), 240);
+    EXPECT_LT(expectedLatency(load, last + Milliseconds(2'000)).value(), 170);
+    EXPECT_LT(expectedLatency(load, last + Milliseconds(6'000)).value(), 110);
+    EXPECT_GT(expectedLatency(load, last + Milliseconds(60'000)).value(), 29);
+}
