Deal the groups of a fan to lanes with one owner in each domain

Ruled out: load of the servers (15 % of their slots), repeats (7 % of the sends, the budget allows more).

Change: a fan has as many lanes as the root of half its groups; each lane has one owner among the instances of each domain, by rendezvous hashing. An owner alone sends to the servers of its lane from its domain. The budget for repeats and the connections of a server are divided among the owners. A gatherer that was not heard in the last 150 ms is probed before it gets a bundle: one that stands still has sent nothing then, so the stand-in's sends are no repeats.

--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -386,6 +386,10 @@
 
 void RelayRole::handle(std::string_view bytes, const Peer::Reply& reply)
 {
+    if (m_private->draining) {
+        reply(Common::makeError(Common::Reason::Unavailable, "gather", "this instance is leaving"));
+        return;
+    }
     if (bytes.empty()) {
         reply(std::string()); // A probe.
         return;
@@ -395,10 +399,6 @@
         reply(call.error());
         return;
     }
-    if (m_private->draining) {
-        reply(Common::makeError(Common::Reason::Unavailable, "gather", "this instance is leaving"));
-        return;
-    }
     m_private->engine.gather(call.value(), [reply](const Result<Relay::Answer>& answer) {
         if (answer)
             reply(Wire::encode(answer.value()));
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -10,6 +10,12 @@
 
     // The way between two instances and back, kept back from the time in which an answer is wanted.
     constexpr Milliseconds delegationMargin { 3 };
+    // The bundles of a call are delivered at the same time, and taken in one after the other: so long each, on a tenth
+    // of a core.
+    constexpr Milliseconds bundleMargin { 1 };
+    // Of the probe before a bundle: so long that a tenth of a core answers it beside other work, and so short that
+    // another instance can still gather in time.
+    constexpr Milliseconds firstProbeTimeout { 25 };
     // A gatherer that has not answered so long after the aim is probed, and passed by if it is silent.
     constexpr Milliseconds probeAfterAim { 10 };
     constexpr Milliseconds probeTimeout { 40 };
@@ -48,19 +54,18 @@
         refuse(call, routes, Reason::Overloaded, "too many answers are late", refusedRetryAfter, done);
         return;
     }
-    auto plan = bundlesOf(*route.fan);
     auto gathering = std::make_shared<Gathering>();
+    gathering->bundles = askedBundlesOf(*route.fan, times.arrived);
+    size_t bundleCount = gathering->bundles.size();
     std::vector<std::vector<size_t>> groupsOfBundles;
-    for (const Bundle& bundle : plan) {
+    for (const AskedBundle& bundle : gathering->bundles)
         groupsOfBundles.push_back(bundle.groups);
-        gathering->bundles.push_back({ nextBundle++, bundle.groups, gathererFor(bundle.domain, times.arrived) });
-    }
     gathering->assembly = makeAssembly(*route.fan, groupsOfBundles);
     gathering->call = call;
     gathering->table = routes;
     gathering->route = &route;
     gathering->times = times;
-    gathering->done = [self = shared_from_this(), shedKey, call, routes, &route, times, n = plan.size(),
+    gathering->done = [self = shared_from_this(), shedKey, call, routes, &route, times, n = bundleCount,
                           done = std::move(done)](Answer answer) {
         auto end = Clock::now();
         if (!std::holds_alternative<Abandoned>(answer)) {
@@ -78,7 +83,7 @@
                 gathering->finish(Abandoned {});
         });
     }
-    for (size_t i = 0; i < plan.size(); ++i)
+    for (size_t i = 0; i < bundleCount; ++i)
         gatherBundle(gathering, i);
 }
 
@@ -163,7 +168,36 @@
     step(running, id, [&](Query& query) { return resume(query, needed, Clock::now()); });
 }
 
+// A gatherer that stands still must not get a bundle: whether it sent anything would be unknown, and sending it again
+// would take from the budget for repeats.
 void Engine::Private::delegate(const std::shared_ptr<Delegation>& delegation)
+{
+    const Common::Address& gatherer = *delegation->bundle.gatherer;
+    bool isAlive = false;
+    {
+        std::lock_guard lock(viewMutex);
+        isAlive = isHeardLately(health, gatherer, Clock::now());
+    }
+    if (isAlive) {
+        handOver(delegation);
+        return;
+    }
+    ++running;
+    peers.probe(gatherer, firstProbeTimeout, [self = shared_from_this(), delegation](bool hasAnswered) {
+        --self->running;
+        if (!hasAnswered) {
+            self->fallBack(delegation, false, "no answer to a probe");
+            return;
+        }
+        {
+            std::lock_guard lock(self->viewMutex);
+            noteHeard(self->health, *delegation->bundle.gatherer, Clock::now());
+        }
+        self->handOver(delegation);
+    });
+}
+
+void Engine::Private::handOver(const std::shared_ptr<Delegation>& delegation)
 {
     auto now = Clock::now();
     ++running;
@@ -175,6 +209,10 @@
         [self, delegation](const Common::Result<Answer>& result) {
             --self->running;
             if (result) {
+                {
+                    std::lock_guard lock(self->viewMutex);
+                    noteHeard(self->health, *delegation->bundle.gatherer, Clock::now());
+                }
                 if (auto done = delegation->settle())
                     done(result.value());
                 return;
@@ -213,7 +251,7 @@
     auto now = Clock::now();
     {
         std::lock_guard lock(viewMutex);
-        pause(pauses, *delegation->bundle.gatherer, now + gathererPause);
+        pause(health, *delegation->bundle.gatherer, now + gathererPause);
     }
     auto done = delegation->settle();
     if (!done)
@@ -249,7 +287,9 @@
     auto arrived = Clock::now() - delegated.waited;
     m_private->run(delegated.call, routes, *route,
         { groupsAt(*route->fan, delegated.groups), BundleKey { request.asker, delegated.bundle }, false },
-        m_private->timesOf(*delegated.call, *route, arrived, delegationMargin), std::move(answer));
+        m_private->timesOf(*delegated.call, *route, arrived,
+            delegationMargin + bundleMargin * static_cast<double>(laneCount(route->fan->groups.size()))),
+        std::move(answer));
 }
 
 } // namespace Relay
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -181,7 +181,8 @@
     std::vector<Roster::Peer> instances;
     Gatherers gatherers;
     std::set<GroupName> fanGroups; // Those that gatherers ask.
-    GathererPauses pauses;
+    std::set<GroupName> ownGroups; // Of these, those of lanes that this instance owns.
+    GathererHealth health;
 
     Common::ShardedMap<QueryId, RunningPtr> queries;
     Common::ShardedMap<BundleKey, QueryId> bundles;
@@ -201,13 +202,14 @@
     void resumeBundle(const GatheringPtr&, const ResumePart&);
     void resumeHere(const BundleKey&, size_t needed, const Done&);
     std::vector<Bundle> bundlesOf(const Routes::Fan&);
+    std::vector<AskedBundle> askedBundlesOf(const Routes::Fan&, TimePoint now);
     size_t unservedGroups(const Routes::Fan&) const;
     void delegate(const std::shared_ptr<Delegation>&);
+    void handOver(const std::shared_ptr<Delegation>&);
     void fallBack(const std::shared_ptr<Delegation>&, bool mayHaveSent, const std::string& why);
     void probeLater(const std::shared_ptr<Delegation>&);
     void refuse(const CallPtr&, const Routes::TablePtr&, Reason, const std::string&, Milliseconds, const Done&);
     Times timesOf(const Relay::Call&, const Routes::Route&, TimePoint arrived, Milliseconds extraMargin) const;
-    std::optional<Common::Address> gathererFor(const Common::FailureDomain&, TimePoint now);
     void chooseAgain();
     std::optional<Common::Error> overloaded(const Query&, TimePoint now);
     void perform(const RunningPtr&, QueryId, Effects);
--- a/Source/Core/Relay/EngineView.cpp
+++ b/Source/Core/Relay/EngineView.cpp
@@ -1,6 +1,7 @@
 #include "Relay/EnginePrivate.h"
 
 #include <algorithm>
+#include <map>
 
 namespace Relay {
 
@@ -12,8 +13,10 @@
     constexpr int64_t maximumConnections = 8;
     // Of what a server accepts: while its queue is long it accepts fewer, and those that were closed count for a while.
     constexpr double usedConnections = 0.8;
-    // Gatherers are so few that each may hold that many connections to every server.
-    constexpr int64_t connectionsOfAGatherer = 4;
+    // The owners of a group and those that stand in for one of them each may hold the same number of connections.
+    constexpr size_t standInFactor = 2;
+    // Of the minimum of repeats each owner gets such a part that one of them may be replaced within the window.
+    constexpr size_t replacedOwners = 1;
     // An instance that does not gather does so only when those that do are lost: its part in the minimum of repeats
     // is that much smaller.
     constexpr size_t fallbackFactor = 5;
@@ -37,18 +40,20 @@
     std::lock_guard lock(viewMutex);
     if (instances.empty())
         return unknownInstances;
-    bool isGathered = !gatherers.empty() && fanGroups.count(group);
+    bool isGathered = !gatherers.owners.empty() && fanGroups.count(group);
     if (!isGathered)
         return instances.size();
-    return isGatherer(gatherers, options.self.address) ? gatherers.size() : unknownInstances * fallbackFactor;
+    return isGatherer(gatherers, options.self) ? gatherers.owners.size() * standInFactor
+                                               : unknownInstances * fallbackFactor;
 }
 
 size_t Engine::Private::repeatSharersOf(const GroupName& group) const
 {
-    size_t sharers = sharersOf(group);
     std::lock_guard lock(viewMutex);
-    bool isOther = !gatherers.empty() && fanGroups.count(group) && !isGatherer(gatherers, options.self.address);
-    return isOther ? std::max(sharers, instances.size() * fallbackFactor) : sharers;
+    size_t known = std::max(instances.size(), unknownInstances);
+    if (gatherers.owners.empty() || !fanGroups.count(group))
+        return instances.empty() ? unknownInstances : instances.size();
+    return ownGroups.count(group) ? gatherers.owners.size() + replacedOwners : known * fallbackFactor;
 }
 
 Connections Engine::Private::connectionsOf(const Routes::Table& routes, const GroupName& name) const
@@ -63,27 +68,53 @@
 void Engine::Private::chooseAgain()
 {
     fanGroups.clear();
-    std::map<Common::FailureDomain, size_t> domains;
-    int64_t limit = INT64_MAX;
-    for (const Routes::Route& route : table ? table->routes : std::vector<Routes::Route>()) {
-        for (const GroupName& name : route.fan ? route.fan->groups : std::vector<GroupName>()) {
-            if (!fanGroups.insert(name).second)
+    ownGroups.clear();
+    std::set<Common::FailureDomain> domains;
+    size_t lanes = 0;
+    auto forEachFan = [&](const auto& fn) {
+        for (const Routes::Route& route : table ? table->routes : std::vector<Routes::Route>()) {
+            if (route.fan)
+                fn(*route.fan);
+        }
+    };
+    forEachFan([&](const Routes::Fan& fan) {
+        lanes = std::max(lanes, laneCount(fan.groups.size()));
+        for (const GroupName& name : fan.groups) {
+            auto it = fanGroups.insert(name).second ? servers->find(name) : servers->end();
+            if (it == servers->end())
                 continue;
-            if (const Routes::Group* group = Routes::findGroup(*table, name))
-                limit = std::min(limit, group->connectionLimit.value());
-            auto it = servers->find(name);
-            for (const Roster::Usable& server : it == servers->end() ? std::vector<Roster::Usable>() : it->second)
-                ++domains[server.domain];
+            for (const Roster::Usable& server : it->second)
+                domains.insert(server.domain);
         }
-    }
-    size_t maximum = static_cast<size_t>(std::max<int64_t>(2, limit / connectionsOfAGatherer));
-    gatherers = domains.empty() ? Gatherers() : chooseGatherers(instances, domains, maximum);
+    });
+    gatherers = chooseGatherers(instances, domains, lanes);
+    forEachFan([&](const Routes::Fan& fan) {
+        size_t count = laneCount(fan.groups.size());
+        for (size_t i = 0; i < fan.groups.size(); ++i) {
+            if (ownsLane(gatherers, options.self, laneOf(i, count)))
+                ownGroups.insert(fan.groups[i]);
+        }
+    });
 }
 
-std::optional<Common::Address> Engine::Private::gathererFor(const Common::FailureDomain& domain, TimePoint now)
+// The groups of each bundle, by whom to ask for them.
+std::vector<AskedBundle> Engine::Private::askedBundlesOf(const Routes::Fan& fan, TimePoint now)
 {
-    std::lock_guard lock(viewMutex);
-    return pickGatherer(gatherers, domain, options.self, pauses, localRandom(), now);
+    size_t lanes = laneCount(fan.groups.size());
+    std::vector<AskedBundle> asked;
+    for (const Bundle& bundle : bundlesOf(fan)) {
+        std::map<std::optional<Common::Address>, std::vector<size_t>> byGatherer;
+        {
+            std::lock_guard lock(viewMutex);
+            for (size_t place : bundle.groups) {
+                byGatherer[pickGatherer(gatherers, bundle.domain, laneOf(place, lanes), options.self, health, now)]
+                    .push_back(place);
+            }
+        }
+        for (auto& [gatherer, places] : byGatherer)
+            asked.push_back({ nextBundle++, std::move(places), gatherer });
+    }
+    return asked;
 }
 
 std::vector<Bundle> Engine::Private::bundlesOf(const Routes::Fan& fan)
@@ -93,8 +124,8 @@
     {
         std::lock_guard lock(viewMutex);
         view = servers;
-        for (const Roster::Peer& peer : gatherers)
-            served.insert(peer.domain);
+        for (auto& [domain, owners] : gatherers.owners)
+            served.insert(domain);
     }
     std::vector<std::vector<Common::FailureDomain>> domains(fan.groups.size());
     for (size_t i = 0; i < fan.groups.size(); ++i) {
--- a/Source/Core/Relay/Gatherers.cpp
+++ b/Source/Core/Relay/Gatherers.cpp
@@ -14,62 +14,102 @@
 
 namespace {
 
-    // The instances of one domain, in an order that a joining or leaving instance does not change for the others.
-    std::vector<Roster::Peer> ofDomain(const std::vector<Roster::Peer>& instances, const Common::FailureDomain& domain)
+    // Taking in a bundle costs the asking instance about as much as two sub-requests cost a gatherer. So the work of a
+    // call is done soonest by as many bundles as the root of half the groups.
+    constexpr double subRequestsOfABundle = 2;
+    // Of the calls that reach an instance after it was heard, those that it loses by standing still are as many as
+    // come in this time. A probe before the bundle costs a few milliseconds where calls are rarer.
+    constexpr Common::Milliseconds lately { 150 };
+
+    // The instance whose hash with the lane is the greatest, of those that own no earlier lane.
+    const Roster::Peer* ownerOf(
+        size_t lane, const std::vector<const Roster::Peer*>& candidates, const std::set<Address>& taken)
     {
-        std::vector<Roster::Peer> found;
-        for (const Roster::Peer& peer : instances) {
-            if (peer.domain == domain)
-                found.push_back(peer);
+        const Roster::Peer* best = nullptr;
+        uint64_t most = 0;
+        for (const Roster::Peer* peer : candidates) {
+            uint64_t hash = Common::hash64(peer->address.value(), lane);
+            if (taken.count(peer->address) || (best && hash <= most))
+                continue;
+            best = peer;
+            most = hash;
         }
-        std::sort(found.begin(), found.end(), [](const Roster::Peer& a, const Roster::Peer& b) {
-            return Common::hash64(a.address.value()) < Common::hash64(b.address.value());
-        });
-        return found;
+        return best;
     }
 
 } // namespace
 
-Gatherers chooseGatherers(const std::vector<Roster::Peer>& instances,
-    const std::map<Common::FailureDomain, size_t>& serversByDomain, size_t maximum)
+size_t laneCount(size_t groups)
+{
+    return std::max<size_t>(
+        1, static_cast<size_t>(std::lround(std::sqrt(static_cast<double>(groups) / subRequestsOfABundle))));
+}
+
+size_t laneOf(size_t place, size_t lanes) { return place % std::max<size_t>(lanes, 1); }
+
+Gatherers chooseGatherers(
+    const std::vector<Roster::Peer>& instances, const std::set<Common::FailureDomain>& domains, size_t lanes)
 {
-    size_t servers = 0;
-    for (auto& [domain, count] : serversByDomain)
-        servers += count;
     Gatherers chosen;
-    for (auto& [domain, count] : serversByDomain) {
-        auto candidates = ofDomain(instances, domain);
-        double quota = std::floor(static_cast<double>(maximum * count) / static_cast<double>(servers));
-        size_t taken = std::min(candidates.size(), std::max<size_t>(1, static_cast<size_t>(quota)));
-        chosen.insert(chosen.end(), candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(taken));
+    for (const Common::FailureDomain& domain : domains) {
+        std::vector<const Roster::Peer*> candidates;
+        for (const Roster::Peer& peer : instances) {
+            if (peer.domain == domain)
+                candidates.push_back(&peer);
+        }
+        std::set<Address> taken;
+        for (size_t lane = 0; lane < std::min(lanes, candidates.size()); ++lane) {
+            const Roster::Peer* owner = ownerOf(lane, candidates, taken);
+            taken.insert(owner->address);
+            chosen.owners[domain].push_back(*owner);
+        }
     }
     return chosen;
 }
 
-void pause(GathererPauses& pauses, const Address& address, TimePoint until) { pauses.until[address] = until; }
+void pause(GathererHealth& health, const Address& address, TimePoint until)
+{
+    health.known[address].pausedUntil = until;
+}
+
+void noteHeard(GathererHealth& health, const Address& address, TimePoint now) { health.known[address].heardAt = now; }
+
+bool isHeardLately(const GathererHealth& health, const Address& address, TimePoint now)
+{
+    auto it = health.known.find(address);
+    return it != health.known.end() && it->second.heardAt + lately > now;
+}
 
-std::optional<Address> pickGatherer(const Gatherers& gatherers, const Common::FailureDomain& domain,
-    const Roster::Peer& self, const GathererPauses& pauses, Common::Random& random, TimePoint now)
+std::optional<Address> pickGatherer(const Gatherers& gatherers, const Common::FailureDomain& domain, size_t lane,
+    const Roster::Peer& self, const GathererHealth& health, TimePoint now)
 {
-    std::vector<const Roster::Peer*> found;
-    for (const Roster::Peer& peer : gatherers) {
-        if (peer.domain != domain)
-            continue;
-        if (peer.address == self.address)
+    auto found = gatherers.owners.find(domain);
+    if (found == gatherers.owners.end())
+        return std::nullopt;
+    const std::vector<Roster::Peer>& owners = found->second;
+    for (size_t i = 0; i < owners.size(); ++i) {
+        const Roster::Peer& owner = owners[(lane + i) % owners.size()];
+        if (owner.address == self.address)
             return std::nullopt;
-        auto it = pauses.until.find(peer.address);
-        if (it == pauses.until.end() || it->second <= now)
-            found.push_back(&peer);
+        auto it = health.known.find(owner.address);
+        if (it == health.known.end() || it->second.pausedUntil <= now)
+            return owner.address;
     }
-    if (found.empty())
-        return std::nullopt;
-    return found[random.below(found.size())]->address;
+    return std::nullopt;
+}
+
+bool isGatherer(const Gatherers& gatherers, const Roster::Peer& peer)
+{
+    auto it = gatherers.owners.find(peer.domain);
+    return it != gatherers.owners.end()
+        && std::any_of(it->second.begin(), it->second.end(),
+            [&](const Roster::Peer& owner) { return owner.address == peer.address; });
 }
 
-bool isGatherer(const Gatherers& gatherers, const Address& address)
+bool ownsLane(const Gatherers& gatherers, const Roster::Peer& peer, size_t lane)
 {
-    return std::any_of(
-        gatherers.begin(), gatherers.end(), [&](const Roster::Peer& peer) { return peer.address == address; });
+    auto it = gatherers.owners.find(peer.domain);
+    return it != gatherers.owners.end() && it->second[lane % it->second.size()].address == peer.address;
 }
 
 std::vector<Bundle> planBundles(const std::vector<std::vector<Common::FailureDomain>>& domainsOfGroups,
--- a/Source/UnitTests/Relay/GatherersTest.cpp
+++ b/Source/UnitTests/Relay/GatherersTest.cpp
@@ -10,7 +10,6 @@
 using Common::FailureDomain;
 using Common::GroupName;
 using Common::Milliseconds;
-using Common::Random;
 using Common::TimePoint;
 using namespace Relay;
 
@@ -45,29 +44,86 @@
 
 } // namespace
 
-TEST(Gatherers, StandWhereTheServersAreAndAreFew)
+TEST(Gatherers, StandWhereTheServersAreAndAreTheSameForAll)
 {
-    auto chosen = chooseGatherers(instances, { { FailureDomain("a"), 10 }, { FailureDomain("b"), 10 } }, 2);
-    ASSERT_EQ(chosen.size(), 2u);
-    EXPECT_NE(chosen[0].domain, chosen[1].domain);
-    EXPECT_FALSE(isGatherer(chosen, Address("c1")));
+    auto chosen = chooseGatherers(instances, { FailureDomain("a"), FailureDomain("b"), FailureDomain("d") }, 2);
+    ASSERT_EQ(chosen.owners.size(), 2u);
+    EXPECT_EQ(chosen.owners.at(FailureDomain("a")).size(), 2u);
+    EXPECT_EQ(chosen.owners.at(FailureDomain("b")), (std::vector<Roster::Peer> { instances[2] }));
+    EXPECT_TRUE(isGatherer(chosen, instances[0]));
+    EXPECT_FALSE(isGatherer(chosen, instances[3]));
     auto reversed = instances;
     std::reverse(reversed.begin(), reversed.end());
-    EXPECT_EQ(chooseGatherers(reversed, { { FailureDomain("a"), 10 }, { FailureDomain("b"), 10 } }, 2), chosen);
+    EXPECT_EQ(chooseGatherers(reversed, { FailureDomain("a"), FailureDomain("b") }, 2), chosen);
+}
+
+TEST(Gatherers, EachLaneHasOneOwnerInADomain)
+{
+    auto chosen = chooseGatherers(instances, { FailureDomain("a"), FailureDomain("b") }, 5);
+    for (size_t lane = 0; lane < 5; ++lane) {
+        EXPECT_NE(ownsLane(chosen, instances[0], lane), ownsLane(chosen, instances[1], lane)) << lane;
+        EXPECT_TRUE(ownsLane(chosen, instances[2], lane)) << "alone in its domain";
+        EXPECT_FALSE(ownsLane(chosen, instances[3], lane)) << "a domain without servers";
+    }
+}
+
+TEST(Gatherers, AJoinMovesFewLanes)
+{
+    constexpr size_t lanes = 7;
+    size_t moved = 0;
+    for (int round = 0; round < 50; ++round) {
+        std::vector<Roster::Peer> many;
+        for (int i = 0; i < 20; ++i)
+            many.push_back(peer(("a" + std::to_string(round * 100 + i)).c_str(), "a"));
+        auto before = chooseGatherers(many, { FailureDomain("a") }, lanes).owners.at(FailureDomain("a"));
+        many.push_back(peer("joined", "a"));
+        auto after = chooseGatherers(many, { FailureDomain("a") }, lanes).owners.at(FailureDomain("a"));
+        for (size_t lane = 0; lane < lanes; ++lane)
+            moved += before[lane] == after[lane] ? 0 : 1;
+    }
+    EXPECT_LT(moved, 50 * 1.0) << "of 350: about 1 of 21 each by itself";
 }
 
 TEST(Gatherers, ASilentOneIsPassedBy)
 {
-    Random random(1);
-    GathererPauses pauses;
-    Gatherers two { instances[0], instances[1] };
-    pause(pauses, Address("a1"), TimePoint(Milliseconds(100)));
-    for (int i = 0; i < 10; ++i)
-        EXPECT_EQ(pickGatherer(two, FailureDomain("a"), instances[3], pauses, random, TimePoint()), Address("a2"));
-    pause(pauses, Address("a2"), TimePoint(Milliseconds(100)));
-    EXPECT_FALSE(pickGatherer(two, FailureDomain("a"), instances[3], pauses, random, TimePoint()));
-    EXPECT_TRUE(pickGatherer(two, FailureDomain("a"), instances[3], pauses, random, TimePoint(Milliseconds(101))));
-    EXPECT_FALSE(pickGatherer(two, FailureDomain("a"), instances[0], {}, random, TimePoint())) << "is one itself";
+    GathererHealth health;
+    const FailureDomain a("a");
+    Gatherers two { { { a, { instances[0], instances[1] } } } };
+    const Roster::Peer& other = instances[3];
+    EXPECT_EQ(pickGatherer(two, a, 0, other, health, TimePoint()), Address("a1"));
+    EXPECT_EQ(pickGatherer(two, a, 1, other, health, TimePoint()), Address("a2"));
+    EXPECT_EQ(pickGatherer(two, a, 2, other, health, TimePoint()), Address("a1"));
+    pause(health, Address("a1"), TimePoint(Milliseconds(100)));
+    EXPECT_EQ(pickGatherer(two, a, 0, other, health, TimePoint()), Address("a2"));
+    EXPECT_FALSE(pickGatherer(two, a, 0, instances[1], health, TimePoint())) << "stands in itself";
+    pause(health, Address("a2"), TimePoint(Milliseconds(100)));
+    EXPECT_FALSE(pickGatherer(two, a, 0, other, health, TimePoint()));
+    EXPECT_EQ(pickGatherer(two, a, 0, other, health, TimePoint(Milliseconds(101))), Address("a1"));
+    EXPECT_FALSE(pickGatherer(two, a, 0, instances[0], {}, TimePoint())) << "owns the lane";
+    EXPECT_FALSE(pickGatherer(two, FailureDomain("b"), 0, other, {}, TimePoint())) << "no owner there";
+}
+
+TEST(Gatherers, AreProbedUnlessTheyWereHeardLately)
+{
+    GathererHealth health;
+    EXPECT_FALSE(isHeardLately(health, Address("a1"), TimePoint(Milliseconds(1'000))));
+    noteHeard(health, Address("a1"), TimePoint(Milliseconds(1'000)));
+    EXPECT_TRUE(isHeardLately(health, Address("a1"), TimePoint(Milliseconds(1'100))));
+    EXPECT_FALSE(isHeardLately(health, Address("a1"), TimePoint(Milliseconds(1'200))));
+    EXPECT_FALSE(isHeardLately(health, Address("a2"), TimePoint(Milliseconds(1'000))));
+}
+
+TEST(Gatherers, LanesGrowWithTheRootOfTheGroups)
+{
+    EXPECT_EQ(laneCount(1), 1u);
+    EXPECT_EQ(laneCount(20), 3u);
+    EXPECT_EQ(laneCount(90), 7u);
+    EXPECT_EQ(laneCount(1'000), 22u);
+    std::vector<size_t> sizes(7);
+    for (size_t place = 0; place < 90; ++place)
+        ++sizes[laneOf(place, 7)];
+    EXPECT_EQ(*std::min_element(sizes.begin(), sizes.end()), 12u);
+    EXPECT_EQ(*std::max_element(sizes.begin(), sizes.end()), 13u);
 }
 
 TEST(Bundles, CoverEachGroupOnceInFewDomains)
