--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -248,7 +248,7 @@
                 control, ControlRole::open({ m_settings, m_peers, m_controlClient, m_timers, m_metrics, m_timeline }));
             m_control = std::move(control);
             m_roster = std::make_unique<RosterKeeper>(
-                RosterDependencies { m_settings, m_incarnation, *m_control, m_controlClient, m_timers });
+                RosterDependencies { m_settings, m_incarnation, *m_control, m_controlClient, m_peers, m_timers });
         }
         if (m_settings.isRelay) {
             if (!m_frontEnd)
--- a/Source/Core/Daemon/RelayRole.h
+++ b/Source/Core/Daemon/RelayRole.h
@@ -22,7 +22,7 @@
     std::function<Common::Result<Routes::Table>(const std::string& document)> decodeTable;
 };
 
-// An instance that relays callers' requests: follows all control instances for route tables and backend servers.
+// An instance that relays callers' requests by the route tables and backend servers that control instances tell.
 class RelayRole {
 public:
     explicit RelayRole(RelayDependencies);
--- a/Source/Core/Daemon/RosterKeeper.cpp
+++ b/Source/Core/Daemon/RosterKeeper.cpp
@@ -1,15 +1,18 @@
 #include "Daemon/RosterKeeper.h"
 
-#include "Common/Hash.h"
 #include "Observe/EventLog.h"
+#include "Roster/Mirror.h"
 #include "Wire/RosterCodec.h"
 
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <map>
 #include <mutex>
+#include <set>
 #include <unordered_map>
 
+using Common::Address;
 using Common::Clock;
 using Common::Milliseconds;
 using Common::TimePoint;
@@ -20,13 +23,19 @@
 namespace {
 
     constexpr size_t shardCount = 4;
-    // A follower that has nothing to learn is answered after this time, so that a lost connection is noticed.
-    constexpr Milliseconds watchHold { 3'000 };
+    // A follower that has nothing to learn is answered after this time, so that a silent control instance is noticed
+    // while there is time to ask another one.
+    constexpr Milliseconds watchHold { 800 };
     // A follower that did not ask for so long does not count any more.
-    constexpr Milliseconds followerMemory { 8'000 };
+    constexpr Milliseconds followerMemory { 4'000 };
+    // Of the questions to other control instances: above the time for which they hold them.
+    constexpr Milliseconds watchTimeout { 2'500 };
+    constexpr Milliseconds retryPause { 100 };
+    // What another control instance heard is passed on for so long after its last answer.
+    constexpr Milliseconds mirrorMemory { 12'000 };
     // Changes of that time are told together.
     constexpr Milliseconds flushDelay { 100 };
-    constexpr Milliseconds sweepInterval { 500 };
+    constexpr Milliseconds sweepInterval { 250 };
     // Servers that left or were lost are remembered so long, so that a late renewal does not bring them back.
     constexpr Milliseconds forgetAfter { 120'000 };
 
@@ -47,24 +56,18 @@
         TimePoint askedAt;
     };
 
-    uint64_t versionOf(const std::vector<Roster::Peer>& peers)
-    {
-        std::string text;
-        for (const Roster::Peer& peer : peers)
-            text += peer.address.value() + " " + peer.domain.value() + "\n";
-        return Common::hash64(text);
-    }
-
 } // namespace
 
 struct RosterKeeper::Private : std::enable_shared_from_this<RosterKeeper::Private> {
     explicit Private(RosterDependencies d)
         : use(d)
+        , self(d.settings.peer.listen)
         , epoch(d.incarnation.value())
     {
     }
 
     RosterDependencies use;
+    const Address self;
     const Roster::Epoch epoch;
     std::array<Shard, shardCount> shards;
     std::atomic<bool> flushPending { false };
@@ -74,6 +77,9 @@
     std::unordered_map<Common::InstanceId, Follower> followers;
     std::vector<Roster::Peer> peers; // Of the followers, as they are told.
     uint64_t peersVersion { 0 };
+    std::mutex mirrorMutex; // Guards what follows.
+    std::map<Address, Roster::Mirror> mirrors; // Of the other control instances; each is being asked.
+    std::set<Address> others; // Members and seeds.
 
     Shard& shardOf(const Common::BackendServerId& server)
     {
@@ -88,6 +94,10 @@
     static bool hasNews(const Roster::WatchRequest&, const Roster::WatchReply&);
     void noteChange(const Roster::Report&);
     void listPeers();
+    Roster::SourceState ownState(const Roster::Known*);
+    void followOthers();
+    void ask(const Address&);
+    void answered(const Address&, const Common::Result<std::string>&);
 };
 
 void RosterKeeper::Private::noteChange(const Roster::Report& report)
@@ -118,12 +128,7 @@
             for (const Roster::Report& report : lost)
                 self->noteChange(report);
         }
-        auto members = self->use.control.memberAddresses();
-        for (auto& seed : Settings::seedPeers(self->use.settings)) {
-            if (std::find(members.begin(), members.end(), seed) == members.end())
-                members.push_back(seed);
-        }
-        self->use.controlClient.setMembers(std::move(members));
+        self->followOthers();
         self->listPeers();
         self->flush();
         self->sweepLater();
@@ -134,13 +139,101 @@
 void RosterKeeper::Private::listPeers()
 {
     std::lock_guard lock(watchMutex);
-    peers.clear();
+    auto now = Clock::now();
+    std::erase_if(followers, [&](auto& pair) { return now - pair.second.askedAt > followerMemory; });
+    std::vector<Roster::Peer> next;
     for (auto& [id, follower] : followers) {
         if (!follower.isLeaving)
-            peers.push_back(follower.peer);
+            next.push_back(follower.peer);
+    }
+    std::sort(next.begin(), next.end());
+    if (next == peers)
+        return;
+    peers = std::move(next);
+    ++peersVersion;
+}
+
+// Begins to ask the control instances that are not asked yet.
+void RosterKeeper::Private::followOthers()
+{
+    auto members = use.control.memberAddresses();
+    for (auto& seed : Settings::seedPeers(use.settings)) {
+        if (std::find(members.begin(), members.end(), seed) == members.end())
+            members.push_back(seed);
+    }
+    std::vector<Address> added;
+    {
+        std::lock_guard lock(mirrorMutex);
+        others = { members.begin(), members.end() };
+        others.erase(self);
+        for (const Address& address : others) {
+            if (mirrors.try_emplace(address).second)
+                added.push_back(address);
+        }
+        for (auto& [address, mirror] : mirrors)
+            Roster::forgetBefore(mirror, Clock::now() - forgetAfter);
     }
-    std::sort(peers.begin(), peers.end());
-    peersVersion = versionOf(peers);
+    use.controlClient.setMembers(std::move(members));
+    for (const Address& address : added)
+        ask(address);
+}
+
+void RosterKeeper::Private::ask(const Address& address)
+{
+    if (stopped)
+        return;
+    Roster::WatchRequest request;
+    request.follower = use.settings.instance;
+    request.peer = { self, use.settings.failureDomain };
+    request.isControl = true;
+    request.table = use.control.routeTableNumber();
+    {
+        std::lock_guard lock(mirrorMutex);
+        auto it = mirrors.find(address);
+        if (it == mirrors.end())
+            return;
+        request.known.push_back(Roster::knownOf(it->second, address));
+    }
+    use.peers.call(address, Peer::Service::Roster, Wire::encode(Roster::Request(request)), watchTimeout,
+        [weak = weak_from_this(), address](const Common::Result<std::string>& result) {
+            if (auto self = weak.lock())
+                self->answered(address, result);
+        });
+}
+
+void RosterKeeper::Private::answered(const Address& address, const Common::Result<std::string>& result)
+{
+    auto reply = result ? Wire::decodeWatchReply(result.value()) : Common::Result<Roster::WatchReply>(result.error());
+    bool isNews = false;
+    bool isFirst = false;
+    {
+        std::lock_guard lock(mirrorMutex);
+        auto it = mirrors.find(address);
+        if (it == mirrors.end())
+            return;
+        if (!reply && !others.count(address)) {
+            mirrors.erase(it);
+            return;
+        }
+        for (const Roster::SourceState& state : reply ? reply.value().sources : std::vector<Roster::SourceState>()) {
+            if (state.source != address)
+                continue;
+            isFirst = !it->second.heardAt;
+            isNews = Roster::take(it->second, state, Clock::now());
+        }
+    }
+    if (isFirst)
+        Observe::logEvent(Part::Roster, "control-found", { { "address", address.value() } });
+    if (isNews)
+        flushLater();
+    if (reply) {
+        ask(address);
+        return;
+    }
+    use.timers.after(retryPause, [weak = weak_from_this(), address] {
+        if (auto self = weak.lock())
+            self->ask(address);
+    });
 }
 
 void RosterKeeper::Private::flushLater()
@@ -176,44 +269,53 @@
     std::move(kept.begin(), kept.end(), std::back_inserter(watchers));
 }
 
+Roster::SourceState RosterKeeper::Private::ownState(const Roster::Known* known)
+{
+    Roster::SourceState state { self, use.settings.failureDomain, epoch, {}, {}, {}, 0 };
+    bool isSame = known && known->epoch == epoch && known->revisions.size() == shardCount;
+    for (size_t i = 0; i < shardCount; ++i) {
+        std::lock_guard lock(shards[i].mutex);
+        auto from = isSame ? known->revisions[i] : Common::Revision(0);
+        state.shards.push_back(Roster::changesSince(shards[i].registry, from));
+    }
+    std::lock_guard lock(watchMutex);
+    state.peersVersion = peersVersion;
+    if (!isSame || known->peersVersion != peersVersion)
+        state.peers = peers;
+    return state;
+}
+
 Roster::WatchReply RosterKeeper::Private::replyTo(const Roster::WatchRequest& request)
 {
     Roster::WatchReply reply;
-    reply.epoch = epoch;
-    reply.domain = use.settings.failureDomain;
     reply.table = use.control.routeTableNumber();
     reply.members = use.control.memberAddresses();
-    bool isKnown = request.epoch == epoch && request.revisions.size() == shardCount;
-    for (size_t i = 0; i < shardCount; ++i) {
-        std::lock_guard lock(shards[i].mutex);
-        auto from = isKnown ? request.revisions[i] : Common::Revision(0);
-        reply.shards.push_back(Roster::changesSince(shards[i].registry, from));
+    reply.sources.push_back(ownState(Roster::findKnown(request.known, self)));
+    if (request.isControl)
+        return reply;
+    auto now = Clock::now();
+    std::lock_guard lock(mirrorMutex);
+    for (auto& [address, mirror] : mirrors) {
+        if (mirror.heardAt && now - *mirror.heardAt <= mirrorMemory)
+            reply.sources.push_back(Roster::stateFor(mirror, address, Roster::findKnown(request.known, address), now));
     }
-    std::lock_guard lock(watchMutex);
-    reply.peersVersion = request.wantsPeers ? peersVersion : request.peersVersion;
-    if (reply.peersVersion != request.peersVersion)
-        reply.peers = peers;
     return reply;
 }
 
 bool RosterKeeper::Private::hasNews(const Roster::WatchRequest& request, const Roster::WatchReply& reply)
 {
-    if (request.epoch != reply.epoch || request.revisions.size() != reply.shards.size())
-        return true;
-    for (size_t i = 0; i < reply.shards.size(); ++i) {
-        if (reply.shards[i].revision != request.revisions[i])
-            return true;
-    }
-    return reply.table > request.table || reply.peersVersion != request.peersVersion;
+    return reply.table > request.table
+        || std::any_of(reply.sources.begin(), reply.sources.end(), [&](const Roster::SourceState& state) {
+               return Roster::isNews(state, Roster::findKnown(request.known, state.source));
+           });
 }
 
 void RosterKeeper::Private::watch(const Roster::WatchRequest& request, const Peer::Reply& respond)
 {
     auto now = Clock::now();
-    {
+    if (!request.isControl) {
         std::lock_guard lock(watchMutex);
         followers[request.follower] = { request.peer, request.isLeaving, now };
-        std::erase_if(followers, [&](auto& pair) { return now - pair.second.askedAt > followerMemory; });
     }
     auto reply = replyTo(request);
     if (hasNews(request, reply)) {
--- a/Source/Core/Daemon/RosterKeeper.h
+++ b/Source/Core/Daemon/RosterKeeper.h
@@ -3,6 +3,7 @@
 #include "Common/Timers.h"
 #include "Daemon/ControlRole.h"
 #include "Entry/ControlClient.h"
+#include "Peer/Client.h"
 #include "Peer/Server.h"
 #include "Roster/Registry.h"
 #include "Settings/Settings.h"
@@ -16,11 +17,12 @@
     Common::Incarnation incarnation;
     ControlRole& control;
     Entry::ControlClient& controlClient;
+    Peer::Client& peers;
     Common::Timers& timers;
 };
 
 // A control instance's ear for backend servers: keeps what it hears, in shards by server under their own locks, and
-// tells the instances that follow it.
+// tells the instances that follow it. Passes on what the other control instances heard.
 class RosterKeeper {
 public:
     explicit RosterKeeper(RosterDependencies);
--- /dev/null
+++ b/Source/Core/Daemon/RosterWatch.cpp
@@ -0,0 +1,276 @@
+#include "Daemon/RosterWatch.h"
+
+#include "Observe/EventLog.h"
+#include "Roster/Hubs.h"
+#include "Roster/Sources.h"
+#include "Wire/RosterCodec.h"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <set>
+
+using Common::Address;
+using Common::Clock;
+using Common::Milliseconds;
+using Common::Result;
+using Observe::Part;
+
+namespace Daemon {
+
+namespace {
+
+    // Above the time for which a control instance holds a question.
+    constexpr Milliseconds watchTimeout { 2'500 };
+    constexpr Milliseconds retryPause { 100 };
+    constexpr Milliseconds reviewInterval { 200 };
+    constexpr Milliseconds sweepInterval { 2'000 };
+    // A control instance that was silent for so long vouches for no server, if another one was not.
+    constexpr Milliseconds vouchMemory { 12'000 };
+    constexpr Milliseconds serverMemory { 180'000 };
+    // Control instances ask each other each second: one that has not heard from another for so long is behind.
+    constexpr Milliseconds behindAfter { 1'600 };
+
+} // namespace
+
+struct RosterWatch::Private : std::enable_shared_from_this<RosterWatch::Private> {
+    explicit Private(RosterWatchDependencies d)
+        : use(d)
+    {
+    }
+
+    RosterWatchDependencies use;
+    RosterWatchHooks hooks; // Set before the first question.
+    std::atomic<bool> leaving { false };
+    std::atomic<bool> stopped { false };
+
+    std::mutex mutex; // Guards what follows.
+    std::set<Address> seeds;
+    std::set<Address> members;
+    std::map<Address, Roster::Hub> hubs;
+    Roster::Sources sources;
+    Roster::Merged merged;
+    std::vector<Roster::Peer> instances;
+    Common::TableNumber table;
+
+    void reviewLater();
+    void review();
+    std::vector<Address> chosenHubs() const;
+    void ask(const Address&);
+    void answered(const Address&, const Result<std::string>&);
+    void failed(const Address&, const Common::Error&);
+    void take(const Address&, const Roster::WatchReply&);
+    void askAgain(const Address&, Milliseconds);
+    void publish();
+    void sweepLater();
+};
+
+void RosterWatch::Private::reviewLater()
+{
+    use.timers.after(reviewInterval, [self = shared_from_this()] {
+        if (self->stopped)
+            return;
+        self->review();
+        self->reviewLater();
+    });
+}
+
+// Called with the mutex held.
+std::vector<Address> RosterWatch::Private::chosenHubs() const
+{
+    std::set<Address> all = seeds;
+    all.insert(members.begin(), members.end());
+    std::map<Address, Common::FailureDomain> domains;
+    for (auto& [address, one] : sources.known)
+        domains.emplace(address, one.domain);
+    return Roster::chooseHubs(
+        { all.begin(), all.end() }, domains, hubs, use.settings.instance, use.settings.failureDomain, Clock::now());
+}
+
+// Begins to ask the control instances that are chosen and not asked. The others end with their next answer.
+void RosterWatch::Private::review()
+{
+    std::vector<Address> added;
+    {
+        std::lock_guard lock(mutex);
+        for (const Address& address : chosenHubs()) {
+            Roster::Hub& hub = hubs[address];
+            if (hub.startedAt)
+                continue;
+            hub.startedAt = Clock::now();
+            added.push_back(address);
+        }
+    }
+    for (const Address& address : added)
+        ask(address);
+}
+
+void RosterWatch::Private::ask(const Address& address)
+{
+    if (stopped)
+        return;
+    Roster::WatchRequest request;
+    request.follower = use.settings.instance;
+    request.peer = { use.settings.peer.listen, use.settings.failureDomain };
+    request.isLeaving = leaving;
+    {
+        std::lock_guard lock(mutex);
+        request.known = Roster::knownOf(sources);
+        request.table = table;
+    }
+    use.peers.call(address, Peer::Service::Roster, Wire::encode(Roster::Request(request)), watchTimeout,
+        [self = shared_from_this(), address](const Result<std::string>& result) { self->answered(address, result); });
+}
+
+void RosterWatch::Private::askAgain(const Address& address, Milliseconds pause)
+{
+    {
+        std::lock_guard lock(mutex);
+        auto chosen = chosenHubs();
+        if (std::find(chosen.begin(), chosen.end(), address) == chosen.end()) {
+            hubs.erase(address);
+            return;
+        }
+    }
+    if (pause > Milliseconds(0))
+        use.timers.after(pause, [self = shared_from_this(), address] { self->ask(address); });
+    else
+        ask(address);
+}
+
+void RosterWatch::Private::answered(const Address& address, const Result<std::string>& result)
+{
+    auto reply = result ? Wire::decodeWatchReply(result.value()) : Result<Roster::WatchReply>(result.error());
+    if (!reply) {
+        failed(address, reply.error());
+        return;
+    }
+    take(address, reply.value());
+    bool awaitsTable = false;
+    {
+        std::lock_guard lock(mutex);
+        awaitsTable = reply.value().table > table;
+    }
+    if (awaitsTable)
+        hooks.tableSeen(reply.value().table, address);
+    // Until the table is here, each question is answered at once.
+    askAgain(address, awaitsTable ? retryPause : Milliseconds(0));
+}
+
+void RosterWatch::Private::failed(const Address& address, const Common::Error& error)
+{
+    bool isNews = false;
+    {
+        std::lock_guard lock(mutex);
+        isNews = !std::exchange(hubs[address].hasFailed, true);
+    }
+    if (isNews)
+        Observe::logEvent(
+            Part::Roster, "control-lost", { { "address", address.value() }, { "why", Common::describe(error) } });
+    review();
+    askAgain(address, retryPause);
+}
+
+void RosterWatch::Private::take(const Address& address, const Roster::WatchReply& reply)
+{
+    std::vector<Roster::Learned> learned;
+    std::optional<std::vector<Roster::Peer>> newInstances;
+    bool isFound = false;
+    {
+        std::lock_guard lock(mutex);
+        auto now = Clock::now();
+        Roster::Hub& hub = hubs[address];
+        isFound = !hub.answeredAt || hub.hasFailed;
+        hub.answeredAt = now;
+        hub.hasFailed = false;
+        hub.isBehind = false;
+        for (const Roster::SourceState& state : reply.sources) {
+            hub.isBehind = hub.isBehind || state.silent > behindAfter;
+            auto more = Roster::take(sources, merged, state, now, vouchMemory);
+            std::move(more.begin(), more.end(), std::back_inserter(learned));
+        }
+        if (!reply.members.empty())
+            members = { reply.members.begin(), reply.members.end() };
+        auto peers = Roster::peersOf(sources);
+        if (!peers.empty() && peers != instances) {
+            instances = peers;
+            newInstances = std::move(peers);
+        }
+    }
+    if (isFound)
+        Observe::logEvent(Part::Roster, "control-found",
+            { { "address", address.value() }, { "table", std::to_string(reply.table.value()) } });
+    for (const Roster::Learned& l : learned)
+        Observe::logEvent(Part::Roster, "server-learned",
+            { { "server", l.server.value() }, { "group", l.group.value() },
+                { "incarnation", std::to_string(l.incarnation.value()) },
+                { "standing", Roster::standingName(l.standing) }, { "from", address.value() } });
+    if (newInstances)
+        hooks.instances(std::move(*newInstances));
+    if (!learned.empty() || isFound)
+        publish();
+}
+
+void RosterWatch::Private::publish()
+{
+    std::map<Common::GroupName, std::vector<Roster::Usable>> servers;
+    {
+        std::lock_guard lock(mutex);
+        servers = Roster::usable(merged);
+    }
+    hooks.servers(std::move(servers));
+}
+
+void RosterWatch::Private::sweepLater()
+{
+    use.timers.after(sweepInterval, [self = shared_from_this()] {
+        if (self->stopped)
+            return;
+        bool isChanged = false;
+        {
+            std::lock_guard lock(self->mutex);
+            auto now = Clock::now();
+            isChanged = Roster::dropSilent(self->sources, self->merged, now, vouchMemory);
+            Roster::forgetBefore(self->merged, now - serverMemory);
+        }
+        if (isChanged)
+            self->publish();
+        self->sweepLater();
+    });
+}
+
+RosterWatch::RosterWatch(RosterWatchDependencies use)
+    : m_private(std::make_shared<Private>(use))
+{
+}
+
+RosterWatch::~RosterWatch() { stop(); }
+
+void RosterWatch::start(RosterWatchHooks hooks)
+{
+    m_private->hooks = std::move(hooks);
+    setSeeds(Settings::seedPeers(m_private->use.settings));
+    m_private->reviewLater();
+    m_private->sweepLater();
+}
+
+void RosterWatch::setSeeds(std::vector<Address> seeds)
+{
+    {
+        std::lock_guard lock(m_private->mutex);
+        m_private->seeds = { seeds.begin(), seeds.end() };
+    }
+    m_private->review();
+}
+
+void RosterWatch::setTable(Common::TableNumber table)
+{
+    std::lock_guard lock(m_private->mutex);
+    m_private->table = table;
+}
+
+void RosterWatch::setLeaving() { m_private->leaving = true; }
+
+void RosterWatch::stop() { m_private->stopped = true; }
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Daemon/RosterWatch.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Common/Timers.h"
+#include "Peer/Client.h"
+#include "Roster/Merged.h"
+#include "Roster/Messages.h"
+#include "Settings/Settings.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace Daemon {
+
+struct RosterWatchDependencies {
+    const Settings::Daemon& settings;
+    Peer::Client& peers;
+    Common::Timers& timers;
+};
+
+// What a relay wants to be told. Called on network threads, not with a lock held.
+struct RosterWatchHooks {
+    std::function<void(std::map<Common::GroupName, std::vector<Roster::Usable>>)> servers;
+    std::function<void(std::vector<Roster::Peer>)> instances;
+    std::function<void(Common::TableNumber, const Common::Address& reporter)> tableSeen; // Later than the one here.
+};
+
+// A relay's side of the roster: follows a control instance of its own failure domain, and others while that one is
+// silent or behind, and merges what they tell.
+class RosterWatch {
+public:
+    explicit RosterWatch(RosterWatchDependencies);
+    ~RosterWatch();
+
+    // The hooks may still be called a little after stop().
+    void start(RosterWatchHooks);
+    // The seeds of changed settings.
+    void setSeeds(std::vector<Common::Address>);
+    // The route table that is in force here.
+    void setTable(Common::TableNumber);
+    // From now on the control instances are told that this instance leaves.
+    void setLeaving();
+    void stop();
+
+private:
+    struct Private;
+    std::shared_ptr<Private> m_private;
+};
+
+} // namespace Daemon
--- a/Source/Core/Roster/Merged.cpp
+++ b/Source/Core/Roster/Merged.cpp
@@ -74,6 +74,14 @@
         known.vouchers.erase(source);
 }
 
+void renameSource(Merged& merged, const Common::InstanceId& from, const Common::InstanceId& to)
+{
+    for (auto& [id, known] : merged.servers) {
+        if (known.vouchers.erase(from))
+            known.vouchers.insert(to);
+    }
+}
+
 std::map<Common::GroupName, std::vector<Usable>> usable(const Merged& merged)
 {
     std::unordered_map<Common::Address, Common::Incarnation> latest;
--- a/Source/Core/Roster/Merged.h
+++ b/Source/Core/Roster/Merged.h
@@ -47,6 +47,9 @@
 // The control instance is gone: that it vouched for servers counts no more.
 void dropSource(Merged&, const Common::InstanceId& source);
 
+// What it vouches for counts under another name from now on.
+void renameSource(Merged&, const Common::InstanceId& from, const Common::InstanceId& to);
+
 // By group, in the order of their ids. A server whose address was taken over by a later incarnation is left out, and so
 // is one that nobody vouches for.
 std::map<Common::GroupName, std::vector<Usable>> usable(const Merged&);
--- a/Source/Core/Roster/Messages.h
+++ b/Source/Core/Roster/Messages.h
@@ -5,11 +5,12 @@
 #include <string>
 #include <variant>
 
-// What entry instances ask each control instance again and again, and what they get.
+// What instances ask a control instance again and again, and what they get. A control instance passes on what the other
+// ones heard, so a relay follows one in its own failure domain and gets the news of all.
 namespace Roster {
 
 // Counts one start of a control instance after another; what an earlier one told is gone.
-using Epoch = Common::StrongId<struct EpochTag, uint64_t>;
+using Epoch = Common::Quantity<struct EpochTag, uint64_t>;
 
 // An instance that follows, as others may call it.
 struct Peer {
@@ -19,25 +20,38 @@
     friend auto operator<=>(const Peer&, const Peer&) = default;
 };
 
+// How much of what one control instance heard is known to the asking one.
+struct Known {
+    Common::Address source;
+    Epoch epoch;
+    std::vector<Common::Revision> revisions; // One for each shard of its registry.
+    uint64_t peersVersion { 0 };
+};
+
 struct WatchRequest {
     Common::InstanceId follower;
     Peer peer; // The follower.
     bool isLeaving { false }; // It takes no more work of its peers.
-    bool wantsPeers { false }; // A follower asks one control instance for them.
-    uint64_t peersVersion { 0 }; // Of the list that it has.
-    Epoch epoch; // Of the answers so far; 0 before the first.
-    std::vector<Common::Revision> revisions; // One for each shard of the registry; empty before the first answer.
+    bool isControl { false }; // It wants only what the asked instance heard itself.
+    std::vector<Known> known;
     Common::TableNumber table; // The latest route table that the follower knows of.
 };
 
-struct WatchReply {
+// What one control instance heard and a follower lacks.
+struct SourceState {
+    Common::Address source;
+    Common::FailureDomain domain;
     Epoch epoch;
-    std::vector<Changes> shards;
+    Common::Milliseconds silent; // Since the answering instance heard from it; 0 for itself.
+    std::vector<Changes> shards; // Empty if the follower knows a later epoch.
+    std::vector<Peer> peers; // Instances that asked it lately, in order; empty if the follower has this version.
+    uint64_t peersVersion { 0 }; // Counts within the epoch.
+};
+
+struct WatchReply {
+    std::vector<SourceState> sources;
     Common::TableNumber table; // The committed one.
     std::vector<Common::Address> members; // The control instances.
-    Common::FailureDomain domain; // Of the control instance.
-    std::vector<Peer> peers; // Instances that asked lately, in order; empty if the follower has this version.
-    uint64_t peersVersion { 0 }; // A hash of the list, equal at all control instances that know the same.
 };
 
 // Asks for the committed route table.
--- /dev/null
+++ b/Source/Core/Roster/Mirror.cpp
@@ -0,0 +1,92 @@
+#include "Roster/Mirror.h"
+
+#include <algorithm>
+
+namespace Roster {
+
+using Common::Address;
+using Common::Revision;
+using Common::TimePoint;
+
+Known knownOf(const Mirror& mirror, const Address& source)
+{
+    Known known { source, mirror.epoch, {}, mirror.peersVersion };
+    for (const Registry& shard : mirror.shards)
+        known.revisions.push_back(shard.revision);
+    return known;
+}
+
+bool take(Mirror& mirror, const SourceState& state, TimePoint now)
+{
+    mirror.heardAt = now;
+    mirror.domain = state.domain;
+    bool hasChanged = false;
+    if (state.epoch != mirror.epoch) {
+        mirror.epoch = state.epoch;
+        mirror.shards.clear();
+        mirror.peers.clear();
+        mirror.peersVersion = 0;
+        hasChanged = true;
+    }
+    mirror.shards.resize(std::max(mirror.shards.size(), state.shards.size()));
+    for (size_t i = 0; i < state.shards.size(); ++i) {
+        Revision before = mirror.shards[i].revision;
+        copyChanges(mirror.shards[i], state.shards[i], now);
+        hasChanged = hasChanged || mirror.shards[i].revision != before;
+    }
+    if (state.peersVersion != mirror.peersVersion) {
+        mirror.peers = state.peers;
+        mirror.peersVersion = state.peersVersion;
+        hasChanged = true;
+    }
+    return hasChanged;
+}
+
+SourceState stateFor(const Mirror& mirror, const Address& source, const Known* known, TimePoint now)
+{
+    SourceState state { source, mirror.domain, mirror.epoch, {}, {}, {}, mirror.peersVersion };
+    if (mirror.heardAt)
+        state.silent = now - *mirror.heardAt;
+    if (known && known->epoch > mirror.epoch)
+        return state;
+    bool isSame = known && known->epoch == mirror.epoch && known->revisions.size() == mirror.shards.size();
+    for (size_t i = 0; i < mirror.shards.size(); ++i) {
+        const Registry& shard = mirror.shards[i];
+        // A follower that asked another instance before may be further on.
+        if (isSame && known->revisions[i] >= shard.revision)
+            state.shards.push_back({ false, shard.revision, {} });
+        else
+            state.shards.push_back(changesSince(shard, isSame ? known->revisions[i] : Revision(0)));
+    }
+    if (!isSame || known->peersVersion < mirror.peersVersion)
+        state.peers = mirror.peers;
+    return state;
+}
+
+bool isNews(const SourceState& state, const Known* known)
+{
+    if (!known || known->epoch != state.epoch)
+        return !known || known->epoch < state.epoch;
+    for (size_t i = 0; i < state.shards.size(); ++i) {
+        if (i >= known->revisions.size() || state.shards[i].revision > known->revisions[i])
+            return true;
+    }
+    return state.peersVersion > known->peersVersion;
+}
+
+const Known* findKnown(const std::vector<Known>& all, const Address& source)
+{
+    auto it = std::find_if(all.begin(), all.end(), [&](const Known& known) { return known.source == source; });
+    return it == all.end() ? nullptr : &*it;
+}
+
+void forgetBefore(Mirror& mirror, TimePoint time)
+{
+    for (Registry& shard : mirror.shards) {
+        std::erase_if(shard.entries, [&](const auto& pair) {
+            return pair.second.report.standing != Standing::Serving && pair.second.heardAt < time;
+        });
+    }
+}
+
+} // namespace Roster
--- a/Source/Core/Roster/Registry.cpp
+++ b/Source/Core/Roster/Registry.cpp
@@ -86,6 +86,15 @@
     }
 }
 
+void copyChanges(Registry& registry, const Changes& changes, TimePoint now)
+{
+    if (changes.whole)
+        registry.entries.clear();
+    for (const Report& report : changes.reports)
+        registry.entries[report.server] = { report, now, changes.revision };
+    registry.revision = changes.revision;
+}
+
 Changes changesSince(const Registry& registry, Revision from)
 {
     Changes changes { from == Revision(0) || from > registry.revision, registry.revision, {} };
--- a/Source/Core/Roster/Registry.h
+++ b/Source/Core/Roster/Registry.h
@@ -33,6 +33,9 @@
 // Marks servers as lost that were silent for `silence`, and forgets those that were for `forgetAfter`.
 void expire(Registry&, Common::TimePoint now, Common::Milliseconds silence, Common::Milliseconds forgetAfter);
 
+// Takes in what a follower lacks of another registry, and its revision with it.
+void copyChanges(Registry&, const Changes&, Common::TimePoint now);
+
 // Everything if `from` is 0 or unknown here. What was forgotten is not told: it was told to be lost or leaving before.
 Changes changesSince(const Registry&, Common::Revision from);
 
--- a/Source/Core/Wire/Roster.capnp
+++ b/Source/Core/Wire/Roster.capnp
@@ -23,32 +23,43 @@
   servers @2 :List(Server);
 }
 
+struct Peer {
+  address @0 :Text;
+  domain @1 :Text;
+}
+
+struct Known {
+  source @0 :Text; # Address of a control instance.
+  epoch @1 :UInt64;
+  revisions @2 :List(UInt64); # One for each shard of its roster.
+  peersVersion @3 :UInt64;
+}
+
 struct WatchRequest {
   follower @0 :Text;
-  epoch @1 :UInt64; # Of the answers so far; 0 before the first.
-  revisions @2 :List(UInt64); # One for each shard of the roster.
-  tableNumber @3 :UInt64;
-  address @4 :Text; # Of the follower, for its peers.
-  domain @5 :Text;
-  isLeaving @6 :Bool;
-  peersVersion @7 :UInt64; # Of the list of peers that the follower has.
-  wantsPeers @8 :Bool;
+  address @1 :Text; # Of the follower, for its peers.
+  domain @2 :Text;
+  isLeaving @3 :Bool;
+  isControl @4 :Bool;
+  known @5 :List(Known);
+  tableNumber @6 :UInt64;
 }
 
-struct Peer {
-  address @0 :Text;
+struct SourceState {
+  source @0 :Text;
   domain @1 :Text;
+  epoch @2 :UInt64;
+  silentMs @3 :Float64;
+  shards @4 :List(Changes);
+  peers @5 :List(Peer); # Instances that asked it lately; empty if the follower has this version.
+  peersVersion @6 :UInt64;
 }
 
 struct WatchReply {
-  formatVersion @5 :UInt32;
-  epoch @0 :UInt64;
-  shards @1 :List(Changes);
+  formatVersion @0 :UInt32;
+  sources @1 :List(SourceState);
   tableNumber @2 :UInt64;
   members @3 :List(Text); # Addresses of the control instances.
-  peers @4 :List(Peer); # Instances that asked lately; empty if the follower has this version.
-  peersVersion @6 :UInt64;
-  domain @7 :Text; # Of the control instance.
 }
 
 struct TableRequest {
--- a/Source/Core/Wire/Roster.capnp.h
+++ b/Source/Core/Wire/Roster.capnp.h
@@ -18,8 +18,10 @@
 
 CAPNP_DECLARE_SCHEMA(e320ce36f419d26d);
 CAPNP_DECLARE_SCHEMA(b08259aabd559d16);
-CAPNP_DECLARE_SCHEMA(f6be001587868b45);
 CAPNP_DECLARE_SCHEMA(87b97d3d8d5b5d80);
+CAPNP_DECLARE_SCHEMA(fd29aa68eef16609);
+CAPNP_DECLARE_SCHEMA(f6be001587868b45);
+CAPNP_DECLARE_SCHEMA(d00942c004785fb8);
 CAPNP_DECLARE_SCHEMA(ecd69fe695f9209a);
 CAPNP_DECLARE_SCHEMA(bb7c596319729910);
 CAPNP_DECLARE_SCHEMA(e0dbd208b121a2b5);
@@ -61,6 +63,36 @@
   };
 };
 
+struct Peer {
+  Peer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(87b97d3d8d5b5d80, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Known {
+  Known() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fd29aa68eef16609, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct WatchRequest {
   WatchRequest() = delete;
 
@@ -69,22 +101,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f6be001587868b45, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f6be001587868b45, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer {
-  Peer() = delete;
+struct SourceState {
+  SourceState() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(87b97d3d8d5b5d80, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d00942c004785fb8, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -99,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -384,9 +416,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WatchRequest::Reader {
+class Peer::Reader {
 public:
-  typedef WatchRequest Reads;
+  typedef Peer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -401,28 +433,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFollower() const;
-  inline  ::capnp::Text::Reader getFollower() const;
-
-  inline  ::uint64_t getEpoch() const;
-
-  inline bool hasRevisions() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
-
-  inline  ::uint64_t getTableNumber() const;
-
   inline bool hasAddress() const;
   inline  ::capnp::Text::Reader getAddress() const;
 
   inline bool hasDomain() const;
   inline  ::capnp::Text::Reader getDomain() const;
 
-  inline bool getIsLeaving() const;
-
-  inline  ::uint64_t getPeersVersion() const;
-
-  inline bool getWantsPeers() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -435,9 +451,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WatchRequest::Builder {
+class Peer::Builder {
 public:
-  typedef WatchRequest Builds;
+  typedef Peer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -451,27 +467,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFollower();
-  inline  ::capnp::Text::Builder getFollower();
-  inline void setFollower( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFollower(unsigned int size);
-  inline void adoptFollower(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFollower();
-
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
-
-  inline bool hasRevisions();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
-  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
-  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
-
-  inline  ::uint64_t getTableNumber();
-  inline void setTableNumber( ::uint64_t value);
-
   inline bool hasAddress();
   inline  ::capnp::Text::Builder getAddress();
   inline void setAddress( ::capnp::Text::Reader value);
@@ -486,15 +481,6 @@
   inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
-  inline bool getIsLeaving();
-  inline void setIsLeaving(bool value);
-
-  inline  ::uint64_t getPeersVersion();
-  inline void setPeersVersion( ::uint64_t value);
-
-  inline bool getWantsPeers();
-  inline void setWantsPeers(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -505,9 +491,9 @@
 };
 
 #if !CAPNP_LITE
-class WatchRequest::Pipeline {
+class Peer::Pipeline {
 public:
-  typedef WatchRequest Pipelines;
+  typedef Peer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -521,9 +507,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::Reader {
+class Known::Reader {
 public:
-  typedef Peer Reads;
+  typedef Known Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -538,11 +524,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline bool hasSource() const;
+  inline  ::capnp::Text::Reader getSource() const;
 
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
+  inline  ::uint64_t getEpoch() const;
+
+  inline bool hasRevisions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
+
+  inline  ::uint64_t getPeersVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -556,9 +546,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::Builder {
+class Known::Builder {
 public:
-  typedef Peer Builds;
+  typedef Known Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -572,19 +562,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool hasSource();
+  inline  ::capnp::Text::Builder getSource();
+  inline void setSource( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSource(unsigned int size);
+  inline void adoptSource(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSource();
 
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline bool hasRevisions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
+  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
+  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
+
+  inline  ::uint64_t getPeersVersion();
+  inline void setPeersVersion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -596,9 +593,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::Pipeline {
+class Known::Pipeline {
 public:
-  typedef Peer Pipelines;
+  typedef Known Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -612,9 +609,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WatchReply::Reader {
+class WatchRequest::Reader {
 public:
-  typedef WatchReply Reads;
+  typedef WatchRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -629,25 +626,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEpoch() const;
-
-  inline bool hasShards() const;
-  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader getShards() const;
+  inline bool hasFollower() const;
+  inline  ::capnp::Text::Reader getFollower() const;
 
-  inline  ::uint64_t getTableNumber() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
-  inline bool hasPeers() const;
-  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+  inline bool getIsLeaving() const;
 
-  inline  ::uint32_t getFormatVersion() const;
+  inline bool getIsControl() const;
 
-  inline  ::uint64_t getPeersVersion() const;
+  inline bool hasKnown() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
 
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
+  inline  ::uint64_t getTableNumber() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -661,9 +656,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WatchReply::Builder {
+class WatchRequest::Builder {
 public:
-  typedef WatchReply Builds;
+  typedef WatchRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -677,39 +672,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
-
-  inline bool hasShards();
-  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder getShards();
-  inline void setShards( ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder initShards(unsigned int size);
-  inline void adoptShards(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>> disownShards();
-
-  inline  ::uint64_t getTableNumber();
-  inline void setTableNumber( ::uint64_t value);
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
-
-  inline bool hasPeers();
-  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder getPeers();
-  inline void setPeers( ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
-  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>> disownPeers();
-
-  inline  ::uint32_t getFormatVersion();
-  inline void setFormatVersion( ::uint32_t value);
+  inline bool hasFollower();
+  inline  ::capnp::Text::Builder getFollower();
+  inline void setFollower( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFollower(unsigned int size);
+  inline void adoptFollower(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFollower();
 
-  inline  ::uint64_t getPeersVersion();
-  inline void setPeersVersion( ::uint64_t value);
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
   inline bool hasDomain();
   inline  ::capnp::Text::Builder getDomain();
@@ -718,6 +693,22 @@
   inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+  inline bool getIsControl();
+  inline void setIsControl(bool value);
+
+  inline bool hasKnown();
+  inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Builder getKnown();
+  inline void setKnown( ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
+  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>> disownKnown();
+
+  inline  ::uint64_t getTableNumber();
+  inline void setTableNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -728,9 +719,9 @@
 };
 
 #if !CAPNP_LITE
-class WatchReply::Pipeline {
+class WatchRequest::Pipeline {
 public:
-  typedef WatchReply Pipelines;
+  typedef WatchRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -744,9 +735,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TableRequest::Reader {
+class SourceState::Reader {
 public:
-  typedef TableRequest Reads;
+  typedef SourceState Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -761,7 +752,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+  inline bool hasSource() const;
+  inline  ::capnp::Text::Reader getSource() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline double getSilentMs() const;
+
+  inline bool hasShards() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader getShards() const;
+
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+
+  inline  ::uint64_t getPeersVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -775,9 +782,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TableRequest::Builder {
+class SourceState::Builder {
 public:
-  typedef TableRequest Builds;
+  typedef SourceState Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -791,25 +798,237 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline bool hasSource();
+  inline  ::capnp::Text::Builder getSource();
+  inline void setSource( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSource(unsigned int size);
+  inline void adoptSource(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSource();
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
-#if !CAPNP_LITE
-class TableRequest::Pipeline {
-public:
-  typedef TableRequest Pipelines;
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline double getSilentMs();
+  inline void setSilentMs(double value);
+
+  inline bool hasShards();
+  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder getShards();
+  inline void setShards( ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder initShards(unsigned int size);
+  inline void adoptShards(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>> disownShards();
+
+  inline bool hasPeers();
+  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>> disownPeers();
+
+  inline  ::uint64_t getPeersVersion();
+  inline void setPeersVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SourceState::Pipeline {
+public:
+  typedef SourceState Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WatchReply::Reader {
+public:
+  typedef WatchReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getFormatVersion() const;
+
+  inline bool hasSources() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Reader getSources() const;
+
+  inline  ::uint64_t getTableNumber() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WatchReply::Builder {
+public:
+  typedef WatchReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getFormatVersion();
+  inline void setFormatVersion( ::uint32_t value);
+
+  inline bool hasSources();
+  inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Builder getSources();
+  inline void setSources( ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Builder initSources(unsigned int size);
+  inline void adoptSources(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>> disownSources();
+
+  inline  ::uint64_t getTableNumber();
+  inline void setTableNumber( ::uint64_t value);
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WatchReply::Pipeline {
+public:
+  typedef WatchReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TableRequest::Reader {
+public:
+  typedef TableRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TableRequest::Builder {
+public:
+  typedef TableRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TableRequest::Pipeline {
+public:
+  typedef TableRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
@@ -1283,329 +1502,575 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool WatchRequest::Reader::hasFollower() const {
+inline bool Peer::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool WatchRequest::Builder::hasFollower() {
+inline bool Peer::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader WatchRequest::Reader::getFollower() const {
+inline  ::capnp::Text::Reader Peer::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder WatchRequest::Builder::getFollower() {
+inline  ::capnp::Text::Builder Peer::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void WatchRequest::Builder::setFollower( ::capnp::Text::Reader value) {
+inline void Peer::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder WatchRequest::Builder::initFollower(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void WatchRequest::Builder::adoptFollower(
+inline void Peer::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> WatchRequest::Builder::disownFollower() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t WatchRequest::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t WatchRequest::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void WatchRequest::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool WatchRequest::Reader::hasRevisions() const {
+inline bool Peer::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool WatchRequest::Builder::hasRevisions() {
+inline bool Peer::Builder::hasDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader WatchRequest::Reader::getRevisions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Peer::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder WatchRequest::Builder::getRevisions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void WatchRequest::Builder::setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void WatchRequest::Builder::setRevisions(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void Peer::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder WatchRequest::Builder::initRevisions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void WatchRequest::Builder::adoptRevisions(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void Peer::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> WatchRequest::Builder::disownRevisions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Peer::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t WatchRequest::Reader::getTableNumber() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool Known::Reader::hasSource() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Known::Builder::hasSource() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Known::Reader::getSource() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Known::Builder::getSource() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Known::Builder::setSource( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Known::Builder::initSource(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Known::Builder::adoptSource(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Known::Builder::disownSource() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Known::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Known::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Known::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Known::Reader::hasRevisions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Known::Builder::hasRevisions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Known::Reader::getRevisions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Known::Builder::getRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Known::Builder::setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Known::Builder::setRevisions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Known::Builder::initRevisions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Known::Builder::adoptRevisions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Known::Builder::disownRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Known::Reader::getPeersVersion() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t WatchRequest::Builder::getTableNumber() {
+inline  ::uint64_t Known::Builder::getPeersVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void WatchRequest::Builder::setTableNumber( ::uint64_t value) {
+inline void Known::Builder::setPeersVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WatchRequest::Reader::hasFollower() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WatchRequest::Builder::hasFollower() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WatchRequest::Reader::getFollower() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WatchRequest::Builder::getFollower() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WatchRequest::Builder::setFollower( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WatchRequest::Builder::initFollower(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WatchRequest::Builder::adoptFollower(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WatchRequest::Builder::disownFollower() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool WatchRequest::Reader::hasAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool WatchRequest::Builder::hasAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader WatchRequest::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder WatchRequest::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void WatchRequest::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder WatchRequest::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void WatchRequest::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> WatchRequest::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool WatchRequest::Reader::hasDomain() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool WatchRequest::Builder::hasDomain() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader WatchRequest::Reader::getDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder WatchRequest::Builder::getDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void WatchRequest::Builder::setDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder WatchRequest::Builder::initDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void WatchRequest::Builder::adoptDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> WatchRequest::Builder::disownDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool WatchRequest::Reader::getIsLeaving() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool WatchRequest::Builder::getIsLeaving() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void WatchRequest::Builder::setIsLeaving(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t WatchRequest::Reader::getPeersVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool WatchRequest::Reader::getIsControl() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t WatchRequest::Builder::getPeersVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool WatchRequest::Builder::getIsControl() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void WatchRequest::Builder::setPeersVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void WatchRequest::Builder::setIsControl(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WatchRequest::Reader::getWantsPeers() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+inline bool WatchRequest::Reader::hasKnown() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool WatchRequest::Builder::hasKnown() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Reader WatchRequest::Reader::getKnown() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Builder WatchRequest::Builder::getKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void WatchRequest::Builder::setKnown( ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Builder WatchRequest::Builder::initKnown(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void WatchRequest::Builder::adoptKnown(
+    ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>> WatchRequest::Builder::disownKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool WatchRequest::Builder::getWantsPeers() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+inline  ::uint64_t WatchRequest::Reader::getTableNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void WatchRequest::Builder::setWantsPeers(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint64_t WatchRequest::Builder::getTableNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WatchRequest::Builder::setTableNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::Reader::hasAddress() const {
+inline bool SourceState::Reader::hasSource() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::Builder::hasAddress() {
+inline bool SourceState::Builder::hasSource() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::Reader::getAddress() const {
+inline  ::capnp::Text::Reader SourceState::Reader::getSource() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::Builder::getAddress() {
+inline  ::capnp::Text::Builder SourceState::Builder::getSource() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void SourceState::Builder::setSource( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder SourceState::Builder::initSource(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::Builder::adoptAddress(
+inline void SourceState::Builder::adoptSource(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> SourceState::Builder::disownSource() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::Reader::hasDomain() const {
+inline bool SourceState::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::Builder::hasDomain() {
+inline bool SourceState::Builder::hasDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::Reader::getDomain() const {
+inline  ::capnp::Text::Reader SourceState::Reader::getDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::Builder::getDomain() {
+inline  ::capnp::Text::Builder SourceState::Builder::getDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::Builder::setDomain( ::capnp::Text::Reader value) {
+inline void SourceState::Builder::setDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::Builder::initDomain(unsigned int size) {
+inline  ::capnp::Text::Builder SourceState::Builder::initDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::Builder::adoptDomain(
+inline void SourceState::Builder::adoptDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::Builder::disownDomain() {
+inline ::capnp::Orphan< ::capnp::Text> SourceState::Builder::disownDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t WatchReply::Reader::getEpoch() const {
+inline  ::uint64_t SourceState::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t WatchReply::Builder::getEpoch() {
+inline  ::uint64_t SourceState::Builder::getEpoch() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void WatchReply::Builder::setEpoch( ::uint64_t value) {
+inline void SourceState::Builder::setEpoch( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool WatchReply::Reader::hasShards() const {
+inline double SourceState::Reader::getSilentMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double SourceState::Builder::getSilentMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SourceState::Builder::setSilentMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SourceState::Reader::hasShards() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool WatchReply::Builder::hasShards() {
+inline bool SourceState::Builder::hasShards() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader WatchReply::Reader::getShards() const {
+inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader SourceState::Reader::getShards() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder WatchReply::Builder::getShards() {
+inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder SourceState::Builder::getShards() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void WatchReply::Builder::setShards( ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void SourceState::Builder::setShards( ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder WatchReply::Builder::initShards(unsigned int size) {
+inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder SourceState::Builder::initShards(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void WatchReply::Builder::adoptShards(
+inline void SourceState::Builder::adoptShards(
     ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>> WatchReply::Builder::disownShards() {
+inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>> SourceState::Builder::disownShards() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool SourceState::Reader::hasPeers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool SourceState::Builder::hasPeers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader SourceState::Reader::getPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder SourceState::Builder::getPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void SourceState::Builder::setPeers( ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder SourceState::Builder::initPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void SourceState::Builder::adoptPeers(
+    ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>> SourceState::Builder::disownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SourceState::Reader::getPeersVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SourceState::Builder::getPeersVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SourceState::Builder::setPeersVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t WatchReply::Reader::getFormatVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WatchReply::Builder::getFormatVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WatchReply::Builder::setFormatVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WatchReply::Reader::hasSources() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WatchReply::Builder::hasSources() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Reader WatchReply::Reader::getSources() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Builder WatchReply::Builder::getSources() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WatchReply::Builder::setSources( ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Builder WatchReply::Builder::initSources(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WatchReply::Builder::adoptSources(
+    ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>> WatchReply::Builder::disownSources() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -1661,102 +2126,6 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool WatchReply::Reader::hasPeers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool WatchReply::Builder::hasPeers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader WatchReply::Reader::getPeers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder WatchReply::Builder::getPeers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void WatchReply::Builder::setPeers( ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder WatchReply::Builder::initPeers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void WatchReply::Builder::adoptPeers(
-    ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>> WatchReply::Builder::disownPeers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t WatchReply::Reader::getFormatVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t WatchReply::Builder::getFormatVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void WatchReply::Builder::setFormatVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t WatchReply::Reader::getPeersVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t WatchReply::Builder::getPeersVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void WatchReply::Builder::setPeersVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool WatchReply::Reader::hasDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool WatchReply::Builder::hasDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader WatchReply::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder WatchReply::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void WatchReply::Builder::setDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder WatchReply::Builder::initDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void WatchReply::Builder::adoptDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> WatchReply::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
 inline  ::uint64_t TableRequest::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/RosterCodec.cpp
+++ b/Source/Core/Wire/RosterCodec.cpp
@@ -55,33 +55,86 @@
         return changes;
     }
 
+    void write(Schema::Peer::Builder out, const Roster::Peer& peer)
+    {
+        out.setAddress(toText(peer.address));
+        out.setDomain(toText(peer.domain));
+    }
+
+    Roster::Peer read(Schema::Peer::Reader in)
+    {
+        return { fromText<Common::Address>(in.getAddress()), fromText<Common::FailureDomain>(in.getDomain()) };
+    }
+
+    void write(Schema::Known::Builder out, const Roster::Known& known)
+    {
+        out.setSource(toText(known.source));
+        out.setEpoch(known.epoch.value());
+        out.setPeersVersion(known.peersVersion);
+        auto revisions = out.initRevisions(static_cast<unsigned>(known.revisions.size()));
+        for (unsigned i = 0; i < revisions.size(); ++i)
+            revisions.set(i, known.revisions[i].value());
+    }
+
+    Roster::Known read(Schema::Known::Reader in)
+    {
+        Roster::Known known { fromText<Common::Address>(in.getSource()), Roster::Epoch(in.getEpoch()), {},
+            in.getPeersVersion() };
+        for (auto revision : in.getRevisions())
+            known.revisions.emplace_back(revision);
+        return known;
+    }
+
+    void write(Schema::SourceState::Builder out, const Roster::SourceState& state)
+    {
+        out.setSource(toText(state.source));
+        out.setDomain(toText(state.domain));
+        out.setEpoch(state.epoch.value());
+        out.setSilentMs(state.silent.value());
+        out.setPeersVersion(state.peersVersion);
+        auto shards = out.initShards(static_cast<unsigned>(state.shards.size()));
+        for (unsigned i = 0; i < shards.size(); ++i)
+            write(shards[i], state.shards[i]);
+        auto peers = out.initPeers(static_cast<unsigned>(state.peers.size()));
+        for (unsigned i = 0; i < peers.size(); ++i)
+            write(peers[i], state.peers[i]);
+    }
+
+    Roster::SourceState read(Schema::SourceState::Reader in)
+    {
+        Roster::SourceState state { fromText<Common::Address>(in.getSource()),
+            fromText<Common::FailureDomain>(in.getDomain()), Roster::Epoch(in.getEpoch()),
+            Common::Milliseconds(in.getSilentMs()), {}, {}, in.getPeersVersion() };
+        for (auto shard : in.getShards())
+            state.shards.push_back(read(shard));
+        for (auto peer : in.getPeers())
+            state.peers.push_back(read(peer));
+        return state;
+    }
+
     void write(Schema::WatchRequest::Builder out, const Roster::WatchRequest& request)
     {
         out.setFollower(toText(request.follower));
-        out.setEpoch(request.epoch.value());
         out.setTableNumber(request.table.value());
         out.setAddress(toText(request.peer.address));
         out.setDomain(toText(request.peer.domain));
         out.setIsLeaving(request.isLeaving);
-        out.setPeersVersion(request.peersVersion);
-        out.setWantsPeers(request.wantsPeers);
-        auto revisions = out.initRevisions(static_cast<unsigned>(request.revisions.size()));
-        for (unsigned i = 0; i < revisions.size(); ++i)
-            revisions.set(i, request.revisions[i].value());
+        out.setIsControl(request.isControl);
+        auto known = out.initKnown(static_cast<unsigned>(request.known.size()));
+        for (unsigned i = 0; i < known.size(); ++i)
+            write(known[i], request.known[i]);
     }
 
     Roster::WatchRequest read(Schema::WatchRequest::Reader in)
     {
         Roster::WatchRequest request;
         request.follower = fromText<Common::InstanceId>(in.getFollower());
-        request.epoch = Roster::Epoch(in.getEpoch());
         request.table = Common::TableNumber(in.getTableNumber());
         request.peer = { fromText<Common::Address>(in.getAddress()), fromText<Common::FailureDomain>(in.getDomain()) };
         request.isLeaving = in.getIsLeaving();
-        request.peersVersion = in.getPeersVersion();
-        request.wantsPeers = in.getWantsPeers();
-        for (auto revision : in.getRevisions())
-            request.revisions.emplace_back(revision);
+        request.isControl = in.getIsControl();
+        for (auto known : in.getKnown())
+            request.known.push_back(read(known));
         return request;
     }
 
@@ -113,18 +166,10 @@
     capnp::MallocMessageBuilder message;
     auto out = message.initRoot<Schema::WatchReply>();
     out.setFormatVersion(formatVersion);
-    out.setEpoch(reply.epoch.value());
     out.setTableNumber(reply.table.value());
-    out.setPeersVersion(reply.peersVersion);
-    out.setDomain(toText(reply.domain));
-    auto peers = out.initPeers(static_cast<unsigned>(reply.peers.size()));
-    for (unsigned i = 0; i < peers.size(); ++i) {
-        peers[i].setAddress(toText(reply.peers[i].address));
-        peers[i].setDomain(toText(reply.peers[i].domain));
-    }
-    auto shards = out.initShards(static_cast<unsigned>(reply.shards.size()));
-    for (unsigned i = 0; i < shards.size(); ++i)
-        write(shards[i], reply.shards[i]);
+    auto sources = out.initSources(static_cast<unsigned>(reply.sources.size()));
+    for (unsigned i = 0; i < sources.size(); ++i)
+        write(sources[i], reply.sources[i]);
     auto members = out.initMembers(static_cast<unsigned>(reply.members.size()));
     for (unsigned i = 0; i < members.size(); ++i)
         members.set(i, toText(reply.members[i]));
@@ -135,16 +180,9 @@
 {
     return readFlatMessage<Schema::WatchReply>(bytes, [](Schema::WatchReply::Reader in) {
         Roster::WatchReply reply;
-        reply.epoch = Roster::Epoch(in.getEpoch());
         reply.table = Common::TableNumber(in.getTableNumber());
-        reply.peersVersion = in.getPeersVersion();
-        reply.domain = fromText<Common::FailureDomain>(in.getDomain());
-        for (auto peer : in.getPeers()) {
-            reply.peers.push_back(
-                { fromText<Common::Address>(peer.getAddress()), fromText<Common::FailureDomain>(peer.getDomain()) });
-        }
-        for (auto shard : in.getShards())
-            reply.shards.push_back(read(shard));
+        for (auto source : in.getSources())
+            reply.sources.push_back(read(source));
         for (auto member : in.getMembers())
             reply.members.push_back(fromText<Common::Address>(member));
         return reply;
