--- /dev/null
+++ b/Source/UnitTests/Wire/RosterCodecTest.cpp
@@ -0,0 +1,96 @@
+#include "Wire/RosterCodec.h"
+
+#include <gtest/gtest.h>
+
+using namespace Roster;
+using Common::Address;
+using Common::FailureDomain;
+using Common::Milliseconds;
+using Common::Revision;
+
+namespace {
+
+Report reportOf(uint64_t n)
+{
+    Report report;
+    report.server = Common::BackendServerId("server-" + std::to_string(n));
+    report.group = Common::GroupName("group");
+    report.address = Address("10.0.0.1:" + std::to_string(n));
+    report.domain = FailureDomain("patan");
+    report.incarnation = Common::Incarnation(n);
+    report.sequence = n + 1;
+    report.slots = Common::Slots(2);
+    report.warmupLeft = Milliseconds(1.5);
+    report.standing = n % 2 ? Standing::Leaving : Standing::Lost;
+    return report;
+}
+
+WatchRequest request()
+{
+    WatchRequest request;
+    request.follower = Common::InstanceId("relay-1");
+    request.peer = { Address("10.0.0.2:1"), FailureDomain("balaju") };
+    request.isLeaving = true;
+    request.isControl = true;
+    request.known = { { Address("10.0.0.3:1"), Epoch(7), { Revision(1), Revision(2) }, 4 },
+        { Address("10.0.0.4:1"), Epoch(8), {}, 0 } };
+    request.table = Common::TableNumber(9);
+    return request;
+}
+
+WatchReply reply()
+{
+    WatchReply reply;
+    reply.sources.push_back({ Address("10.0.0.3:1"), FailureDomain("patan"), Epoch(7), Milliseconds(250),
+        { { true, Revision(5), { reportOf(1), reportOf(2) } }, { false, Revision(6), {} } },
+        { { Address("10.0.0.2:1"), FailureDomain("balaju") } }, 5 });
+    reply.table = Common::TableNumber(10);
+    reply.members = { Address("10.0.0.3:1"), Address("10.0.0.4:1") };
+    return reply;
+}
+
+} // namespace
+
+TEST(RosterCodec, RequestsComeBackAsTheyWere)
+{
+    std::string bytes = Wire::encode(Request(request()));
+    auto decoded = Wire::decodeRosterRequest(bytes);
+    ASSERT_TRUE(decoded) << decoded.error();
+    const auto& back = std::get<WatchRequest>(decoded.value());
+    EXPECT_EQ(back.follower, request().follower);
+    EXPECT_EQ(back.peer, request().peer);
+    EXPECT_TRUE(back.isLeaving && back.isControl);
+    ASSERT_EQ(back.known.size(), 2u);
+    EXPECT_EQ(back.known[0].source, request().known[0].source);
+    EXPECT_EQ(back.known[0].epoch, Epoch(7));
+    EXPECT_EQ(back.known[0].revisions, request().known[0].revisions);
+    EXPECT_EQ(back.known[0].peersVersion, 4u);
+    EXPECT_EQ(back.table, Common::TableNumber(9));
+    EXPECT_EQ(Wire::encode(Request(back)), bytes);
+    EXPECT_TRUE(std::holds_alternative<TableRequest>(
+        Wire::decodeRosterRequest(Wire::encode(Request(TableRequest {}))).value()));
+}
+
+TEST(RosterCodec, RepliesComeBackAsTheyWere)
+{
+    std::string bytes = Wire::encode(reply());
+    auto decoded = Wire::decodeWatchReply(bytes);
+    ASSERT_TRUE(decoded) << decoded.error();
+    ASSERT_EQ(decoded.value().sources.size(), 1u);
+    const SourceState& state = decoded.value().sources[0];
+    EXPECT_EQ(state.silent, Milliseconds(250));
+    ASSERT_EQ(state.shards.size(), 2u);
+    EXPECT_TRUE(state.shards[0].whole);
+    EXPECT_EQ(state.shards[0].reports, reply().sources[0].shards[0].reports);
+    EXPECT_EQ(state.shards[1].revision, Revision(6));
+    EXPECT_EQ(state.peers, reply().sources[0].peers);
+    EXPECT_EQ(decoded.value().members, reply().members);
+    EXPECT_EQ(Wire::encode(decoded.value()), bytes);
+}
+
+TEST(RosterCodec, CutBytesAreErrors)
+{
+    std::string bytes = Wire::encode(reply());
+    for (size_t length = 0; length < bytes.size(); length += 8)
+        EXPECT_FALSE(Wire::decodeWatchReply(std::string_view(bytes).substr(0, length))) << length;
+}
