Use as many lanes as the root of a twelfth of the groups

Cause: at 20 groups two lanes made two bundles of each call, with a probe for a part of them; a relay took 0.0128 of a core for 0.0100, and bytes between domains rose.

--- a/Source/Core/Relay/Gatherers.cpp
+++ b/Source/Core/Relay/Gatherers.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-    // A bundle costs the asking instance and the network about as much as five sub-requests cost a gatherer. So the
-    // work of a call is done soonest by as many bundles as the root of a fifth of the groups.
-    constexpr double subRequestsOfABundle = 5;
+    // A bundle costs both instances and the network about as much as twelve sub-requests cost a gatherer. So the work
+    // of a call is done best by as many bundles as the root of a twelfth of the groups.
+    constexpr double subRequestsOfABundle = 12;
     // Of the calls that reach an instance after it was heard, those that it loses by standing still are as many as
     // come in this time. A probe before the bundle costs a few milliseconds where calls are rarer.
     constexpr Common::Milliseconds lately { 150 };
