Tell the story of a request from logs, and end also when nobody reads them

explain reads the event lines of several processes and prints those of one request with what the processes believed of its servers and its route table, in the order of their times, and the cause in a sentence; malformed lines are counted. It shares the printing of rows with timeline. Names of events are an enum now; a test holds it against the table in docs/OPERATIONS.md.

The new check of a log that nobody reads found a fault: the process served on, but did not end after SIGTERM, since the queue of lines is written out while main() returns. Cause: the writer waits in write(). Mend: the lines get 500 ms, then the process ends with its code.

--- a/Source/Core/CommandLine/Commands.cpp
+++ b/Source/Core/CommandLine/Commands.cpp
@@ -5,6 +5,7 @@
 #include "CommandLine/Print.h"
 #include "CommandLine/ResourceFile.h"
 #include "Daemon/Daemon.h"
+#include "Observe/LogStory.h"
 #include "Settings/Settings.h"
 #include "Settings/YamlReader.h"
 
@@ -314,6 +315,30 @@
     return code == ExitCode::Success ? waitInForce(remote, newest, Milliseconds(15'000)) : code;
 }
 
+ExitCode explain(const std::string& request, const std::vector<std::string>& files)
+{
+    Observe::Story story;
+    story.request = request;
+    for (const std::string& file : files) {
+        std::ifstream in(file);
+        if (!in) {
+            std::cerr << "explain: " << file << " can not be read\n";
+            return ExitCode::InvalidInput;
+        }
+        Observe::readLog(story, in, file);
+    }
+    if (files.empty())
+        Observe::readLog(story, std::cin, "-");
+    if (story.malformed)
+        std::cerr << story.malformed << " malformed lines were skipped\n";
+    if (story.lines.empty()) {
+        std::cerr << "no line names request " << request << "\n";
+        return ExitCode::NotFound;
+    }
+    printStory(Observe::tellStory(story));
+    return ExitCode::Success;
+}
+
 ExitCode timeline(const Remote& remote, const std::string& subject, size_t limit, Output output)
 {
     auto request = makeRequest("GET", "/v1/timeline");
--- a/Source/Core/CommandLine/Commands.h
+++ b/Source/Core/CommandLine/Commands.h
@@ -5,10 +5,11 @@
 #include "Common/Ids.h"
 
 #include <string>
+#include <vector>
 
 namespace CommandLine {
 
-// What a command's process returns; docs/OPERATING.md lists them.
+// What a command's process returns; docs/OPERATIONS.md lists them.
 enum class ExitCode : int {
     Success = 0,
     Failed = 1, // Nobody answered, or an answer makes no sense.
@@ -44,6 +45,8 @@
 ExitCode status(const Remote&, Common::Revision, Output);
 ExitCode query(const Remote&, const QueryOptions&, Output);
 ExitCode drain(const Remote&, const std::string& instance, bool undo, Output);
+// Prints what the logs say of one request; standard input is read if no file is named. NotFound if no line names it.
+ExitCode explain(const std::string& request, const std::vector<std::string>& files);
 ExitCode timeline(const Remote&, const std::string& subject, size_t limit, Output);
 
 } // namespace CommandLine
--- a/Source/Core/CommandLine/Main.cpp
+++ b/Source/Core/CommandLine/Main.cpp
@@ -1,5 +1,6 @@
 #include "CommandLine/Commands.h"
 #include "CommandLine/LoadCommand.h"
+#include "Observe/Log.h"
 
 #include <CLI/CLI.hpp>
 
@@ -12,6 +13,7 @@
     std::string output { "text" };
     double timeoutMs { 10'000 };
     std::string file;
+    std::vector<std::string> files;
     std::string kind;
     std::string name;
     std::string changeId;
@@ -54,6 +56,10 @@
     auto checkCommand = app.add_subcommand("check", "Check a file of settings or resources, and start nothing");
     checkCommand->add_option("FILE", args.file)->required();
     checkCommand->callback([&] { code = check(args.file); });
+    auto explainCommand = app.add_subcommand("explain", "Tell from the logs of processes what became of a request");
+    explainCommand->add_option("REQUEST-ID", args.name)->required();
+    explainCommand->add_option("FILE", args.files, "logs; standard input if there is none");
+    explainCommand->callback([&] { code = explain(args.name, args.files); });
 }
 
 void addResourceCommands(CLI::App& app, Arguments& args, ExitCode& code)
@@ -143,5 +149,5 @@
         int parsed = app.exit(e);
         return parsed ? static_cast<int>(ExitCode::InvalidInput) : parsed;
     }
-    return static_cast<int>(code);
+    return Observe::finishLog(static_cast<int>(code));
 }
--- a/Source/Core/CommandLine/Print.cpp
+++ b/Source/Core/CommandLine/Print.cpp
@@ -34,6 +34,13 @@
         return out.str();
     }
 
+    void printRow(
+        const std::string& clock, const std::string& process, const std::string& event, const std::string& text)
+    {
+        std::cout << clock << "  " << std::left << std::setw(16) << process << " " << std::setw(20) << event
+                  << std::right << " " << text << "\n";
+    }
+
 } // namespace
 
 std::string encodeQueryBody(const std::string& text, Common::Milliseconds deadline)
@@ -96,13 +103,29 @@
 {
     Value value = parse(body);
     for (const Value& event : value.at("events").as_array()) {
-        std::cout << std::setw(8) << event.at("time").serialize() << "  "
-                  << clockText(event.at("wall_clock_ms").as_double()) << "  " << std::left << std::setw(12)
-                  << event.at("instance").as_string() << std::setw(24) << event.at("event").as_string() << std::right
-                  << event.at("subject").as_string() << "  " << event.at("detail").as_string() << "\n";
+        std::cout << std::setw(8) << event.at("time").serialize() << "  ";
+        printRow(clockText(event.at("wall_clock_ms").as_double()), event.at("instance").as_string(),
+            event.at("event").as_string(), event.at("subject").as_string() + "  " + event.at("detail").as_string());
     }
     for (const Value& address : value.at("silent").as_array())
         std::cout << "no answer from " << address.as_string() << "\n";
 }
 
+void printStory(const std::vector<Observe::LogLine>& lines)
+{
+    constexpr size_t dateLength = 11; // "2026-10-15 "
+    for (const Observe::LogLine& line : lines) {
+        std::string text;
+        for (auto& [name, value] : line.fields) {
+            if (name != "request")
+                text += name + "=" + value + "  ";
+        }
+        printRow(line.time.substr(dateLength), line.process, line.event, text);
+    }
+    std::string cause = Observe::causeOf(lines);
+    std::cout << (cause.empty() ? "No line tells the end of the request: it was whole and not sampled, or is under way."
+                                : cause)
+              << "\n";
+}
+
 } // namespace CommandLine
--- a/Source/Core/CommandLine/Print.h
+++ b/Source/Core/CommandLine/Print.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "Observe/LogStory.h"
 
 #include <string>
+#include <vector>
 
 namespace CommandLine {
 
@@ -17,4 +19,7 @@
 void printAnswer(const std::string& body);
 void printTimeline(const std::string& body);
 
+// Prints the lines of a request in their order, and its cause.
+void printStory(const std::vector<Observe::LogLine>&);
+
 } // namespace CommandLine
--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -205,13 +205,14 @@
             return;
         auto changed = Settings::load(m_settingsFile);
         if (!changed) {
-            Observe::logEvent(Part::Daemon, "reload-refused", { { "why", Common::describe(changed.error()) } });
+            Observe::logEvent(
+                Part::Daemon, Observe::Event::ReloadRefused, { { "why", Common::describe(changed.error()) } });
             return;
         }
         auto seeds = Settings::seedPeers(changed.value());
         if (m_relay)
             m_relay->setSeeds(seeds);
-        Observe::logEvent(Part::Daemon, "reloaded", { { "seeds", std::to_string(seeds.size()) } });
+        Observe::logEvent(Part::Daemon, Observe::Event::Reloaded, { { "seeds", std::to_string(seeds.size()) } });
     }
 
     std::vector<Common::Address> Process::otherProcesses() const
@@ -268,7 +269,7 @@
             m_relay->start();
         reloadIfChanged();
         m_timeline.record(EventKind::ProcessStarted, m_settings.instance.value());
-        Observe::logEvent(Part::Daemon, "started",
+        Observe::logEvent(Part::Daemon, Observe::Event::Started,
             { { "instance", m_settings.instance.value() }, { "domain", m_settings.failureDomain.value() },
                 { "http", m_settings.http.listen.value() }, { "peers", m_peerServer->address().value() },
                 { "callers", m_settings.frontEnd.callers.value() }, { "control", m_settings.frontEnd.control.value() },
@@ -321,8 +322,8 @@
     {
         if (m_control && m_control->storageFailed())
             return Common::makeError(Reason::StorageFailed, "run", "storage has failed", m_settings.instance.value());
-        Observe::logEvent(
-            Part::Daemon, "stopping", { { "balancer_wait_ms", std::to_string(m_settings.stop.balancerWait.value()) } });
+        Observe::logEvent(Part::Daemon, Observe::Event::Stopping,
+            { { "balancer_wait_ms", std::to_string(m_settings.stop.balancerWait.value()) } });
         if (m_relay)
             m_relay->drain();
         m_draining = true;
@@ -344,7 +345,7 @@
         whole = waitForWork() && whole;
         sleepFor(farewell);
         m_timeline.record(EventKind::ProcessStopped, m_settings.instance.value());
-        Observe::logEvent(Part::Daemon, "stopped", { { "whole", whole ? "yes" : "no" } });
+        Observe::logEvent(Part::Daemon, Observe::Event::Stopped, { { "whole", whole ? "yes" : "no" } });
         return Common::success();
     }
 
--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -124,14 +124,14 @@
         }
     }
     if (!decoded) {
-        Observe::logEvent(Part::Control, "routes-not-read",
+        Observe::logEvent(Part::Control, Observe::Event::RoutesNotRead,
             { { "address", from.value() }, { "why", Common::describe(decoded.error()) } });
     }
     if (!isNewer)
         return;
     roster.setTable(reply.value().number);
     use.metrics.set(Observe::Gauge::RevisionApplied, static_cast<double>(reply.value().number.value()));
-    Observe::logEvent(Part::Control, "routes-in-force",
+    Observe::logEvent(Part::Control, Observe::Event::RoutesInForce,
         { { "table", std::to_string(reply.value().number.value()) },
             { "routes", std::to_string(decoded.value().routes.size()) }, { "from", from.value() } });
     if (listener)
--- a/Source/Core/Daemon/RosterKeeper.cpp
+++ b/Source/Core/Daemon/RosterKeeper.cpp
@@ -102,7 +102,7 @@
 
 void RosterKeeper::Private::noteChange(const Roster::Report& report)
 {
-    Observe::logEvent(Part::Roster, "server-changed",
+    Observe::logEvent(Part::Roster, Observe::Event::ServerChanged,
         { { "server", report.server.value() }, { "group", report.group.value() }, { "address", report.address.value() },
             { "incarnation", std::to_string(report.incarnation.value()) },
             { "sequence", std::to_string(report.sequence) }, { "standing", Roster::standingName(report.standing) } });
@@ -223,7 +223,7 @@
         }
     }
     if (isFirst)
-        Observe::logEvent(Part::Roster, "control-found", { { "address", address.value() } });
+        Observe::logEvent(Part::Roster, Observe::Event::ControlFound, { { "address", address.value() } });
     if (isNews)
         flushLater();
     if (reply) {
--- a/Source/Core/Daemon/RosterWatch.cpp
+++ b/Source/Core/Daemon/RosterWatch.cpp
@@ -165,8 +165,8 @@
         isNews = !std::exchange(hubs[address].hasFailed, true);
     }
     if (isNews)
-        Observe::logEvent(
-            Part::Roster, "control-lost", { { "address", address.value() }, { "why", Common::describe(error) } });
+        Observe::logEvent(Part::Roster, Observe::Event::ControlLost,
+            { { "address", address.value() }, { "why", Common::describe(error) } });
     review();
     askAgain(address, retryPause);
 }
@@ -198,10 +198,10 @@
         }
     }
     if (isFound)
-        Observe::logEvent(Part::Roster, "control-found",
+        Observe::logEvent(Part::Roster, Observe::Event::ControlFound,
             { { "address", address.value() }, { "table", std::to_string(reply.table.value()) } });
     for (const Roster::Learned& l : learned)
-        Observe::logEvent(Part::Roster, "server-learned",
+        Observe::logEvent(Part::Roster, Observe::Event::ServerLearned,
             { { "server", l.server.value() }, { "group", l.group.value() },
                 { "incarnation", std::to_string(l.incarnation.value()) },
                 { "standing", Roster::standingName(l.standing) }, { "from", address.value() } });
--- a/Source/Core/Daemon/RouteTables.cpp
+++ b/Source/Core/Daemon/RouteTables.cpp
@@ -75,7 +75,8 @@
         Clock::now() + raiseBound,
         [done = std::move(done), number = table.number](const Result<Control::Reply>& result) {
             auto outcome = outcomeOf(result);
-            Observe::logEvent(Observe::Part::Control, outcome ? "routes-accepted" : "routes-not-accepted",
+            Observe::logEvent(Observe::Part::Control,
+                outcome ? Observe::Event::RoutesAccepted : Observe::Event::RoutesNotAccepted,
                 { { "table", std::to_string(number.value()) },
                     { "why", outcome ? std::string() : Common::describe(outcome.error()) } });
             done(outcome);
--- a/Source/Core/Observe/EventLog.cpp
+++ b/Source/Core/Observe/EventLog.cpp
@@ -33,10 +33,61 @@
 
 } // namespace
 
-std::string formatEvent(std::string_view event, std::initializer_list<EventField> fields)
+const char* eventName(Event event)
+{
+    switch (event) {
+    case Event::Refused:
+        return "refused";
+    case Event::Gathered:
+        return "gathered";
+    case Event::Ended:
+        return "ended";
+    case Event::SentAgain:
+        return "sent-again";
+    case Event::NotSent:
+        return "not-sent";
+    case Event::ServerFailed:
+        return "server-failed";
+    case Event::SendFailed:
+        return "send-failed";
+    case Event::GathererPassedBy:
+        return "gatherer-passed-by";
+    case Event::ServerChanged:
+        return "server-changed";
+    case Event::ServerLearned:
+        return "server-learned";
+    case Event::ControlFound:
+        return "control-found";
+    case Event::ControlLost:
+        return "control-lost";
+    case Event::RoutesAccepted:
+        return "routes-accepted";
+    case Event::RoutesNotAccepted:
+        return "routes-not-accepted";
+    case Event::RoutesInForce:
+        return "routes-in-force";
+    case Event::RoutesNotRead:
+        return "routes-not-read";
+    case Event::Started:
+        return "started";
+    case Event::Stopping:
+        return "stopping";
+    case Event::Stopped:
+        return "stopped";
+    case Event::Reloaded:
+        return "reloaded";
+    case Event::ReloadRefused:
+        return "reload-refused";
+    case Event::Count:
+        break;
+    }
+    return "unknown";
+}
+
+std::string formatEvent(Event event, std::initializer_list<EventField> fields)
 {
     std::string line = "event=";
-    line += event;
+    line += eventName(event);
     for (const EventField& field : fields) {
         line += ' ';
         line += field.name;
@@ -46,7 +97,7 @@
     return line;
 }
 
-void logEvent(Part part, std::string_view event, std::initializer_list<EventField> fields)
+void logEvent(Part part, Event event, std::initializer_list<EventField> fields)
 {
     if (isLogged(LogLevel::Info))
         writeLog(part, LogLevel::Info, formatEvent(event, fields));
--- a/Source/Core/Observe/Log.cpp
+++ b/Source/Core/Observe/Log.cpp
@@ -9,7 +9,11 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <future>
 #include <memory>
+#include <thread>
 
 namespace Observe {
 
@@ -56,9 +60,19 @@
     // Lines that wait for a reader of standard output that is slow or has stopped.
     constexpr int queuedLines = 2'048;
 
+    // For the lines that wait at the end: a reader that is only slow gets them.
+    constexpr std::chrono::milliseconds finishBound { 500 };
+
+    std::shared_ptr<log4cxx::AsyncAppender>& lineQueue()
+    {
+        static std::shared_ptr<log4cxx::AsyncAppender> queue;
+        return queue;
+    }
+
     log4cxx::AppenderPtr makeQueued(const log4cxx::AppenderPtr& appender)
     {
         auto queue = std::make_shared<log4cxx::AsyncAppender>();
+        lineQueue() = queue;
         queue->setBufferSize(queuedLines);
         queue->setBlocking(false);
         queue->addAppender(appender);
@@ -152,6 +166,22 @@
     setLogLevel(level);
 }
 
+int finishLog(int exitCode)
+{
+    auto queue = lineQueue();
+    if (!queue)
+        return exitCode;
+    auto written = std::make_shared<std::promise<void>>();
+    auto future = written->get_future();
+    std::thread([queue, written] {
+        queue->close();
+        written->set_value();
+    }).detach();
+    if (future.wait_for(finishBound) != std::future_status::ready)
+        std::_Exit(exitCode);
+    return exitCode;
+}
+
 void setLogLevel(LogLevel level)
 {
     currentLevel.store(level, std::memory_order_relaxed);
--- a/Source/Core/Observe/Log.h
+++ b/Source/Core/Observe/Log.h
@@ -50,6 +50,9 @@
 // output wait in a bounded queue for a thread of their own: when it is full they are dropped, and their number is
 // logged. Called once, before other threads start.
 void setUpLog(LogLevel, const std::string& path = {});
+// The last call of a program: writes the lines that wait and returns the exit code. Ends the process with it instead if
+// nobody reads standard output, which would hold up what runs after main().
+int finishLog(int exitCode);
 // May be called at any time, from any thread.
 void setLogLevel(LogLevel);
 bool isLogged(LogLevel);
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -54,7 +54,7 @@
     const std::string& message, Milliseconds retryAfter, const Done& done)
 {
     metrics.count(Counter::Refusals, Common::reasonCode(reason));
-    Observe::logEvent(Observe::Part::Relay, "refused",
+    Observe::logEvent(Observe::Part::Relay, Observe::Event::Refused,
         { { "request", call->id.value() }, { "reason", Common::reasonCode(reason) }, { "why", message },
             { "host", call->host }, { "path", call->path },
             { "table", std::to_string(routes ? routes->number.value() : 0) } });
@@ -128,7 +128,7 @@
 }
 
 // One line for a call, or for a bundle of one. Whole answers are sampled.
-void Engine::Private::logAnswer(const char* event, const Relay::Call& call, const Routes::Table& routes,
+void Engine::Private::logAnswer(Observe::Event event, const Relay::Call& call, const Routes::Table& routes,
     const Routes::Route& route, const Answer& answer, Milliseconds took, const std::string& what)
 {
     std::string outcome = "answered";
@@ -166,7 +166,7 @@
     std::string what = running.bundle
         ? std::to_string(running.query.parts.size()) + " groups for " + running.bundle->asker.value()
         : "group " + running.query.parts.front().group.value();
-    logAnswer("ended", *running.call, *running.query.table, route, answer, took, what);
+    logAnswer(Observe::Event::Ended, *running.call, *running.query.table, route, answer, took, what);
 }
 
 Engine::Engine(EngineOptions options, Dialect dialect, Peers peers, Common::Timers& timers, Observe::Metrics& metrics)
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -73,7 +73,8 @@
             self->shedders.withValue(
                 shedKey, [&](Limits::LoadShedder& shedder) { Limits::noteAnswer(shedder, isLate); });
         }
-        self->logAnswer("gathered", *call, *routes, route, answer, end - times.arrived, std::to_string(n) + " bundles");
+        self->logAnswer(Observe::Event::Gathered, *call, *routes, route, answer, end - times.arrived,
+            std::to_string(n) + " bundles");
         done(std::move(answer));
     };
     if (call->caller) {
@@ -257,7 +258,7 @@
     if (!done)
         return;
     const Gathering& gathering = *delegation->gathering;
-    Observe::logEvent(Observe::Part::Relay, "gatherer-passed-by",
+    Observe::logEvent(Observe::Part::Relay, Observe::Event::GathererPassedBy,
         { { "request", gathering.call->id.value() }, { "gatherer", delegation->bundle.gatherer->value() },
             { "may_have_sent", mayHaveSent ? "yes" : "no" }, { "why", why } });
     {
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -3,6 +3,7 @@
 #include "Common/ShardedMap.h"
 #include "Limits/LoadShedder.h"
 #include "Limits/WaitQueue.h"
+#include "Observe/EventLog.h"
 #include "Relay/Assembly.h"
 #include "Relay/Engine.h"
 #include "Relay/Query.h"
@@ -224,7 +225,7 @@
     void transmit(const RunningPtr&, const Key&, const ConnectionPtr&, const Common::BackendServerId&);
     void ended(const RunningPtr&, const Key&, const Common::Result<Http::Response>&);
     void serveWaiters(const GroupName&);
-    void logAnswer(const char* event, const Relay::Call&, const Routes::Table&, const Routes::Route&, const Answer&,
+    void logAnswer(Observe::Event event, const Relay::Call&, const Routes::Table&, const Routes::Route&, const Answer&,
         Milliseconds took, const std::string& what);
     void noteEnd(const Running&, const Answer&);
 
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -84,7 +84,7 @@
         return true;
     });
     auto fail = [&](Reason reason, const char* message) {
-        Observe::logEvent(Observe::Part::Relay, "not-sent",
+        Observe::logEvent(Observe::Part::Relay, Observe::Event::NotSent,
             { { "request", running->call->id.value() }, { "group", group.value() },
                 { "purpose", purposeName(send.purpose) }, { "why", message } });
         step(running, id, [&](Query& query) {
@@ -148,7 +148,7 @@
                                                      : Counter::Hedges,
             running->query.route->name.value());
         if (send.purpose != Purpose::First) {
-            Observe::logEvent(Observe::Part::Relay, "sent-again",
+            Observe::logEvent(Observe::Part::Relay, Observe::Event::SentAgain,
                 { { "request", running->call->id.value() }, { "group", group.value() },
                     { "server", usable[i].server.value() }, { "purpose", purposeName(send.purpose) } });
         }
@@ -185,7 +185,7 @@
                 running->query.route->name, [&](Routing::LatencyStats& stats) { Routing::record(stats, took); });
             metrics.observe(Observe::Latency::SubRequest, took, running->query.route->name.value());
         } else {
-            Observe::logEvent(Observe::Part::Relay, "server-failed",
+            Observe::logEvent(Observe::Part::Relay, Observe::Event::ServerFailed,
                 { { "request", running->call->id.value() }, { "server", flight->server.value() },
                     { "status", std::to_string(answer.status) }, { "took_ms", toText(took) } });
         }
@@ -200,7 +200,7 @@
     pool.giveBack(flight->server, flight->connection, flight->sentAt,
         { isOurs ? Outcome::Kind::GivenUp : Outcome::Kind::Unreachable, took }, now);
     if (!isOurs) {
-        Observe::logEvent(Observe::Part::Relay, "send-failed",
+        Observe::logEvent(Observe::Part::Relay, Observe::Event::SendFailed,
             { { "request", running->call->id.value() }, { "server", flight->server.value() }, { "why", error.message },
                 { "took_ms", toText(took) } });
     }
--- /dev/null
+++ b/Source/UnitTests/Observe/LogStoryTest.cpp
@@ -0,0 +1,138 @@
+#include "Observe/LogStory.h"
+#include "Observe/EventLog.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <sstream>
+
+using namespace Observe;
+
+namespace {
+
+std::string lineOf(const std::string& time, const char* part, Event event, std::initializer_list<EventField> fields)
+{
+    return "2026-10-15 19:30:" + time + " INFO  [" + part + "] " + formatEvent(event, fields) + "\n";
+}
+
+Story storyOf(const std::string& request, std::initializer_list<std::pair<const char*, std::string>> logs)
+{
+    Story story;
+    story.request = request;
+    for (auto& [process, text] : logs) {
+        std::istringstream in(text);
+        readLog(story, in, process);
+    }
+    return story;
+}
+
+std::vector<std::string> eventsOf(const std::vector<LogLine>& lines)
+{
+    std::vector<std::string> events;
+    for (const LogLine& line : lines)
+        events.push_back(line.process + " " + line.event);
+    return events;
+}
+
+} // namespace
+
+TEST(LogStory, ReadsWhatWasWritten)
+{
+    std::string text = lineOf("04.031", "relay", Event::NotSent,
+        { { "request", "4f1c" }, { "why", "a \"quoted\" \\ word" }, { "empty", "" } });
+    text.pop_back();
+    LogLine line;
+    ASSERT_EQ(readLine(text, "relay-1", line), LineKind::Event);
+    EXPECT_EQ(line.process, "relay-1");
+    EXPECT_EQ(line.time, "2026-10-15 19:30:04.031");
+    EXPECT_EQ(line.part, "relay");
+    EXPECT_EQ(line.event, "not-sent");
+    EXPECT_EQ(line.field("request"), "4f1c");
+    EXPECT_EQ(line.field("why"), "a \"quoted\" \\ word");
+    EXPECT_EQ(line.field("empty"), "");
+    EXPECT_EQ(line.fields.size(), 3u);
+    ASSERT_EQ(readLine(" -12.9 collector relay-2 " + text, "file", line), LineKind::Event);
+    EXPECT_EQ(line.process, "relay-2");
+}
+
+TEST(LogStory, SkipsAndCountsWhatCanNotBeRead)
+{
+    LogLine line;
+    EXPECT_EQ(readLine("", "p", line), LineKind::Other);
+    EXPECT_EQ(readLine("2026-10-15 19:30:04.031 INFO  [peer] The connection is lost.", "p", line), LineKind::Other);
+    std::string whole = lineOf("04.031", "relay", Event::NotSent, { { "request", "4f1c" }, { "why", "a b" } });
+    Story story;
+    story.request = "4f1c";
+    for (size_t length = 0; length <= whole.size(); ++length) {
+        std::istringstream in(whole.substr(0, length));
+        readLog(story, in, "p");
+    }
+    std::istringstream other("[relay] event=refused request=4f1c\n2026-10-15 19:30:04.031 [relay] event=x why=\"a\n"
+                             "2026-10-15 19:30:04.031 [relay] event=x a b=c\n");
+    readLog(story, other, "p");
+    EXPECT_GT(story.malformed, 3u);
+    EXPECT_FALSE(story.lines.empty());
+}
+
+TEST(LogStory, PutsTheLinesOfAllProcessesInOrder)
+{
+    std::string asker = lineOf("04.000", "control", Event::RoutesInForce, { { "table", "7" } })
+        + lineOf("04.100", "relay", Event::GathererPassedBy, { { "request", "1" }, { "why", "no answer to a probe" } })
+        + lineOf("04.300", "relay", Event::Gathered,
+            { { "request", "1" }, { "outcome", "failed" }, { "took_ms", "200" }, { "aim_ms", "150" },
+                { "detail", "too few groups" } })
+        + lineOf("04.400", "control", Event::RoutesInForce, { { "table", "8" } });
+    std::string gatherer
+        = lineOf("01.000", "roster", Event::ServerLearned, { { "server", "s" }, { "standing", "lost" } })
+        + lineOf("02.000", "roster", Event::ServerLearned, { { "server", "s" }, { "standing", "serving" } })
+        + lineOf("04.150", "relay", Event::ServerFailed, { { "request", "1" }, { "server", "s" }, { "status", "503" } })
+        + lineOf("04.160", "relay", Event::ServerFailed, { { "request", "2" }, { "server", "s" }, { "status", "500" } })
+        + lineOf("04.250", "relay", Event::Ended,
+            { { "request", "1" }, { "outcome", "answered" }, { "detail", "1 groups missing" } })
+        + lineOf("05.000", "roster", Event::ServerLearned, { { "server", "s" }, { "standing", "leaving" } })
+        + lineOf("06.000", "roster", Event::ServerLearned, { { "server", "s" }, { "standing", "lost" } });
+    auto told = tellStory(storyOf("1", { { "b", gatherer }, { "a", asker } }));
+    EXPECT_EQ(eventsOf(told),
+        (std::vector<std::string> { "b server-learned", "a routes-in-force", "a gatherer-passed-by", "b server-failed",
+            "b ended", "a gathered", "b server-learned" }));
+    EXPECT_EQ(told.front().field("standing"), "serving") << "the last word before";
+    EXPECT_EQ(told.back().field("standing"), "leaving") << "the next word after a failure";
+    EXPECT_EQ(causeOf(told),
+        "Failed by a after 200 ms (aim 150 ms): too few groups. 1 x gatherer-passed-by: no answer to a probe. 1 x "
+        "server-failed: status 503.");
+}
+
+TEST(LogStory, TellsWhyNothingWasSent)
+{
+    std::string log = lineOf("04.000", "relay", Event::Refused, { { "request", "1" }, { "why", "no route matches" } });
+    EXPECT_EQ(causeOf(tellStory(storyOf("1", { { "a", log } }))), "Refused by a, nothing was sent: no route matches.");
+    EXPECT_EQ(causeOf(tellStory(storyOf("2", { { "a", log } }))), "");
+}
+
+// Each row of the operators' table begins with names in backquotes.
+TEST(Events, AreAllInTheOperatorsTable)
+{
+    std::ifstream page(OPERATIONS_PAGE);
+    ASSERT_TRUE(page);
+    std::string text((std::istreambuf_iterator<char>(page)), std::istreambuf_iterator<char>());
+    auto begin = text.find("| event | part |");
+    ASSERT_NE(begin, std::string::npos);
+    std::istringstream table(text.substr(begin, text.find("\n\n", begin) - begin));
+    std::set<std::string> documented;
+    std::string row;
+    while (std::getline(table, row)) {
+        std::string cell = row.substr(0, row.find('|', 1));
+        for (size_t open = cell.find('`'); open != std::string::npos; open = cell.find('`', open + 1)) {
+            size_t close = cell.find('`', open + 1);
+            documented.insert(cell.substr(open + 1, close - open - 1));
+            open = close;
+        }
+    }
+    std::set<std::string> known;
+    for (int i = 0; i < static_cast<int>(Event::Count); ++i)
+        known.insert(eventName(static_cast<Event>(i)));
+    EXPECT_EQ(documented, known);
+    EXPECT_EQ(known.count("unknown"), 0u);
+}
--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -170,7 +170,7 @@
     def relay_address(self, ip):
         return ip, self.port + 2
 
-    def start(self, ip, found):
+    def start(self, ip, found, output=None):
         role = "control" if ip in self.controls else "relay"
         listens = f'control: "{ip}:{self.port + 2}"'
         if role == "relay":
@@ -183,7 +183,7 @@
         with open(path, "w", encoding="utf-8") as out:
             out.write(text)
         with open(os.path.join(self.folder, ip + ".log"), "ab") as log:
-            self.processes[ip] = subprocess.Popen([BINARY, "--config", path], stdout=log, stderr=log)
+            self.processes[ip] = subprocess.Popen([BINARY, "--config", path], stdout=output or log, stderr=log)
 
     def start_all(self):
         for ip in self.controls + list(self.relays):
--- a/Source/UnitTests/Processes/platform_test.py
+++ b/Source/UnitTests/Processes/platform_test.py
@@ -1,21 +1,27 @@
 #!/usr/bin/env python3
 """The adapter from end to end: configuration and heartbeats in, requests in and out, drains, kills, a lost disk, a stop."""
+import http.client
 import json
 import os
 import signal
 import socket
+import subprocess
 import sys
 import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from platform_cluster import HOST, PlatformCluster, call, configuration  # noqa: E402
+from platform_cluster import BINARY, HOST, PlatformCluster, call, configuration  # noqa: E402
+
+EXPLAIN = os.path.join(os.path.dirname(os.path.dirname(BINARY)), "corianderlock")
 
 SHARDS = ["s0", "s1", "s2", "s3"]
 IN_FORCE_SECONDS = 3.0  # The platform's bound on a change of the configuration.
 DRAIN_SECONDS = 3.0
 ACK_SECONDS = 5.0
 GRACE_SECONDS = 6.0
+CATCH_UP_SECONDS = 4.0
+BLOCKED_LINES = 6000  # Far more than a pipe and the queue of lines hold.
 PROBLEMS = []
 
 
@@ -140,6 +146,31 @@
         expect(whole == 20, f"a server that fails is made up for by the other: {whole} of 20 whole")
         leaf.fault = None
 
+    def explain(self, request):
+        """What the command says of a request, once the lines of all relays are written."""
+        logs = [os.path.join(self.cluster.folder, ip + ".log") for ip in self.cluster.relays]
+        result = subprocess.run([EXPLAIN, "explain", request] + logs, capture_output=True, text=True, check=False)
+        return result.stdout
+
+    def check_explain(self):
+        """The cause of three kinds of failed request, from the logs alone."""
+        for leaf in self.leafs_of("book"):
+            leaf.fault = "cut"
+        for leaf in self.leafs_of("s1"):
+            leaf.delay = 1.0
+        refused = self.ask("/nowhere")
+        partial = self.ask("/all/x")
+        failed = self.ask("/book/4", method="POST", body=b"x")
+        for leaf in self.cluster.leafs:
+            leaf.fault, leaf.delay = None, 0
+        expect((refused[1], partial[1]) == (404, 200) and failed[1] in (502, 504), "three kinds of failure")
+        for (request, *_), cause in ((refused, "nothing was sent: no route matches"), (partial, "1 groups missing"),
+                                     (failed, "1 x send-failed")):
+            found = wait_for(2, lambda: cause in self.explain(request))
+            expect(found, f"explain finds the cause: {cause}")
+            if not found:
+                print(self.explain(request))
+
     def check_leaving_caller(self):
         for leaf in self.leafs_of("one"):
             leaf.delay = 0.4
@@ -217,6 +248,36 @@
         expect(answers == [200, 200], f"what it had begun is answered: {answers}")
         expect(code == 0 and time.monotonic() - began < GRACE_SECONDS, f"it ends by itself in time with code {code}")
 
+    def check_blocked_log(self):
+        """Nobody reads a relay's log: it goes on answering, drops lines, says how many, and ends in time."""
+        relay = list(self.cluster.relays)[1]
+        self.cluster.signal(relay, signal.SIGTERM)
+        reader, writer = os.pipe()
+        self.cluster.start(relay, False, output=writer)
+        os.close(writer)
+        ready = wait_for(CATCH_UP_SECONDS, lambda: self.ask("/one/a", relay)[1] == 200)
+        expect(ready, "a relay whose log is not read serves")
+        connection = http.client.HTTPConnection(*self.cluster.relay_address(relay), timeout=3)
+        slowest = 0.0
+        for _ in range(BLOCKED_LINES):
+            began = time.monotonic()
+            connection.request("GET", "/nowhere", headers={"Host": HOST, "X-Request-Id": "unread"})
+            connection.getresponse().read()
+            slowest = max(slowest, time.monotonic() - began)
+        expect(slowest < 1, f"no request waits for the log, the slowest took {slowest:.2f} s")
+        expect(self.ask("/one/a", relay)[1] == 200, "it serves after the log is full")
+        os.set_blocking(reader, False)
+        began = time.monotonic()
+        self.cluster.signal(relay, signal.SIGTERM, wait=False)
+        try:
+            self.cluster.processes[relay].wait(timeout=GRACE_SECONDS)
+            expect(True, f"it ends in {time.monotonic() - began:.1f} s though its log is not read")
+        except subprocess.TimeoutExpired:
+            expect(False, "a relay whose log is not read ends in time")
+            self.cluster.processes[relay].kill()
+            self.cluster.processes[relay].wait()
+        os.close(reader)
+
     def run(self):
         self.cluster.add_leafs(SHARDS + ["one", "book"], ["a", "b"])
         self.cluster.start_all()
@@ -229,10 +290,12 @@
         self.check_operator()
         self.check_requests()
         self.check_faults()
+        self.check_explain()
         self.check_leaving_caller()
         self.check_draining()
         self.check_control_losses()
         self.check_gatherer_stops_answering()
+        self.check_blocked_log()
         self.check_stop()
 
 
