Send no copy of the routes to a control instance that has it, and remove what is said twice

Change: a read names the version that the asking member has; the leader, confirmed by a quorum, says whether that is the newest. Also: one mayMiss, one time to come back for calls that have not run (50 ms; bundles had 40), no copy of the server list at each send, openConnections() removed.

WireTest, RelayTest, ControlTest, platform_test.py pass.

--- a/Source/Core/Control/Messages.h
+++ b/Source/Core/Control/Messages.h
@@ -49,11 +49,13 @@
 struct ReadRequest {
     Model::Kind kind { Model::Kind::QueryRoute };
     std::string name;
+    Common::Revision knownVersion; // Of the named resource, if the asking instance has a copy; else 0.
 };
 
 struct ReadFound {
     Common::Revision revision;
     std::vector<StoredResource> resources;
+    bool isUnchanged { false }; // The known version is the newest one; it is not sent again.
 };
 
 struct ReadReply {
--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -279,12 +279,16 @@
         Control::ReadFound found;
         self->state->withConfiguration([&](const Control::Configuration& c) {
             found.revision = c.revision;
-            if (request.name.empty())
+            if (request.name.empty()) {
                 found.resources = Control::list(c, request.kind);
-            else if (auto stored = Control::find(c, { request.kind, request.name }))
+                return;
+            }
+            auto stored = Control::find(c, { request.kind, request.name });
+            found.isUnchanged = stored && stored->version == request.knownVersion;
+            if (stored && !found.isUnchanged)
                 found.resources.push_back(*stored);
         });
-        if (!request.name.empty() && found.resources.empty()) {
+        if (!request.name.empty() && found.resources.empty() && !found.isUnchanged) {
             auto error = Common::makeError(Reason::NotFound, "read",
                 std::string("there is no ") + Model::kindName(request.kind) + " " + request.name);
             self->answer(reply, Control::ReadReply { error, {} });
@@ -500,12 +504,12 @@
 
 std::vector<Common::Address> ControlRole::memberAddresses() const { return m_private->state->memberAddresses(); }
 
-Model::RouteTable ControlRole::routeTable() const
+std::optional<Control::StoredResource> ControlRole::storedRouteTable() const
 {
-    Model::RouteTable table;
+    std::optional<Control::StoredResource> table;
     m_private->state->withConfiguration([&](const Control::Configuration& configuration) {
         if (auto stored = Control::find(configuration, { Model::Kind::RouteTable, Model::routeTableName }))
-            table = std::get<Model::RouteTable>(stored->resource);
+            table = *stored;
     });
     return table;
 }
--- a/Source/Core/Daemon/ControlRole.h
+++ b/Source/Core/Daemon/ControlRole.h
@@ -33,7 +33,8 @@
     std::vector<Replica::Status> status() const;
     std::vector<Common::Address> memberAddresses() const;
     // The committed route table; number 0 if there is none.
-    Model::RouteTable routeTable() const;
+    // This member's copy, which may be behind; nothing if it has none.
+    std::optional<Control::StoredResource> storedRouteTable() const;
     Common::TableNumber routeTableNumber() const;
     // fn is called, from any thread, after each change of the configuration.
     void whenChanged(std::function<void()> fn);
--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -78,7 +78,8 @@
         std::unique_ptr<ControlRole> m_control;
         std::unique_ptr<EntryRole> m_entry;
         std::unique_ptr<RosterKeeper> m_roster;
-        RouteTables m_routeTables { m_controlClient };
+        RouteTables m_routeTables { m_controlClient,
+            [this] { return m_control ? m_control->storedRouteTable() : std::nullopt; } };
         std::unique_ptr<RelayRole> m_relay;
         OpenFrontEnd m_openFrontEnd;
         std::atomic<bool> m_draining { false };
--- a/Source/Core/Daemon/Front.cpp
+++ b/Source/Core/Daemon/Front.cpp
@@ -274,7 +274,7 @@
 
     void readResources(const FrontDependencies& use, const Model::ResourceKey& key, const Http::Responder& done)
     {
-        use.controlClient.call(configurationShard, Control::ReadRequest { key.kind, key.name },
+        use.controlClient.call(configurationShard, Control::ReadRequest { key.kind, key.name, {} },
             Clock::now() + operatorBound, [done](const Result<Control::Reply>& result) {
                 withReply<Control::ReadReply>(
                     result, done, [&](const Control::ReadFound& found) { done(respond(200, Api::encodeList(found))); });
--- a/Source/Core/Daemon/RosterKeeper.cpp
+++ b/Source/Core/Daemon/RosterKeeper.cpp
@@ -389,8 +389,12 @@
         m_private->watch(*watch, reply);
         return;
     }
-    auto table = m_private->use.control.routeTable();
-    reply(Wire::encode(Roster::TableReply { table.number, std::move(table.document) }));
+    Roster::TableReply table;
+    if (auto stored = m_private->use.control.storedRouteTable()) {
+        auto& declared = std::get<Model::RouteTable>(stored->resource);
+        table = { declared.number, std::move(declared.document) };
+    }
+    reply(Wire::encode(table));
 }
 
 void RosterKeeper::stop()
--- a/Source/Core/Daemon/RouteTables.cpp
+++ b/Source/Core/Daemon/RouteTables.cpp
@@ -42,7 +42,8 @@
         return Common::success();
     }
 
-    Result<Model::RouteTable> tableOf(const Result<Control::Reply>& result)
+    Result<Model::RouteTable> tableOf(
+        const Result<Control::Reply>& result, const std::optional<Control::StoredResource>& copy)
     {
         if (!result)
             return result.error();
@@ -52,6 +53,8 @@
         if (auto error = std::get_if<Common::Error>(&reply->result))
             return *error;
         auto& found = std::get<Control::ReadFound>(reply->result);
+        if (found.isUnchanged && copy)
+            return std::get<Model::RouteTable>(copy->resource);
         if (found.resources.empty())
             return Common::makeError(Reason::NotFound, "read-routes", "no route table was declared");
         return std::get<Model::RouteTable>(found.resources.front().resource);
@@ -59,8 +62,9 @@
 
 } // namespace
 
-RouteTables::RouteTables(Entry::ControlClient& control)
+RouteTables::RouteTables(Entry::ControlClient& control, Stored stored)
     : m_control(control)
+    , m_stored(std::move(stored))
 {
 }
 
@@ -85,9 +89,13 @@
 
 void RouteTables::read(std::function<void(Result<Model::RouteTable>)> done)
 {
-    m_control.call(configurationShard, Control::ReadRequest { Model::Kind::RouteTable, Model::routeTableName },
-        Clock::now() + readBound,
-        [done = std::move(done)](const Result<Control::Reply>& result) { done(tableOf(result)); });
+    auto copy = m_stored();
+    Control::ReadRequest request { Model::Kind::RouteTable, Model::routeTableName, {} };
+    if (copy)
+        request.knownVersion = copy->version;
+    m_control.call(configurationShard, request, Clock::now() + readBound,
+        [done = std::move(done), copy = std::move(copy)](
+            const Result<Control::Reply>& result) { done(tableOf(result, copy)); });
 }
 
 } // namespace Daemon
--- a/Source/Core/Relay/Assembly.cpp
+++ b/Source/Core/Relay/Assembly.cpp
@@ -23,8 +23,6 @@
             part.missing.begin(), part.missing.end(), [](const MissingGroup& group) { return group.isPending; }));
     }
 
-    size_t mayMiss(const Routes::Fan& fan) { return fan.groups.size() - neededGroups(fan, fan.groups.size()); }
-
     bool isAwaited(const Assembly& assembly)
     {
         return std::any_of(
@@ -114,7 +112,7 @@
     if (assembly.finished)
         return step;
     note(assembly, assembly.parts.at(bundle), std::move(answer));
-    size_t allowed = mayMiss(*assembly.fan);
+    size_t allowed = mayMiss(*assembly.fan, assembly.fan->groups.size());
     bool isEnough = missingGroups(assembly) <= allowed;
     bool isHopeless = !isEnough && !assembly.refusals.empty() && !assembly.isResumed;
     // Resumed bundles bring late answers: one that is enough goes out at once.
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -32,19 +32,19 @@
     latencies.withValue(
         query.route->name, [&](Routing::LatencyStats& stats) { service = Routing::quantile(stats, 0.5); });
     const auto& fan = query.route->fan;
-    size_t mayMiss = fan ? query.parts.size() - neededGroups(*fan, query.parts.size()) : 0;
+    size_t allowed = fan ? mayMiss(*fan, query.parts.size()) : 0;
     size_t late = 0;
     for (const Relay::Part& part : query.parts) {
         size_t ahead = groups.withValue(
             part.group, [&](GroupState& state) { return Limits::waitersAhead(state.waiting, query.route->name); });
         if (!ahead)
             continue;
-        double slots = static_cast<double>(serversOf(part.group).size())
+        double slots = static_cast<double>(serversOf(part.group)->size())
             * static_cast<double>(connectionsOf(*query.table, part.group).value());
         Limits::Backlog backlog { ahead, false, std::max(slots, 1.0), service };
         late += now + Limits::estimatedTime(backlog) > query.times.aim ? 1 : 0;
     }
-    if (late <= mayMiss)
+    if (late <= allowed)
         return std::nullopt;
     return Common::makeError(
         Reason::Overloaded, "admit", std::to_string(late) + " groups have longer queues than the aim");
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -41,7 +41,7 @@
     const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
 {
     size_t unserved = unservedGroups(*route.fan);
-    if (unserved > route.fan->groups.size() - neededGroups(*route.fan, route.fan->groups.size())) {
+    if (unserved > mayMiss(*route.fan, route.fan->groups.size())) {
         refuse(call, routes, Reason::Unavailable, std::to_string(unserved) + " groups have no known server",
             unservedRetryAfter, done);
         return;
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -30,9 +30,6 @@
 using Common::TimePoint;
 using Observe::Counter;
 
-// What a caller is told whose call has not run: another instance may have room at once.
-inline constexpr Milliseconds refusedRetryAfter { 50 };
-
 struct Key {
     QueryId query;
     AttemptId attempt;
@@ -229,7 +226,7 @@
         Milliseconds took, const std::string& what);
     void noteEnd(const Running&, const Answer&);
 
-    std::vector<Roster::Usable> serversOf(const GroupName&) const;
+    std::shared_ptr<const std::vector<Roster::Usable>> serversOf(const GroupName&) const;
     Connections connectionsOf(const Routes::Table&, const GroupName&) const;
     size_t sharersOf(const GroupName&) const;
     size_t repeatSharersOf(const GroupName&) const;
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -97,11 +97,11 @@
         return;
     }
     auto usable = serversOf(group);
-    bool hasServer = std::any_of(usable.begin(), usable.end(), [&](const Roster::Usable& server) {
+    bool hasServer = std::any_of(usable->begin(), usable->end(), [&](const Roster::Usable& server) {
         return std::find(send.avoid.begin(), send.avoid.end(), server.server) == send.avoid.end();
     });
     if (!hasServer) {
-        fail(Reason::Unavailable, usable.empty() ? "no server of the group is known" : "no other server is left");
+        fail(Reason::Unavailable, usable->empty() ? "no server of the group is known" : "no other server is left");
         return;
     }
     if (trySend(running, key, send, group))
@@ -125,7 +125,8 @@
 bool Engine::Private::trySend(const RunningPtr& running, const Key& key, const Send& send, const GroupName& group)
 {
     auto now = Clock::now();
-    auto usable = serversOf(group);
+    auto known = serversOf(group);
+    const std::vector<Roster::Usable>& usable = *known;
     Connections limit = connectionsOf(*running->query.table, group);
     auto candidates = pool.candidates(usable, limit, options.self.domain, now);
     for (size_t i : Routing::rank(candidates, { send.avoid, {} }, localRandom())) {
--- a/Source/Core/Relay/EngineView.cpp
+++ b/Source/Core/Relay/EngineView.cpp
@@ -23,15 +23,16 @@
 
 } // namespace
 
-std::vector<Roster::Usable> Engine::Private::serversOf(const GroupName& group) const
+std::shared_ptr<const std::vector<Roster::Usable>> Engine::Private::serversOf(const GroupName& group) const
 {
+    static const auto none = std::make_shared<const std::vector<Roster::Usable>>();
     std::shared_ptr<const ServersByGroup> now;
     {
         std::lock_guard lock(viewMutex);
         now = servers;
     }
     auto it = now->find(group);
-    return it == now->end() ? std::vector<Roster::Usable>() : it->second;
+    return it == now->end() ? none : std::shared_ptr<const std::vector<Roster::Usable>>(now, &it->second);
 }
 
 // Instances that send to the servers of a group.
--- a/Source/Core/Relay/Query.cpp
+++ b/Source/Core/Relay/Query.cpp
@@ -17,8 +17,6 @@
 
     // Sends that the servers did not run are made again so often beyond the route's attempts.
     constexpr int extraSends = 2;
-    // A caller is told to come back that much later. Another instance may have room at once.
-    constexpr Milliseconds retryAfter { 40 };
     // So long after its delivery a bundle can be resumed: two ways between instances, and some time for the other
     // bundles.
     constexpr Milliseconds resumeTime { 60 };
@@ -91,7 +89,7 @@
         if (!query.route->fan && query.parts.front().answer)
             return Forwarded { std::move(*query.parts.front().answer) };
         bool notRun = hasRunNowhere(query);
-        return Refusal { query.lastError, notRun, notRun ? retryAfter : Milliseconds(0) };
+        return Refusal { query.lastError, notRun, notRun ? refusedRetryAfter : Milliseconds(0) };
     }
 
     void finish(Query& query, Answer answer, Effects& effects)
@@ -234,6 +232,8 @@
     return needed;
 }
 
+size_t mayMiss(const Routes::Fan& fan, size_t groups) { return groups - neededGroups(fan, groups); }
+
 Query makeQuery(Routes::TablePtr table, const Routes::Route& route, const std::vector<Common::GroupName>& groups,
     size_t needed, bool isBundle, const Times& times)
 {
--- a/Source/Core/Relay/Query.h
+++ b/Source/Core/Relay/Query.h
@@ -15,6 +15,9 @@
 // Pure decisions: events and times come in, effects come out. The caller serialises the events of one query.
 namespace Relay {
 
+// What a caller is told whose call has not run: another instance may have room at once.
+inline constexpr Common::Milliseconds refusedRetryAfter { 50 };
+
 enum class Purpose {
     First,
     Retry, // An earlier send failed.
@@ -120,6 +123,8 @@
     bool isBundle, const Times&);
 // Of so many groups, those that a fan's answer needs at least.
 size_t neededGroups(const Routes::Fan&, size_t groups);
+// And those that may be left out.
+size_t mayMiss(const Routes::Fan&, size_t groups);
 
 // areRepeats: another instance has, or may have, sent to these groups for the same call, and they may have run once.
 Effects start(Query&, Common::TimePoint now, bool areRepeats = false);
--- a/Source/Core/Relay/ServerPool.cpp
+++ b/Source/Core/Relay/ServerPool.cpp
@@ -76,12 +76,4 @@
     });
 }
 
-size_t ServerPool::openConnections()
-{
-    size_t open = 0;
-    m_servers.forEach(
-        [&](const Common::BackendServerId&, Server& server) { open += server.idle.size() + server.load.live.size(); });
-    return open;
-}
-
 } // namespace Relay
--- a/Source/Core/Relay/ServerPool.h
+++ b/Source/Core/Relay/ServerPool.h
@@ -32,7 +32,6 @@
         const Common::BackendServerId&, ConnectionPtr, Common::TimePoint sentAt, const Outcome&, Common::TimePoint now);
     // Closes the connections of servers that are not among these.
     void keepOnly(const std::vector<Common::BackendServerId>&);
-    size_t openConnections();
 
 private:
     struct Server {
--- a/Source/Core/Wire/Control.capnp
+++ b/Source/Core/Wire/Control.capnp
@@ -270,6 +270,7 @@
 struct ReadRequest {
   kind @0 :UInt16;
   name @1 :Text;
+  knownVersion @2 :UInt64;
 }
 
 struct ReleaseRequest {
@@ -298,6 +299,7 @@
 struct ReadFound {
   revision @0 :UInt64;
   resources @1 :List(StoredResource);
+  isUnchanged @2 :Bool;
 }
 
 struct StatusFound {
--- a/Source/Core/Wire/Control.capnp.h
+++ b/Source/Core/Wire/Control.capnp.h
@@ -627,7 +627,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a7bd152c4a2ea425, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a7bd152c4a2ea425, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -695,7 +695,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f6b0ecc5dc0782b4, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f6b0ecc5dc0782b4, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4406,6 +4406,8 @@
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
+  inline  ::uint64_t getKnownVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4444,6 +4446,9 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
+  inline  ::uint64_t getKnownVersion();
+  inline void setKnownVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4816,6 +4821,8 @@
   inline bool hasResources() const;
   inline  ::capnp::List< ::Wire::ControlSchema::StoredResource,  ::capnp::Kind::STRUCT>::Reader getResources() const;
 
+  inline bool getIsUnchanged() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4854,6 +4861,9 @@
   inline void adoptResources(::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::StoredResource,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Wire::ControlSchema::StoredResource,  ::capnp::Kind::STRUCT>> disownResources();
 
+  inline bool getIsUnchanged();
+  inline void setIsUnchanged(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9557,6 +9567,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ReadRequest::Reader::getKnownVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ReadRequest::Builder::getKnownVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ReadRequest::Builder::setKnownVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ReleaseRequest::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -10036,6 +10060,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool ReadFound::Reader::getIsUnchanged() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool ReadFound::Builder::getIsUnchanged() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void ReadFound::Builder::setIsUnchanged(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t StatusFound::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/MessageCodec.cpp
+++ b/Source/Core/Wire/MessageCodec.cpp
@@ -80,6 +80,7 @@
             auto part = out.initRead();
             part.setKind(toNumber(request.kind));
             part.setName(toText(request.name));
+            part.setKnownVersion(request.knownVersion.value());
         }
         void operator()(const Control::WatchRequest& request) const { out.setWatchFrom(request.from.value()); }
         void operator()(const Control::StatusRequest& request) const { out.setStatusOf(request.revision.value()); }
@@ -105,8 +106,8 @@
         }
         case ControlSchema::Request::READ: {
             auto part = in.getRead();
-            return Control::ReadRequest { fromNumber(part.getKind(), Model::Kind::RouteTable),
-                fromText(part.getName()) };
+            return Control::ReadRequest { fromNumber(part.getKind(), Model::Kind::RouteTable), fromText(part.getName()),
+                Revision(part.getKnownVersion()) };
         }
         case ControlSchema::Request::WATCH_FROM:
             return Control::WatchRequest { Revision(in.getWatchFrom()) };
@@ -138,11 +139,12 @@
         auto resources = out.initResources(found.resources.size());
         for (unsigned i = 0; i < resources.size(); ++i)
             write(resources[i], found.resources[i]);
+        out.setIsUnchanged(found.isUnchanged);
     }
 
     Control::ReadFound read(ControlSchema::ReadFound::Reader in)
     {
-        Control::ReadFound found { Revision(in.getRevision()), {} };
+        Control::ReadFound found { Revision(in.getRevision()), {}, in.getIsUnchanged() };
         for (auto resource : in.getResources())
             found.resources.push_back(read(resource));
         return found;
--- a/Source/UnitTests/Wire/ControlCodecTest.cpp
+++ b/Source/UnitTests/Wire/ControlCodecTest.cpp
@@ -94,7 +94,7 @@
     case 1:
         return RenewRequest { live, Revision(4), liveNumber };
     case 2:
-        return ReadRequest { Model::Kind::Instance, "entry-1" };
+        return ReadRequest { Model::Kind::Instance, "entry-1", Revision(7) };
     case 3:
         return WatchRequest { Revision(6) };
     case 4:
@@ -119,7 +119,9 @@
                                 { true, liveNumber, { live, live }, { live.id } } },
             leader };
     case 2:
-        return ReadReply { ReadFound { Revision(3), { storedOf(changes), storedOf(changes) } }, leader };
+        return ReadReply {
+            ReadFound { Revision(3), { storedOf(changes), storedOf(changes) }, changes.random().chance(0.5) }, leader
+        };
     case 3:
         return WatchReply { changesOf(changes), leader };
     case 4:
