--- a/Source/Core/Relay/Gatherers.cpp
+++ b/Source/Core/Relay/Gatherers.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-    // A bundle costs both instances and the network about as much as twelve sub-requests cost a gatherer. So the work
-    // of a call is done best by as many bundles as the root of a twelfth of the groups.
-    constexpr double subRequestsOfABundle = 12;
+    // A bundle costs both instances and the network about as much as so many sub-requests cost a gatherer. The work of
+    // a call is done best by as many bundles as the root of the groups over that, rounded down.
+    constexpr double subRequestsOfABundle = 5.5;
     // Of the calls that reach an instance after it was heard, those that it loses by standing still are as many as
     // come in this time. A probe before the bundle costs a few milliseconds where calls are rarer.
     constexpr Common::Milliseconds lately { 150 };
@@ -41,8 +41,7 @@
 
 size_t laneCount(size_t groups)
 {
-    return std::max<size_t>(
-        1, static_cast<size_t>(std::lround(std::sqrt(static_cast<double>(groups) / subRequestsOfABundle))));
+    return std::max<size_t>(1, static_cast<size_t>(std::sqrt(static_cast<double>(groups) / subRequestsOfABundle)));
 }
 
 size_t laneOf(size_t place, size_t lanes) { return place % std::max<size_t>(lanes, 1); }
--- a/Source/UnitTests/Relay/GatherersTest.cpp
+++ b/Source/UnitTests/Relay/GatherersTest.cpp
@@ -117,8 +117,8 @@
 {
     EXPECT_EQ(laneCount(1), 1u);
     EXPECT_EQ(laneCount(20), 1u);
-    EXPECT_EQ(laneCount(90), 3u);
-    EXPECT_EQ(laneCount(1'000), 9u);
+    EXPECT_EQ(laneCount(90), 4u);
+    EXPECT_EQ(laneCount(1'000), 13u);
     std::vector<size_t> sizes(7);
     for (size_t place = 0; place < 90; ++place)
         ++sizes[laneOf(place, 7)];
