Split the answers to requests off the control role, and read the neighbours of a belief in one place

ControlRolePrivate.h holds the state, ControlRoleServe.cpp what is answered to others; nothing else changed. LogStory: two loops that differed in one step are one.

--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -1,17 +1,13 @@
-#include "Daemon/ControlRole.h"
+#include "Daemon/ControlRolePrivate.h"
 
-#include "Control/Leases.h"
-#include "Control/Messages.h"
 #include "Observe/Log.h"
 #include "Wire/MessageCodec.h"
 
 #include <algorithm>
-#include <deque>
 
 using Common::Clock;
 using Common::LogShardId;
 using Common::Milliseconds;
-using Common::Reason;
 using Common::Result;
 using Control::configurationShard;
 using Observe::EventKind;
@@ -24,73 +20,9 @@
     constexpr Milliseconds sweepInterval { 500 };
     constexpr Milliseconds logTimeStep { 1'000 };
     constexpr Milliseconds orphanBound { 5'000 };
-    // A watch that has nothing to tell is answered after this time, so that a lost connection is noticed.
-    constexpr Milliseconds watchHold { 10'000 };
-
-    // A revision that is not known to be in force yet.
-    struct PendingRevision {
-        Common::Revision revision;
-        std::optional<Common::TimePoint> acceptedAt; // Nothing if an earlier leader accepted it.
-    };
-
-    struct Watcher {
-        uint64_t id { 0 };
-        Common::Revision from;
-        Peer::Reply reply;
-    };
-
-    Common::Error notLeading()
-    {
-        return Common::makeError(Reason::Unavailable, "find-leader", "this instance does not lead");
-    }
 
 } // namespace
 
-struct ControlRole::Private : std::enable_shared_from_this<ControlRole::Private> {
-    explicit Private(ControlDependencies d)
-        : use(d)
-    {
-    }
-
-    ControlDependencies use;
-    std::unique_ptr<ReplicatedState> state;
-    std::mutex leaseMutex;
-    std::optional<Control::LeaseTable> leases; // While this instance leads the configuration.
-    std::deque<PendingRevision> pendingRevisions; // While this instance leads, in their order. Under leaseMutex.
-    std::mutex watchMutex;
-    std::vector<Watcher> watchers;
-    uint64_t nextWatcher { 1 };
-    std::mutex listenerMutex;
-    std::function<void()> listener; // Of changes; under listenerMutex.
-
-    void leadershipChanged(bool leading, Common::Term);
-    void configurationChanged();
-    void noteRevision();
-    void noteInForce();
-    void answer(const Peer::Reply&, const Control::Reply&) const;
-    Control::LeaderHint hint(LogShardId id = configurationShard) const { return state->leaderOf(id); }
-
-    void serve(const Control::ProposeRequest&, const Peer::Reply&);
-    void serve(const Control::RenewRequest&, const Peer::Reply&);
-    void serve(const Control::ReadRequest&, const Peer::Reply&);
-    void serve(const Control::WatchRequest&, const Peer::Reply&);
-    void serve(const Control::StatusRequest&, const Peer::Reply&);
-    void serve(const Control::ReleaseRequest&, const Peer::Reply&);
-    Control::RenewReply renew(const Control::RenewRequest&);
-    bool isKnownHolder(const Control::LiveInstance&) const;
-    void takeOverHolders();
-    Control::Changes changesSince(Common::Revision) const;
-    Common::Revision currentRevision() const;
-
-    void sweepLater();
-    void sweep();
-    bool hasNoLease(const Once::Orphan&);
-    void orphan(LogShardId, const Once::Orphan&);
-    // Moves log time on, so that old claims are forgotten and new ones are settled at the right time.
-    void keepLogTime(LogShardId);
-    void countClaims();
-};
-
 void ControlRole::Private::leadershipChanged(bool leading, Common::Term term)
 {
     use.timeline.record(
@@ -174,205 +106,6 @@
     }
 }
 
-void ControlRole::Private::answer(const Peer::Reply& reply, const Control::Reply& message) const
-{
-    reply(Wire::encode(message));
-}
-
-void ControlRole::Private::serve(const Control::ProposeRequest& request, const Peer::Reply& reply)
-{
-    auto self = shared_from_this();
-    auto shard = request.shard;
-    std::string subject;
-    if (auto change = std::get_if<Control::Change>(&request.command))
-        subject = change->id.value();
-    state->propose(
-        shard, request.command, [self, reply, shard, subject](const Result<Control::CommandOutcome>& outcome) {
-            if (!outcome) {
-                self->answer(reply, Control::ProposeReply { outcome.error(), self->hint(shard) });
-                return;
-            }
-            if (auto change = std::get_if<Control::ChangeOutcome>(&outcome.value())) {
-                auto accepted = std::get_if<Control::Accepted>(change);
-                self->use.timeline.record(accepted ? EventKind::ChangeAccepted : EventKind::ChangeRefused, subject,
-                    accepted ? "revision " + std::to_string(accepted->revision.value())
-                             : std::get<Control::Rejected>(*change).error.message);
-            }
-            self->answer(reply, Control::ProposeReply { outcome.value(), {} });
-        });
-}
-
-// Called when a quorum has confirmed the lead, with leaseMutex held.
-void ControlRole::Private::takeOverHolders()
-{
-    if (!leases || leases->knowsHolders)
-        return;
-    state->withConfiguration([&](const Control::Configuration& c) { Control::takeOver(*leases, c.holders); });
-    LOG_INFO(Part::Control,
-        "Took over " << leases->leases.size() << " holders of leases in term " << leases->listNumber.term << ".");
-}
-
-bool ControlRole::Private::isKnownHolder(const Control::LiveInstance& instance) const
-{
-    bool known = false;
-    state->withConfiguration([&](const Control::Configuration& c) {
-        auto it = c.holders.find(instance.id);
-        known = it != c.holders.end() && it->second == instance;
-    });
-    return known;
-}
-
-// Called when a quorum has confirmed the lead after the request came in; see Control::LeaseTable.
-Control::RenewReply ControlRole::Private::renew(const Control::RenewRequest& request)
-{
-    Control::RenewGrant grant;
-    std::lock_guard lock(leaseMutex);
-    if (!leases)
-        return { notLeading(), {} };
-    takeOverHolders();
-    grant.changes = changesSince(request.applied);
-    auto granted = Control::renew(*leases, { request.instance, request.applied }, Clock::now(), grant.changes.revision);
-    if (!granted)
-        return { granted.error(), {} };
-    grant.lease = granted.value().duration;
-    if (granted.value().replaced) {
-        for (uint32_t i = 1; i <= state->claimShards(); ++i)
-            orphan(LogShardId(i), { request.instance.id, *granted.value().replaced });
-    }
-    grant.live = Control::liveSince(*leases, request.live);
-    noteInForce();
-    return { grant, {} };
-}
-
-void ControlRole::Private::serve(const Control::RenewRequest& request, const Peer::Reply& reply)
-{
-    auto self = shared_from_this();
-    state->confirmConfiguration([self, request, reply](const Result<void>& confirmed) {
-        if (!confirmed) {
-            self->answer(reply, Control::RenewReply { confirmed.error(), self->hint() });
-            return;
-        }
-        auto granted = self->renew(request);
-        if (std::holds_alternative<Common::Error>(granted.result) || self->isKnownHolder(request.instance)) {
-            self->answer(reply, granted);
-            return;
-        }
-        // The grant goes out once the log names the holder; until then the table counts a lease that nobody uses.
-        self->state->propose(configurationShard, Control::HolderChange { { request.instance }, {} },
-            [self, reply, granted](const Result<Control::CommandOutcome>& outcome) {
-                if (outcome)
-                    self->answer(reply, granted);
-                else
-                    self->answer(reply, Control::RenewReply { outcome.error(), self->hint() });
-            });
-    });
-}
-
-void ControlRole::Private::serve(const Control::ReadRequest& request, const Peer::Reply& reply)
-{
-    auto self = shared_from_this();
-    state->confirmConfiguration([self, request, reply](const Result<void>& confirmed) {
-        if (!confirmed) {
-            self->answer(reply, Control::ReadReply { confirmed.error(), self->hint() });
-            return;
-        }
-        Control::ReadFound found;
-        self->state->withConfiguration([&](const Control::Configuration& c) {
-            found.revision = c.revision;
-            if (request.name.empty()) {
-                found.resources = Control::list(c, request.kind);
-                return;
-            }
-            auto stored = Control::find(c, { request.kind, request.name });
-            found.isUnchanged = stored && stored->version == request.knownVersion;
-            if (stored && !found.isUnchanged)
-                found.resources.push_back(*stored);
-        });
-        if (!request.name.empty() && found.resources.empty() && !found.isUnchanged) {
-            auto error = Common::makeError(Reason::NotFound, "read",
-                std::string("there is no ") + Model::kindName(request.kind) + " " + request.name);
-            self->answer(reply, Control::ReadReply { error, {} });
-            return;
-        }
-        self->answer(reply, Control::ReadReply { found, {} });
-    });
-}
-
-// Any member may answer, since it tells only what is committed; who needs to be sure to be told holds a lease.
-void ControlRole::Private::serve(const Control::WatchRequest& request, const Peer::Reply& reply)
-{
-    auto changes = changesSince(request.from);
-    if (changes.revision > request.from) {
-        answer(reply, Control::WatchReply { changes, {} });
-        return;
-    }
-    uint64_t id = 0;
-    {
-        std::lock_guard lock(watchMutex);
-        id = nextWatcher++;
-        watchers.push_back({ id, request.from, reply });
-    }
-    auto self = shared_from_this();
-    use.timers.after(watchHold, [self, id] {
-        std::optional<Watcher> found;
-        {
-            std::lock_guard lock(self->watchMutex);
-            auto it = std::find_if(
-                self->watchers.begin(), self->watchers.end(), [&](const Watcher& w) { return w.id == id; });
-            if (it == self->watchers.end())
-                return;
-            found = std::move(*it);
-            self->watchers.erase(it);
-        }
-        self->answer(found->reply, Control::WatchReply { self->changesSince(found->from), {} });
-    });
-    // A change may have come between the look and the entry into the list.
-    if (changesSince(request.from).revision > request.from)
-        configurationChanged();
-}
-
-void ControlRole::Private::serve(const Control::StatusRequest& request, const Peer::Reply& reply)
-{
-    auto self = shared_from_this();
-    state->confirmConfiguration([self, request, reply](const Result<void>& confirmed) {
-        if (!confirmed) {
-            self->answer(reply, Control::StatusReply { confirmed.error(), self->hint() });
-            return;
-        }
-        Control::StatusFound found;
-        self->state->withConfiguration([&](const Control::Configuration& c) { found.revision = c.revision; });
-        auto asked = request.revision == Common::Revision() ? found.revision : request.revision;
-        std::lock_guard lock(self->leaseMutex);
-        if (!self->leases) {
-            self->answer(reply, Control::StatusReply { notLeading(), {} });
-            return;
-        }
-        if (asked > found.revision) {
-            auto error = Common::makeError(Reason::NotFound, "status", "the revision is not accepted yet");
-            self->answer(reply, Control::StatusReply { error, {} });
-            return;
-        }
-        self->takeOverHolders();
-        found.status = Control::revisionStatus(*self->leases, asked, Clock::now());
-        self->answer(reply, Control::StatusReply { found, {} });
-    });
-}
-
-void ControlRole::Private::serve(const Control::ReleaseRequest& request, const Peer::Reply& reply)
-{
-    Control::ReleaseReply message;
-    {
-        std::lock_guard lock(leaseMutex);
-        if (leases)
-            Control::release(*leases, request.id, request.incarnation);
-        else
-            message.error = notLeading();
-    }
-    if (message.error)
-        message.leader = hint();
-    answer(reply, message);
-}
-
 void ControlRole::Private::sweepLater()
 {
     std::weak_ptr<Private> weak = weak_from_this();
--- a/Source/Core/Observe/LogStory.cpp
+++ b/Source/Core/Observe/LogStory.cpp
@@ -169,32 +169,26 @@
 {
     auto index = indexOf(story.beliefs);
     std::set<size_t> used;
-    auto useLastBefore = [&](const Subject& subject, const std::string& time) {
+    // Uses the last belief before the time, or the next one after it.
+    auto use = [&](const Subject& subject, const std::string& time, bool isAfter) {
         auto it = index.find(subject);
         if (it == index.end())
             return;
         auto isLater = [&](const std::string& t, size_t i) { return t < story.beliefs[i].time; };
         auto next = std::upper_bound(it->second.begin(), it->second.end(), time, isLater);
-        if (next != it->second.begin())
-            used.insert(*std::prev(next));
-    };
-    auto useNextAfter = [&](const Subject& subject, const std::string& time) {
-        auto it = index.find(subject);
-        if (it == index.end())
-            return;
-        auto isLater = [&](const std::string& t, size_t i) { return t < story.beliefs[i].time; };
-        auto next = std::upper_bound(it->second.begin(), it->second.end(), time, isLater);
-        if (next != it->second.end())
+        if (isAfter && next != it->second.end())
             used.insert(*next);
+        if (!isAfter && next != it->second.begin())
+            used.insert(*std::prev(next));
     };
     for (const LogLine& line : story.lines) {
-        useLastBefore({ line.process, eventName(Event::RoutesInForce) }, line.time);
+        use({ line.process, eventName(Event::RoutesInForce) }, line.time, false);
         const std::string& server = line.field("server");
         if (server.empty())
             continue;
-        useLastBefore({ line.process, server }, line.time);
+        use({ line.process, server }, line.time, false);
         if (isFailureOfServer(line))
-            useNextAfter({ line.process, server }, line.time);
+            use({ line.process, server }, line.time, true);
     }
     std::vector<LogLine> told = story.lines;
     for (size_t i : used)
