--- a/Source/Core/CommandLine/Print.cpp
+++ b/Source/Core/CommandLine/Print.cpp
@@ -118,7 +118,7 @@
         std::string text;
         for (auto& [name, value] : line.fields) {
             if (name != "request")
-                text += name + "=" + value + "  ";
+                text.append(name).append("=").append(value).append("  ");
         }
         printRow(line.time.substr(dateLength), line.process, line.event, text);
     }
--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -9,10 +9,8 @@
 #include <mutex>
 
 using Common::Address;
-using Common::Clock;
 using Common::Milliseconds;
 using Common::Result;
-using Common::TimePoint;
 using Observe::Part;
 
 namespace Daemon {
--- a/Source/UnitTests/Observe/LogStoryTest.cpp
+++ b/Source/UnitTests/Observe/LogStoryTest.cpp
@@ -31,6 +31,7 @@
 std::vector<std::string> eventsOf(const std::vector<LogLine>& lines)
 {
     std::vector<std::string> events;
+    events.reserve(lines.size());
     for (const LogLine& line : lines)
         events.push_back(line.process + " " + line.event);
     return events;
--- a/Source/UnitTests/Relay/GatherersTest.cpp
+++ b/Source/UnitTests/Relay/GatherersTest.cpp
@@ -70,10 +70,12 @@
 TEST(Gatherers, AJoinMovesFewLanes)
 {
     constexpr size_t lanes = 7;
+    constexpr int instances = 20;
     size_t moved = 0;
     for (int round = 0; round < 50; ++round) {
         std::vector<Roster::Peer> many;
-        for (int i = 0; i < 20; ++i)
+        many.reserve(instances + 1);
+        for (int i = 0; i < instances; ++i)
             many.push_back(peer(("a" + std::to_string(round * 100 + i)).c_str(), "a"));
         auto before = chooseGatherers(many, { FailureDomain("a") }, lanes).owners.at(FailureDomain("a"));
         many.push_back(peer("joined", "a"));
