Reproduce a relay that stays on an old route table behind a late control instance

How: the control instance of the failure domain loses its disk and restarts with seeds that no longer exist. It is not admitted to the group, so its copy of the route table never advances, but it answers the watch requests of its relays, and its own roster is fresh.

--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -147,6 +147,7 @@
         self.port = self.find_port()
         self.controls = [f"127.0.2.{i + 1}" for i in range(controls)]
         self.relays = {f"127.0.3.{i + 1}": domain for i, domain in enumerate(domains)}
+        self.control_domains = {}
         self.seeds = self.controls[:3]
         self.processes, self.leafs, self.stopping = {}, [], threading.Event()
 
@@ -170,15 +171,15 @@
     def relay_address(self, ip):
         return ip, self.port + 2
 
-    def start(self, ip, found, output=None):
+    def start(self, ip, found, output=None, seeds=None):
         role = "control" if ip in self.controls else "relay"
         listens = f'control: "{ip}:{self.port + 2}"'
         if role == "relay":
             listens = f'callers: "{ip}:{self.port + 2}", readiness: "{ip}:{self.port + 3}"'
         text = SETTINGS.format(
             ip=ip, port=self.port, http=self.port + 1, role=role, listens=listens, found=str(found).lower(),
-            domain=self.relays.get(ip, "a"), folder=os.path.join(self.folder, "data-" + ip),
-            seeds=", ".join(f'"{seed}:{self.port + 2}"' for seed in self.seeds), wait=600 if role == "relay" else 100)
+            domain=self.relays.get(ip) or self.control_domains.get(ip, "a"), folder=os.path.join(self.folder, "data-" + ip),
+            seeds=", ".join(f'"{seed}:{self.port + 2}"' for seed in seeds or self.seeds), wait=600 if role == "relay" else 100)
         path = os.path.join(self.folder, ip + ".yaml")
         with open(path, "w", encoding="utf-8") as out:
             out.write(text)
