Show how far each control instance is behind the committed log

Cause: nothing told the hypotheses of the incident apart. A control instance that answers but doesn't advance looked like any other in logs and metrics.

Change: the consensus state notes the group's commit index with the time at which it was known; a member is current as of that time once it has applied the index. Exported as corianderlock_log_behind_milliseconds, sent to relays with each watch reply, and logged there as control-behind above 1.2 s. Also corianderlock_write_pending_milliseconds (the oldest write that the disk has not confirmed), routes-applied (a control instance has applied a table) and source-ignored (forwarded state of an earlier epoch). No decision uses them yet.

--- a/Source/Core/Consensus/Context.cpp
+++ b/Source/Core/Consensus/Context.cpp
@@ -85,7 +85,7 @@
 {
     State& state = c.state;
     if (c.effects.write)
-        state.pendingWrites.push_back({ c.effects.write->number, lastIndex(state.log) });
+        state.pendingWrites.push_back({ c.effects.write->number, lastIndex(state.log), c.now });
     if (!state.pendingWrites.empty())
         return;
     auto& waiting = c.effects.messagesAfterWrites;
--- a/Source/Core/Consensus/Replication.cpp
+++ b/Source/Core/Consensus/Replication.cpp
@@ -130,6 +130,14 @@
         }
     }
 
+    // Until a leader has committed an entry of its term, its commit index may be lower than that of its predecessors.
+    void noteGroupCommit(Context& c, Common::Term leaderTerm, LogIndex commit)
+    {
+        State& state = c.state;
+        if (containsEntry(state.log, commit, leaderTerm))
+            state.groupCommit = { commit, c.now };
+    }
+
     void noteLeaderContact(Context& c, const MemberId& leader)
     {
         State& state = c.state;
@@ -225,6 +233,7 @@
     mergeEntries(c, request.entries);
     LogIndex match = request.previousIndex + LogIndex(request.entries.size());
     commitUpTo(c, std::min(request.commit, match));
+    noteGroupCommit(c, message.term, request.commit);
     AppendReply reply { .accepted = true, .match = match, .round = request.round };
     if (c.effects.write) {
         sendAfterWrites(c, message.from, reply);
--- a/Source/Core/Consensus/State.h
+++ b/Source/Core/Consensus/State.h
@@ -63,6 +63,13 @@
 struct PendingWrite {
     WriteNumber number;
     Common::LogIndex lastIndex; // The last index of the log once the write is durable.
+    Common::TimePoint requestedAt;
+};
+
+// A member that has applied the log up to the index holds all that was committed at that time.
+struct CommitReport {
+    Common::LogIndex index;
+    Common::TimePoint at;
 };
 
 struct PendingTransfer {
@@ -111,6 +118,7 @@
     Role role { Role::Follower };
     std::optional<MemberId> leader; // The leader of the current term, if known.
     std::optional<Common::TimePoint> lastLeaderContact;
+    std::optional<CommitReport> groupCommit; // The latest one; empty until a leader was heard of since the start.
     Common::TimePoint electionDue;
     Common::TimePoint announceDue;
     LeaderState leading;
--- a/Source/Core/Consensus/Step.cpp
+++ b/Source/Core/Consensus/Step.cpp
@@ -105,6 +105,13 @@
             becomeFollower(c, c.state.hard.term, std::nullopt);
     }
 
+    void noteOwnCommit(Context& c)
+    {
+        State& state = c.state;
+        if (isLeading(state) && state.commit >= state.leading.firstIndexOfTerm)
+            state.groupCommit = { state.commit, c.now };
+    }
+
     void tickLeader(Context& c)
     {
         State& state = c.state;
@@ -173,6 +180,7 @@
     Context c { state, effects, now };
     checkQuorum(c);
     std::visit(EventHandler { c }, event);
+    noteOwnCommit(c);
     deliver(c);
     finishStep(c);
     CORIANDERLOCK_INVARIANT(state.commit >= commitBefore, "the commit index never decreases");
--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -1,9 +1,12 @@
 #include "Daemon/ControlRolePrivate.h"
 
+#include "Observe/EventLog.h"
 #include "Observe/Log.h"
 #include "Wire/MessageCodec.h"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 using Common::Clock;
 using Common::LogShardId;
@@ -21,6 +24,11 @@
     constexpr Milliseconds logTimeStep { 1'000 };
     constexpr Milliseconds orphanTimeout { 5'000 };
 
+    Milliseconds timeBehind(const Replica::Status& status, Common::TimePoint now)
+    {
+        return status.currentAt ? now - *status.currentAt : Milliseconds(std::numeric_limits<double>::infinity());
+    }
+
 } // namespace
 
 void ControlRole::Private::leadershipChanged(bool leading, Common::Term term)
@@ -37,6 +45,16 @@
     pendingRevisions.push_back({ revision, std::nullopt });
 }
 
+Common::TableNumber ControlRole::Private::routeTableNumber() const
+{
+    Common::TableNumber number;
+    state->withConfiguration([&](const Control::Configuration& configuration) {
+        if (auto stored = Control::find(configuration, { Model::Kind::RouteTable, Model::routeTableName }))
+            number = std::get<Model::RouteTable>(stored->resource).number;
+    });
+    return number;
+}
+
 Common::Revision ControlRole::Private::currentRevision() const
 {
     Common::Revision revision;
@@ -66,6 +84,14 @@
         pendingRevisions.push_back({ revision, now });
 }
 
+void ControlRole::Private::recordRouteTable()
+{
+    auto number = routeTableNumber();
+    if (number == std::exchange(loggedTable, number))
+        return;
+    Observe::logEvent(Part::Control, Observe::Event::RoutesApplied, { { "table", std::to_string(number.value()) } });
+}
+
 // Must be called with leaseMutex held, after a lease was renewed or ended.
 void ControlRole::Private::recordRevisionsInForce()
 {
@@ -85,6 +111,7 @@
 void ControlRole::Private::configurationChanged()
 {
     recordRevision();
+    recordRouteTable();
     {
         std::lock_guard lock(listenerMutex);
         if (listener)
@@ -117,6 +144,7 @@
         for (uint32_t i = 1; i <= self->state->claimShards(); ++i)
             self->advanceLogTime(LogShardId(i));
         self->updateClaimsMetric();
+        self->updateLogMetrics();
         self->scheduleSweep();
     });
 }
@@ -192,6 +220,18 @@
     dependencies.metrics.set(Observe::Gauge::Claims, static_cast<double>(claims), "kept");
 }
 
+void ControlRole::Private::updateLogMetrics()
+{
+    auto now = Clock::now();
+    auto all = state->status();
+    for (size_t i = 0; i < all.size(); ++i) {
+        auto shard = std::to_string(i);
+        dependencies.metrics.set(Observe::Gauge::LogBehind, timeBehind(all[i], now).value(), shard);
+        Milliseconds pending = all[i].oldestWriteAt ? now - *all[i].oldestWriteAt : Milliseconds(0);
+        dependencies.metrics.set(Observe::Gauge::WritePending, pending.value(), shard);
+    }
+}
+
 ControlRole::ControlRole(std::shared_ptr<Private> p)
     : m_private(std::move(p))
 {
@@ -250,14 +290,11 @@
     return table;
 }
 
-Common::TableNumber ControlRole::routeTableNumber() const
+Common::TableNumber ControlRole::routeTableNumber() const { return m_private->routeTableNumber(); }
+
+Milliseconds ControlRole::configurationBehind() const
 {
-    Common::TableNumber number;
-    m_private->state->withConfiguration([&](const Control::Configuration& configuration) {
-        if (auto stored = Control::find(configuration, { Model::Kind::RouteTable, Model::routeTableName }))
-            number = std::get<Model::RouteTable>(stored->resource).number;
-    });
-    return number;
+    return timeBehind(m_private->state->configurationStatus(), Clock::now());
 }
 
 void ControlRole::onConfigurationChanged(std::function<void()> fn)
--- a/Source/Core/Daemon/ControlRole.h
+++ b/Source/Core/Daemon/ControlRole.h
@@ -36,6 +36,9 @@
     std::optional<Control::StoredResource> storedRouteTable() const;
     // The number of that copy; 0 if there is none.
     Common::TableNumber routeTableNumber() const;
+    // Returns the time since the state here last held all committed changes of the configuration; infinite if it has
+    // not since the start.
+    Common::Milliseconds configurationBehind() const;
     // Calls fn, from any thread, after each change of the configuration.
     void onConfigurationChanged(std::function<void()> fn);
     bool storageFailed() const;
--- a/Source/Core/Daemon/ControlRolePrivate.h
+++ b/Source/Core/Daemon/ControlRolePrivate.h
@@ -38,12 +38,14 @@
     std::mutex watchMutex;
     std::vector<Watcher> watchers;
     uint64_t nextWatcher { 1 };
+    Common::TableNumber loggedTable; // Used by the thread that applies changes alone.
     std::mutex listenerMutex;
     std::function<void()> listener; // Of configuration changes; under listenerMutex.
 
     void leadershipChanged(bool leading, Common::Term);
     void configurationChanged();
     void recordRevision();
+    void recordRouteTable();
     void recordRevisionsInForce();
     void answer(const Peer::Reply&, const Control::Reply&) const;
     Control::LeaderHint leaderHint(Common::LogShardId id = Control::configurationShard) const
@@ -62,6 +64,7 @@
     void importHolders();
     Control::Changes changesSince(Common::Revision) const;
     Common::Revision currentRevision() const;
+    Common::TableNumber routeTableNumber() const;
 
     void scheduleSweep();
     void sweep();
@@ -70,6 +73,7 @@
     // Advances the log time, by which old claims are removed and new ones are settled.
     void advanceLogTime(Common::LogShardId);
     void updateClaimsMetric();
+    void updateLogMetrics();
 };
 
 } // namespace Daemon
--- a/Source/Core/Daemon/ReplicatedState.cpp
+++ b/Source/Core/Daemon/ReplicatedState.cpp
@@ -302,10 +302,12 @@
     return all;
 }
 
+Replica::Status ReplicatedState::configurationStatus() const { return m_private->shards.front()->log->status(); }
+
 std::vector<Common::Address> ReplicatedState::memberAddresses() const
 {
     std::vector<Common::Address> addresses;
-    auto status = m_private->shards.front()->log->status();
+    auto status = configurationStatus();
     for (auto& list : { status.voters, status.learners }) {
         for (const Common::InstanceId& member : list) {
             if (auto address = m_private->addressOf(member))
--- a/Source/Core/Daemon/ReplicatedState.h
+++ b/Source/Core/Daemon/ReplicatedState.h
@@ -44,6 +44,7 @@
     bool leads(Common::LogShardId) const;
     std::optional<Common::Address> leaderOf(Common::LogShardId) const;
     std::vector<Replica::Status> status() const;
+    Replica::Status configurationStatus() const; // Of log shard 0.
     // Returns the addresses of all members of log shard 0, including this one.
     std::vector<Common::Address> memberAddresses() const;
 
--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -31,6 +31,8 @@
     // Control instances watch each other with a request about every second. One that has not received a reply from
     // another for longer than this is stale.
     constexpr Milliseconds staleThreshold { 1'600 };
+    // A few heartbeats of the leader, which tell the others what is committed.
+    constexpr Milliseconds logBehindThreshold { 1'200 };
 
 } // namespace
 
@@ -179,6 +181,8 @@
     std::vector<Roster::StatusChange> statusChanges;
     std::optional<std::vector<Roster::Peer>> newInstances;
     bool isNewlyReachable = false;
+    bool isNewlyBehind = false;
+    std::vector<Address> ignoredSources;
     {
         std::lock_guard lock(mutex);
         auto now = Clock::now();
@@ -187,8 +191,12 @@
         control.answeredAt = now;
         control.hasFailed = false;
         control.isBehind = false;
+        bool wasLogBehind = std::exchange(control.isLogBehind, reply.logBehind > logBehindThreshold);
+        isNewlyBehind = control.isLogBehind && !wasLogBehind;
         for (const Roster::SourceState& state : reply.sources) {
             control.isBehind = control.isBehind || state.silentFor > staleThreshold;
+            if (Roster::isFromEarlierEpoch(sources, state))
+                ignoredSources.push_back(state.source);
             auto changes = Roster::applyState(sources, serverView, state, now, sourceRetention);
             std::move(changes.begin(), changes.end(), std::back_inserter(statusChanges));
         }
@@ -203,6 +211,13 @@
     if (isNewlyReachable)
         Observe::logEvent(Part::Roster, Observe::Event::ControlFound,
             { { "address", address.value() }, { "table", std::to_string(reply.table.value()) } });
+    if (isNewlyBehind)
+        Observe::logEvent(Part::Roster, Observe::Event::ControlBehind,
+            { { "address", address.value() }, { "log_behind_ms", std::to_string(reply.logBehind.value()) },
+                { "table", std::to_string(reply.table.value()) } });
+    for (const Address& source : ignoredSources)
+        Observe::logEvent(Part::Roster, Observe::Event::SourceIgnored,
+            { { "address", source.value() }, { "from", address.value() }, { "why", "earlier epoch" } });
     for (const Roster::StatusChange& change : statusChanges)
         Observe::logEvent(Part::Roster, Observe::Event::ServerLearned,
             { { "server", change.server.value() }, { "group", change.group.value() },
--- a/Source/Core/Daemon/RosterServer.cpp
+++ b/Source/Core/Daemon/RosterServer.cpp
@@ -291,6 +291,7 @@
 {
     Roster::WatchReply reply;
     reply.table = dependencies.control.routeTableNumber();
+    reply.logBehind = dependencies.control.configurationBehind();
     reply.members = dependencies.control.memberAddresses();
     reply.sources.push_back(ownState(Roster::findVersion(request.known, self)));
     if (request.isControl)
--- a/Source/Core/Observe/EventLog.cpp
+++ b/Source/Core/Observe/EventLog.cpp
@@ -60,8 +60,14 @@
         return "control-found";
     case Event::ControlLost:
         return "control-lost";
+    case Event::ControlBehind:
+        return "control-behind";
+    case Event::SourceIgnored:
+        return "source-ignored";
     case Event::RoutesAccepted:
         return "routes-accepted";
+    case Event::RoutesApplied:
+        return "routes-applied";
     case Event::RoutesNotAccepted:
         return "routes-not-accepted";
     case Event::RoutesInForce:
--- a/Source/Core/Observe/MetricNames.h
+++ b/Source/Core/Observe/MetricNames.h
@@ -31,6 +31,8 @@
     QueriesInFlight, // route
     Claims, // state
     Leader, // log shard; 1 while this process leads it
+    LogBehind, // log shard
+    WritePending, // log shard
     ServersKnown, // state
     InstancesKnown, // state
     Draining,
--- a/Source/Core/Replica/LogShard.cpp
+++ b/Source/Core/Replica/LogShard.cpp
@@ -165,6 +165,9 @@
         status.snapshotIndex = m_state.snapshot ? m_state.snapshot->meta.index : LogIndex(0);
         for (const Consensus::Member& member : membership(m_state).members)
             (member.voter ? status.voters : status.learners).push_back(member.id.instance);
+        status.currentAt = m_currentAt;
+        if (!m_state.pendingWrites.empty())
+            status.oldestWriteAt = m_state.pendingWrites.front().requestedAt;
         status.storageFailed = m_state.storageFailed;
         return status;
     }
@@ -214,12 +217,26 @@
         Consensus::Effects effects = step(m_state, event, Clock::now());
         recordLeadershipChange(wasLeading, outbox);
         queueEffects(effects, outbox);
+        updateCurrentAt();
         if (nextTick(m_state) < m_timerDue)
             m_timerWake.notify_one();
         if (!m_jobs.empty())
             m_workerWake.notify_one();
     }
 
+    // Waits for one commit report after the other, since under load a newer one arrives before each is reached.
+    void updateCurrentAt()
+    {
+        auto isReached = [&] { return m_awaitedCommit && m_applied >= m_awaitedCommit->index; };
+        if (m_awaitedCommit && !isReached())
+            return;
+        if (isReached())
+            m_currentAt = m_awaitedCommit->at;
+        m_awaitedCommit = m_state.groupCommit;
+        if (isReached())
+            m_currentAt = m_awaitedCommit->at;
+    }
+
     void queueEffects(Consensus::Effects& effects, Outbox& outbox)
     {
         std::move(effects.messages.begin(), effects.messages.end(), std::back_inserter(outbox.messages));
@@ -393,6 +410,7 @@
         {
             std::lock_guard lock(m_mutex);
             m_applied = applied;
+            updateCurrentAt();
             for (const auto& [entry, result] : results)
                 completeProposal(m_pending, *entry, result, outbox.callbacks);
             completeReadsUpTo(m_pending, applied, outbox.callbacks);
@@ -448,6 +466,8 @@
     std::optional<LogIndex> m_firstAcceptedIndex; // Of the commands proposed in the latest step.
     uint64_t m_lastReadId { 0 };
     LogIndex m_applied;
+    std::optional<Consensus::CommitReport> m_awaitedCommit; // The report that m_applied has to reach next.
+    std::optional<TimePoint> m_currentAt;
     TimePoint m_timerDue;
     bool m_stopping { false };
     LogIndex m_snapshotIndex; // Used by the worker thread alone.
--- a/Source/Core/Replica/LogShard.h
+++ b/Source/Core/Replica/LogShard.h
@@ -61,6 +61,9 @@
     Common::LogIndex snapshotIndex;
     std::vector<Common::InstanceId> voters;
     std::vector<Common::InstanceId> learners;
+    // When this member last held all that was committed; empty if it has not since its start.
+    std::optional<Common::TimePoint> currentAt;
+    std::optional<Common::TimePoint> oldestWriteAt; // When the oldest write was requested that is not durable yet.
     bool storageFailed { false }; // The shard no longer takes part in consensus; the process should exit.
 };
 
--- a/Source/Core/Roster/FollowChoice.h
+++ b/Source/Core/Roster/FollowChoice.h
@@ -15,6 +15,7 @@
     std::optional<Common::TimePoint> answeredAt; // The time of its last reply since then.
     bool hasFailed { false }; // The last request failed.
     bool isBehind { false }; // It has had no reply from another control instance recently.
+    bool isLogBehind { false }; // It has not held all committed changes recently.
 };
 
 // Chooses the control instances to follow. Those in the follower's own failure domain come first; the next one is added
--- a/Source/Core/Roster/Messages.h
+++ b/Source/Core/Roster/Messages.h
@@ -50,7 +50,9 @@
 
 struct WatchReply {
     std::vector<SourceState> sources;
-    Common::TableNumber table; // The committed one.
+    Common::TableNumber table; // The latest one that the replying instance has applied.
+    Common::Milliseconds
+        logBehind; // Since it last held all that was committed; infinite if it has not since its start.
     std::vector<Common::Address> members; // The control instances.
 };
 
--- a/Source/Core/Roster/Sources.cpp
+++ b/Source/Core/Roster/Sources.cpp
@@ -37,17 +37,21 @@
     return all;
 }
 
+// A lower epoch counts only if the source itself reports it: it has restarted after its clock stepped back.
+bool isFromEarlierEpoch(const Sources& sources, const SourceState& state)
+{
+    bool isFromItself = state.silentFor == Milliseconds(0);
+    auto it = sources.known.find(state.source);
+    return it != sources.known.end() && state.epoch < it->second.epoch && !isFromItself;
+}
+
 std::vector<StatusChange> applyState(
     Sources& sources, ServerView& view, const SourceState& state, TimePoint now, Milliseconds retention)
 {
-    if (state.silentFor > retention)
+    if (state.silentFor > retention || isFromEarlierEpoch(sources, state))
         return {};
     auto [it, isNew] = sources.known.try_emplace(state.source);
     Sources::Source& entry = it->second;
-    // A lower epoch counts only if the source itself reports it: it has restarted after its clock stepped back.
-    bool isFromItself = state.silentFor == Milliseconds(0);
-    if (!isNew && state.epoch < entry.epoch && !isFromItself)
-        return {};
     if (!isNew && state.epoch != entry.epoch)
         startNewEpoch(sources, view, state.source, entry, now);
     entry.domain = state.domain;
--- a/Source/Core/Wire/Roster.capnp
+++ b/Source/Core/Wire/Roster.capnp
@@ -61,6 +61,7 @@
   sources @1 :List(SourceState);
   tableNumber @2 :UInt64;
   members @3 :List(Text); # Addresses of the control instances.
+  logBehindMs @4 :Float64; # Since the replying instance last held all committed changes; infinite if it has not yet.
 }
 
 struct TableRequest {
--- a/Source/Core/Wire/Roster.capnp.h
+++ b/Source/Core/Wire/Roster.capnp.h
@@ -131,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -888,6 +888,8 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
 
+  inline double getLogBehindMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -937,6 +939,9 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
 
+  inline double getLogBehindMs();
+  inline void setLogBehindMs(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2126,6 +2131,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline double WatchReply::Reader::getLogBehindMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double WatchReply::Builder::getLogBehindMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void WatchReply::Builder::setLogBehindMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TableRequest::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/RosterCodec.cpp
+++ b/Source/Core/Wire/RosterCodec.cpp
@@ -167,6 +167,7 @@
     auto out = message.initRoot<Schema::WatchReply>();
     out.setFormatVersion(formatVersion);
     out.setTableNumber(reply.table.value());
+    out.setLogBehindMs(reply.logBehind.value());
     auto sources = out.initSources(static_cast<unsigned>(reply.sources.size()));
     for (unsigned i = 0; i < sources.size(); ++i)
         write(sources[i], reply.sources[i]);
@@ -181,6 +182,7 @@
     return readFlatMessage<Schema::WatchReply>(bytes, [](Schema::WatchReply::Reader in) {
         Roster::WatchReply reply;
         reply.table = Common::TableNumber(in.getTableNumber());
+        reply.logBehind = Common::Milliseconds(in.getLogBehindMs());
         for (auto source : in.getSources())
             reply.sources.push_back(read(source));
         for (auto member : in.getMembers())
