Follow control instances by the age of their log, not only of their roster

What callers saw: requests on a confirmed route got 404 from all relays of one failure domain, and old routes were served there, while the others had the new table (CONFIG; DENIED with it).

Cause: a relay follows the control instance of its failure domain and learned of route tables by that instance's own applied number alone. It judged that instance by the age of its roster. An instance whose log stands still answers on time with a fresh roster: with a stalled disk, outside the group after it lost its disk, restarted behind a partition (it has no mirrors, so none is old), or partitioned for over 12 s (old mirrors are left out of its replies).

A relay follows further instances until it has one that is current, at most a majority of the members: any majority holds each committed change. (2) Each control instance passes on the table numbers of the others, and a relay fetches the table from any that has it, another one after a failed fetch. So a late instance that still reaches the others costs a round trip, an isolated one 1.2 s plus a long poll. (3) A control instance tells the others the table that it knows *them* to have; before, a late one was answered at once each time and asked again at once, for as long as it was late. (4) The members that a late instance names no longer replace known ones.

The new tests of the choice and of the table reports cover each step.

--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -41,10 +41,12 @@
     std::mutex mutex; // Guards what follows.
     Common::TableNumber table; // Of the route table in force here.
     bool isFetching { false };
+    Address failedSource; // Of the last fetch; empty if that succeeded.
     std::function<void(const Routes::CallerLimits&)> tableListener;
 
     RosterFollowerHooks rosterHooks();
-    void newerTableReported(Common::TableNumber, const Address& reporter);
+    void newerTablesReported(const std::vector<Roster::TableReport>&);
+    std::optional<Address> chooseTableSource(const std::vector<Roster::TableReport>&) const;
     void takeTable(const Address& from, const Result<std::string>&);
 };
 
@@ -85,23 +87,39 @@
         if (auto self = weak.lock())
             self->engine.setInstances(std::move(instances));
     };
-    hooks.newerTableReported = [weak](Common::TableNumber number, const Address& reporter) {
+    hooks.newerTablesReported = [weak](const std::vector<Roster::TableReport>& reports) {
         if (auto self = weak.lock())
-            self->newerTableReported(number, reporter);
+            self->newerTablesReported(reports);
     };
     return hooks;
 }
 
-void RelayRole::Private::newerTableReported(Common::TableNumber number, const Address& reporter)
+// Called with the mutex held. Avoids the source of the last fetch if that failed and there is another one.
+std::optional<Address> RelayRole::Private::chooseTableSource(const std::vector<Roster::TableReport>& reports) const
 {
+    std::optional<Address> failed;
+    for (const Roster::TableReport& report : reports) {
+        if (report.number <= table)
+            continue;
+        if (report.source != failedSource)
+            return report.source;
+        failed = report.source;
+    }
+    return failed;
+}
+
+void RelayRole::Private::newerTablesReported(const std::vector<Roster::TableReport>& reports)
+{
+    std::optional<Address> source;
     {
         std::lock_guard lock(mutex);
-        if (number <= table || std::exchange(isFetching, true))
+        source = chooseTableSource(reports);
+        if (!source || std::exchange(isFetching, true))
             return;
     }
-    dependencies.peers.call(reporter, Peer::Service::Roster, Wire::encode(Roster::Request(Roster::TableRequest {})),
-        tableTimeout, [self = shared_from_this(), reporter](const Result<std::string>& result) {
-            self->takeTable(reporter, result);
+    dependencies.peers.call(*source, Peer::Service::Roster, Wire::encode(Roster::Request(Roster::TableRequest {})),
+        tableTimeout, [self = shared_from_this(), from = *source](const Result<std::string>& result) {
+            self->takeTable(from, result);
         });
 }
 
@@ -115,6 +133,7 @@
         std::lock_guard lock(mutex);
         isNewer = decoded && reply.value().number > table;
         isFetching = false;
+        failedSource = isNewer ? Address() : from;
         if (isNewer) {
             table = reply.value().number;
             listener = tableListener;
--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -151,15 +151,15 @@
         return;
     }
     applyReply(address, reply.value());
-    bool isTableNewer = false;
+    std::vector<Roster::TableReport> newerTables;
     {
         std::lock_guard lock(mutex);
-        isTableNewer = reply.value().table > table;
+        newerTables = Roster::newerTables(reply.value(), address, table);
     }
-    if (isTableNewer)
-        hooks.newerTableReported(reply.value().table, address);
+    if (!newerTables.empty())
+        hooks.newerTablesReported(newerTables);
     // Control instances answer at once while the table here is outdated, so the next request waits for the retry delay.
-    scheduleWatch(address, isTableNewer ? retryDelay : Milliseconds(0));
+    scheduleWatch(address, newerTables.empty() ? Milliseconds(0) : retryDelay);
 }
 
 void RosterFollower::Private::handleFailure(const Address& address, const Common::Error& error)
@@ -200,7 +200,8 @@
             auto changes = Roster::applyState(sources, serverView, state, now, sourceRetention);
             std::move(changes.begin(), changes.end(), std::back_inserter(statusChanges));
         }
-        if (!reply.members.empty())
+        // One that is late may not know of later changes of the membership.
+        if (!reply.members.empty() && (members.empty() || !control.isLogBehind))
             members = { reply.members.begin(), reply.members.end() };
         auto peers = Roster::peersOf(sources);
         if (!peers.empty() && peers != instances) {
--- a/Source/Core/Daemon/RosterFollower.h
+++ b/Source/Core/Daemon/RosterFollower.h
@@ -4,6 +4,7 @@
 #include "Peer/Client.h"
 #include "Roster/Messages.h"
 #include "Roster/ServerView.h"
+#include "Roster/TableReports.h"
 #include "Settings/Settings.h"
 
 #include <functional>
@@ -23,8 +24,8 @@
 struct RosterFollowerHooks {
     std::function<void(std::map<Common::GroupName, std::vector<Roster::EligibleServer>>)> servers;
     std::function<void(std::vector<Roster::Peer>)> instances;
-    // The reporter has a route table newer than the one in force here.
-    std::function<void(Common::TableNumber, const Common::Address& reporter)> newerTableReported;
+    // These control instances have later route tables than the one in force here.
+    std::function<void(const std::vector<Roster::TableReport>&)> newerTablesReported;
 };
 
 // The relay's client of the roster. Follows a control instance of its own failure domain, and others while that one is
--- a/Source/Core/Daemon/RosterServer.cpp
+++ b/Source/Core/Daemon/RosterServer.cpp
@@ -2,6 +2,7 @@
 
 #include "Observe/EventLog.h"
 #include "Roster/Mirror.h"
+#include "Roster/TableReports.h"
 #include "Wire/RosterCodec.h"
 
 #include <algorithm>
@@ -188,13 +189,14 @@
     request.follower = dependencies.settings.instance;
     request.peer = { self, dependencies.settings.failureDomain };
     request.isControl = true;
-    request.table = dependencies.control.routeTableNumber();
     {
         std::lock_guard lock(mirrorMutex);
         auto it = mirrors.find(address);
         if (it == mirrors.end())
             return;
         request.known.push_back(Roster::sourceVersion(it->second, address));
+        // Not the table applied here: while this instance is late, the other would answer each request at once.
+        request.table = it->second.table;
     }
     dependencies.peers.call(address, Peer::Service::Roster, Wire::encode(Roster::Request(request)), requestTimeout,
         [weak = weak_from_this(), address](const Common::Result<std::string>& result) {
@@ -222,6 +224,8 @@
                 continue;
             isFirstReply = !it->second.lastContact;
             isChanged = Roster::applyState(it->second, state, Clock::now());
+            // Processes of earlier versions send the number only beside the states.
+            it->second.table = std::max(it->second.table, reply.value().table);
         }
     }
     if (isFirstReply)
@@ -273,7 +277,8 @@
 
 Roster::SourceState RosterServer::Private::ownState(const Roster::SourceVersion* known)
 {
-    Roster::SourceState state { self, dependencies.settings.failureDomain, epoch, {}, {}, {}, 0 };
+    Roster::SourceState state { self, dependencies.settings.failureDomain, epoch, {}, {}, {}, 0,
+        dependencies.control.routeTableNumber() };
     bool isDelta = known && known->epoch == epoch && known->revisions.size() == shardCount;
     for (size_t i = 0; i < shardCount; ++i) {
         std::lock_guard lock(shards[i].mutex);
@@ -290,10 +295,10 @@
 Roster::WatchReply RosterServer::Private::replyTo(const Roster::WatchRequest& request)
 {
     Roster::WatchReply reply;
-    reply.table = dependencies.control.routeTableNumber();
     reply.logBehind = dependencies.control.configurationBehind();
     reply.members = dependencies.control.memberAddresses();
     reply.sources.push_back(ownState(Roster::findVersion(request.known, self)));
+    reply.table = reply.sources.back().table;
     if (request.isControl)
         return reply;
     auto now = Clock::now();
@@ -308,7 +313,7 @@
 
 bool RosterServer::Private::hasChanges(const Roster::WatchRequest& request, const Roster::WatchReply& reply)
 {
-    return reply.table > request.table
+    return !Roster::newerTables(reply, {}, request.table).empty()
         || std::any_of(reply.sources.begin(), reply.sources.end(), [&](const Roster::SourceState& state) {
                return Roster::hasChanges(state, Roster::findVersion(request.known, state.source));
            });
--- a/Source/Core/Roster/FollowChoice.cpp
+++ b/Source/Core/Roster/FollowChoice.cpp
@@ -44,6 +44,9 @@
     std::sort(order.begin(), order.end(), [&](const Address& a, const Address& b) { return sortKey(a) < sortKey(b); });
     std::vector<Address> chosen;
     bool mayAddForBehind = true;
+    // Each committed change is held by one instance of any majority.
+    size_t majority = members.size() / 2 + 1;
+    size_t responsive = 0;
     for (const Address& address : order) {
         chosen.push_back(address);
         auto it = followed.find(address);
@@ -52,6 +55,12 @@
             break;
         if (!isResponsive(it->second, now))
             continue;
+        ++responsive;
+        if (it->second.isLogBehind) {
+            if (responsive >= majority)
+                break;
+            continue;
+        }
         if (!it->second.isBehind || !mayAddForBehind)
             break;
         mayAddForBehind = false;
--- a/Source/Core/Roster/FollowChoice.h
+++ b/Source/Core/Roster/FollowChoice.h
@@ -19,7 +19,8 @@
 };
 
 // Chooses the control instances to follow. Those in the follower's own failure domain come first; the next one is added
-// only while none before it replies. If the chosen one is behind, one more is followed. `domains` holds the failure
+// only while none before it replies. If the chosen one is behind another, one more is followed; if its log is behind,
+// further ones are, until the log of one is not or a majority of the members is followed. `domains` holds the failure
 // domains that are known.
 std::vector<Common::Address> chooseFollowed(const std::vector<Common::Address>& members,
     const std::map<Common::Address, Common::FailureDomain>& domains, const std::map<Common::Address, FollowedControl>&,
--- a/Source/Core/Roster/Messages.h
+++ b/Source/Core/Roster/Messages.h
@@ -34,7 +34,8 @@
     bool isLeaving { false }; // The follower takes no more work from its peers.
     bool isControl { false }; // The follower wants only the receiver's own state.
     std::vector<SourceVersion> known;
-    Common::TableNumber table; // The latest route table that the follower has.
+    // The latest route table that the follower has or, for a control instance, that it knows the receiver to have.
+    Common::TableNumber table;
 };
 
 // The part of a control instance's state that a follower lacks.
@@ -46,6 +47,7 @@
     std::vector<Changes> shards; // Empty if the follower has a later epoch.
     std::vector<Peer> peers; // Its recent followers, sorted; empty if the follower has this version.
     uint64_t peersVersion { 0 }; // Increases within the epoch.
+    Common::TableNumber table; // The latest route table that it has applied.
 };
 
 struct WatchReply {
--- a/Source/Core/Roster/Mirror.cpp
+++ b/Source/Core/Roster/Mirror.cpp
@@ -20,7 +20,8 @@
 {
     mirror.lastContact = now;
     mirror.domain = state.domain;
-    bool hasChanged = false;
+    bool hasChanged = state.table > mirror.table;
+    mirror.table = state.table;
     if (state.epoch != mirror.epoch) {
         mirror.epoch = state.epoch;
         mirror.shards.clear();
@@ -44,7 +45,7 @@
 
 SourceState stateFor(const Mirror& mirror, const Address& source, const SourceVersion* known, TimePoint now)
 {
-    SourceState state { source, mirror.domain, mirror.epoch, {}, {}, {}, mirror.peersVersion };
+    SourceState state { source, mirror.domain, mirror.epoch, {}, {}, {}, mirror.peersVersion, mirror.table };
     if (mirror.lastContact)
         state.silentFor = now - *mirror.lastContact;
     if (known && known->epoch > mirror.epoch)
--- a/Source/Core/Roster/Mirror.h
+++ b/Source/Core/Roster/Mirror.h
@@ -15,6 +15,7 @@
     std::vector<Registry> shards;
     std::vector<Peer> peers;
     uint64_t peersVersion { 0 };
+    Common::TableNumber table; // The latest route table that the source has applied.
     std::optional<Common::TimePoint> lastContact;
 };
 
--- a/Source/Core/Wire/Roster.capnp
+++ b/Source/Core/Wire/Roster.capnp
@@ -54,6 +54,7 @@
   shards @4 :List(Changes);
   peers @5 :List(Peer); # Instances that recently sent requests to the source; empty if the follower has this version.
   peersVersion @6 :UInt64;
+  tableNumber @7 :UInt64; # The latest one that the source has applied, as far as the replying instance knows.
 }
 
 struct WatchReply {
--- a/Source/Core/Wire/Roster.capnp.h
+++ b/Source/Core/Wire/Roster.capnp.h
@@ -116,7 +116,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d00942c004785fb8, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d00942c004785fb8, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -770,6 +770,8 @@
 
   inline  ::uint64_t getPeersVersion() const;
 
+  inline  ::uint64_t getTableNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -835,6 +837,9 @@
   inline  ::uint64_t getPeersVersion();
   inline void setPeersVersion( ::uint64_t value);
 
+  inline  ::uint64_t getTableNumber();
+  inline void setTableNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2031,6 +2036,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SourceState::Reader::getTableNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SourceState::Builder::getTableNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SourceState::Builder::setTableNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t WatchReply::Reader::getFormatVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/RosterCodec.cpp
+++ b/Source/Core/Wire/RosterCodec.cpp
@@ -92,6 +92,7 @@
         out.setEpoch(state.epoch.value());
         out.setSilentMs(state.silentFor.value());
         out.setPeersVersion(state.peersVersion);
+        out.setTableNumber(state.table.value());
         auto shards = out.initShards(static_cast<unsigned>(state.shards.size()));
         for (unsigned i = 0; i < shards.size(); ++i)
             write(shards[i], state.shards[i]);
@@ -104,7 +105,8 @@
     {
         Roster::SourceState state { fromText<Common::Address>(in.getSource()),
             fromText<Common::FailureDomain>(in.getDomain()), Roster::Epoch(in.getEpoch()),
-            Common::Milliseconds(in.getSilentMs()), {}, {}, in.getPeersVersion() };
+            Common::Milliseconds(in.getSilentMs()), {}, {}, in.getPeersVersion(),
+            Common::TableNumber(in.getTableNumber()) };
         for (auto shard : in.getShards())
             state.shards.push_back(read(shard));
         for (auto peer : in.getPeers())
--- a/Source/UnitTests/Roster/FollowTest.cpp
+++ b/Source/UnitTests/Roster/FollowTest.cpp
@@ -1,6 +1,7 @@
 #include "Roster/FollowChoice.h"
 #include "Roster/Mirror.h"
 #include "Roster/Sources.h"
+#include "Roster/TableReports.h"
 
 #include <gtest/gtest.h>
 
@@ -14,6 +15,7 @@
 using Common::InstanceId;
 using Common::Milliseconds;
 using Common::Revision;
+using Common::TableNumber;
 using Common::TimePoint;
 using namespace Roster;
 
@@ -146,6 +148,40 @@
     EXPECT_EQ(old.shards.at(0).entries.size(), 1u) << "the mirror starts over with its source";
 }
 
+TEST(Mirror, ForwardsTheRouteTableNumberOfItsSource)
+{
+    Origin origin;
+    Mirror mirror;
+    forward(origin, mirror, at(0));
+    SourceState state = origin.stateFor(sourceVersion(mirror, x));
+    state.table = TableNumber(7);
+    EXPECT_TRUE(applyState(mirror, state, at(10)));
+    EXPECT_FALSE(applyState(mirror, state, at(20)));
+    EXPECT_EQ(stateFor(mirror, x, nullptr, at(30)).table, TableNumber(7));
+}
+
+TEST(TableReports, NameTheLatestTableAndItsHolders)
+{
+    WatchReply reply;
+    reply.table = TableNumber(5);
+    auto add = [&](const char* source, uint64_t table) {
+        SourceState state { Address(source), FailureDomain("d"), Epoch(1), {}, {}, {}, 0, TableNumber(table) };
+        reply.sources.push_back(std::move(state));
+    };
+    add("replier", 5);
+    add("late", 3);
+    add("other", 5);
+    add("ahead", 7);
+    using Reports = std::vector<TableReport>;
+    EXPECT_EQ(newerTables(reply, Address("replier"), TableNumber(4)),
+        (Reports { { TableNumber(7), Address("ahead") }, { TableNumber(5), Address("replier") },
+            { TableNumber(5), Address("other") } }));
+    EXPECT_EQ(
+        newerTables(reply, Address("replier"), TableNumber(5)), (Reports { { TableNumber(7), Address("ahead") } }))
+        << "the replier itself is late";
+    EXPECT_TRUE(newerTables(reply, Address("replier"), TableNumber(7)).empty());
+}
+
 TEST(Mirror, RemovesServersThatLeftLongAgo)
 {
     Origin origin;
@@ -275,6 +311,38 @@
     EXPECT_EQ(chosen(at(140)).size(), 2u) << "only one more, even if all are behind because one is lost";
 }
 
+TEST_F(FollowChoiceTest, OthersAreFollowedUntilTheLogOfOneIsNotBehind)
+{
+    start(at(0));
+    answer(Address("near"), at(100));
+    followed[Address("near")].isLogBehind = true;
+    start(at(110));
+    auto two = chosen(at(120));
+    ASSERT_EQ(two.size(), 2u);
+    answer(two[1], at(130));
+    EXPECT_EQ(chosen(at(140)).size(), 2u) << "the second one is current";
+    followed[two[1]].isLogBehind = true;
+    start(at(150));
+    auto three = chosen(at(160));
+    ASSERT_EQ(three.size(), 3u) << "both are behind";
+    answer(three[2], at(170));
+    EXPECT_EQ(chosen(at(180)).size(), 3u);
+    followed[Address("near")].isLogBehind = false;
+    EXPECT_EQ(chosen(at(190)), std::vector { Address("near") });
+}
+
+TEST_F(FollowChoiceTest, AMajorityIsFollowedAtMostWhileAllLogsAreBehind)
+{
+    for (double ms = 0; ms < 600; ms += 50) {
+        start(at(ms));
+        for (const Address& address : chosen(at(ms))) {
+            answer(address, at(ms));
+            followed[address].isLogBehind = true;
+        }
+    }
+    EXPECT_EQ(chosen(at(600)).size(), 3u);
+}
+
 TEST_F(FollowChoiceTest, FollowersAreSpreadOverDistantOnes)
 {
     std::map<Address, int> first;
--- a/Source/UnitTests/Wire/RosterCodecTest.cpp
+++ b/Source/UnitTests/Wire/RosterCodecTest.cpp
@@ -43,7 +43,8 @@
     WatchReply reply;
     reply.sources.push_back({ Address("10.0.0.3:1"), FailureDomain("patan"), Epoch(7), Milliseconds(250),
         { { true, Revision(5), { makeReport(1), makeReport(2) } }, { false, Revision(6), {} } },
-        { { Address("10.0.0.2:1"), FailureDomain("balaju") } }, 5 });
+        { { Address("10.0.0.2:1"), FailureDomain("balaju") } }, 5, Common::TableNumber(11) });
+    reply.logBehind = Milliseconds(1'300);
     reply.table = Common::TableNumber(10);
     reply.members = { Address("10.0.0.3:1"), Address("10.0.0.4:1") };
     return reply;
@@ -84,6 +85,9 @@
     EXPECT_EQ(state.shards[0].reports, makeReply().sources[0].shards[0].reports);
     EXPECT_EQ(state.shards[1].revision, Revision(6));
     EXPECT_EQ(state.peers, makeReply().sources[0].peers);
+    EXPECT_EQ(state.table, Common::TableNumber(11));
+    EXPECT_EQ(decoded.value().table, Common::TableNumber(10));
+    EXPECT_EQ(decoded.value().logBehind, Milliseconds(1'300));
     EXPECT_EQ(decoded.value().members, makeReply().members);
     EXPECT_EQ(Wire::encode(decoded.value()), bytes);
 }
