Let another member lead while the leader's disk stalls

Cause: heartbeats and their replies need no disk, so the leader kept its leadership. It counts its own copy only once it is durable, but the others commit without it; it applies and acknowledges only what is durable in its own log, and its worker, which also submits proposals, waits in the write.

Change: a leader whose oldest write has been pending for two election timeouts steps down at once and tells the most caught-up active voter to start an election, without a transfer, since that waits for the log to be committed. A member with such a write starts no election, as its own vote would wait for the disk too. The hook that resets the lease table runs on the waiting worker, so the table is used only while the instance leads.

--- a/Source/Core/Consensus/Step.cpp
+++ b/Source/Core/Consensus/Step.cpp
@@ -105,6 +105,33 @@
             becomeFollower(c, c.state.hard.term, std::nullopt);
     }
 
+    // Number of election timeouts after which a write that is not durable means that the disk stalls.
+    constexpr double stalledWriteTimeouts = 2;
+
+    bool isDiskStalled(const Context& c)
+    {
+        const State& state = c.state;
+        return !state.pendingWrites.empty()
+            && c.now - state.pendingWrites.front().requestedAt > state.options.electionTimeout * stalledWriteTimeouts;
+    }
+
+    // A leader whose disk stalls still sends heartbeats, and the others commit what it sends, but it can't apply and
+    // acknowledge anything.
+    void checkDisk(Context& c)
+    {
+        if (isLeading(c.state) && isDiskStalled(c))
+            yieldLeadership(c);
+    }
+
+    void tickElectionTimer(Context& c)
+    {
+        // A vote for itself would wait for the disk as well.
+        if (isDiskStalled(c))
+            resetElectionTimer(c);
+        else
+            startPreVote(c);
+    }
+
     void noteOwnCommit(Context& c)
     {
         State& state = c.state;
@@ -130,7 +157,7 @@
         if (isLeading(state))
             tickLeader(c);
         else if (isSelfVoter(state) && c.now >= state.electionDue)
-            startPreVote(c);
+            tickElectionTimer(c);
         else if (!isSelfVoter(state) && c.now >= state.announceDue)
             announce(c);
     }
@@ -179,6 +206,7 @@
     LogIndex deliveredBefore = state.delivered;
     Context c { state, effects, now };
     checkQuorum(c);
+    checkDisk(c);
     std::visit(EventHandler { c }, event);
     noteOwnCommit(c);
     deliver(c);
--- a/Source/Core/Consensus/Transfer.cpp
+++ b/Source/Core/Consensus/Transfer.cpp
@@ -6,25 +6,44 @@
 
 namespace Consensus {
 
+namespace {
+
+    // Returns null if no other voter is active.
+    const MemberId* mostCaughtUpVoter(const Context& c)
+    {
+        const State& state = c.state;
+        const MemberId* found = nullptr;
+        Common::LogIndex best;
+        for (const auto& [id, progress] : state.leading.progress) {
+            if (!isVoter(membership(state), id) || !isActive(c, id) || (found && progress.match <= best))
+                continue;
+            found = &id;
+            best = progress.match;
+        }
+        return found;
+    }
+
+} // namespace
+
 void startTransfer(Context& c)
 {
     State& state = c.state;
     if (!isLeading(state) || state.leading.transfer)
         return;
-    const MemberId* target = nullptr;
-    Common::LogIndex best;
-    for (const auto& [id, progress] : state.leading.progress) {
-        if (!isVoter(membership(state), id) || !isActive(c, id) || (target && progress.match <= best))
-            continue;
-        target = &id;
-        best = progress.match;
-    }
+    const MemberId* target = mostCaughtUpVoter(c);
     if (!target)
         return;
     state.leading.transfer = PendingTransfer { *target, c.now + state.options.electionTimeout };
     advanceTransfer(c);
 }
 
+void yieldLeadership(Context& c)
+{
+    if (const MemberId* target = mostCaughtUpVoter(c))
+        send(c, *target, TimeoutNow {});
+    becomeFollower(c, c.state.hard.term, std::nullopt);
+}
+
 void advanceTransfer(Context& c)
 {
     State& state = c.state;
--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -149,6 +149,9 @@
     });
 }
 
+// While the disk stalls, the hook that resets the leases waits for it, although the leadership is lost already.
+bool ControlRole::Private::leadsWithLeases() const { return leases && state->leads(configurationShard); }
+
 // Ends expired leases and finds running claims whose owner holds no lease. This instance's copies of the claims may be
 // stale: the log shard itself checks each orphan command when it applies it.
 void ControlRole::Private::sweep()
@@ -157,7 +160,7 @@
     {
         std::lock_guard lock(leaseMutex);
         auto now = Clock::now();
-        if (!leases)
+        if (!leadsWithLeases())
             return;
         for (const Control::EndedLease& ended : Control::expireLeases(*leases, now)) {
             dependencies.timeline.record(EventKind::LeaseLost, ended.id.value(), "not renewed");
@@ -189,7 +192,7 @@
 bool ControlRole::Private::hasNoLease(const Once::Orphan& owner)
 {
     std::lock_guard lock(leaseMutex);
-    return leases && Control::hasNoLease(*leases, owner.owner, owner.incarnation, Clock::now());
+    return leadsWithLeases() && Control::hasNoLease(*leases, owner.owner, owner.incarnation, Clock::now());
 }
 
 void ControlRole::Private::orphanClaims(LogShardId shard, const Once::Orphan& owner)
--- a/Source/Core/Daemon/ControlRolePrivate.h
+++ b/Source/Core/Daemon/ControlRolePrivate.h
@@ -66,6 +66,7 @@
     Common::Revision currentRevision() const;
     Common::TableNumber routeTableNumber() const;
 
+    bool leadsWithLeases() const; // Must be called with leaseMutex held.
     void scheduleSweep();
     void sweep();
     bool hasNoLease(const Once::Orphan&);
--- a/Source/Core/Daemon/ControlRoleServe.cpp
+++ b/Source/Core/Daemon/ControlRoleServe.cpp
@@ -220,7 +220,7 @@
     Control::ReleaseReply message;
     {
         std::lock_guard lock(leaseMutex);
-        if (leases)
+        if (leadsWithLeases())
             Control::release(*leases, request.id, request.incarnation);
         else
             message.error = notLeading();
--- a/Source/UnitTests/Consensus/StepTest.cpp
+++ b/Source/UnitTests/Consensus/StepTest.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using Common::InstanceId;
 using Common::LogIndex;
 using Common::Milliseconds;
@@ -124,6 +126,35 @@
     EXPECT_EQ(state.commit, LogIndex(4));
 }
 
+// Guards against a leader whose disk stalls and that still sends heartbeats: it would neither apply nor acknowledge.
+TEST(Step, LeaderWithAStalledDiskLetsAnotherMemberLead)
+{
+    Consensus::State state = leader();
+    TimePoint now;
+    step(state, appendReply(state, member("b", 2), 3), now);
+    step(state, Consensus::Propose { { "new" } }, now);
+    std::vector<Consensus::Message> sent;
+    while (isLeading(state) && now < TimePoint(state.options.electionTimeout * 4)) {
+        now = now + state.options.heartbeat;
+        auto reply = step(state, appendReply(state, member("b", 2), 4), now).messages;
+        sent.insert(sent.end(), reply.begin(), reply.end());
+        auto tick = step(state, Consensus::Tick {}, now).messages;
+        sent.insert(sent.end(), tick.begin(), tick.end());
+    }
+    EXPECT_FALSE(isLeading(state));
+    EXPECT_LE(now, TimePoint(state.options.electionTimeout * 3));
+    auto isTimeoutNow = [](const Consensus::Message& message) {
+        return message.to == member("b", 2) && std::holds_alternative<Consensus::TimeoutNow>(message.body);
+    };
+    EXPECT_EQ(std::count_if(sent.begin(), sent.end(), isTimeoutNow), 1);
+    for (int i = 0; i < 100; ++i) {
+        now = now + state.options.heartbeat;
+        EXPECT_TRUE(step(state, Consensus::Tick {}, now).messages.empty()) << "no election with a stalled disk";
+    }
+    step(state, Consensus::Persisted { state.lastWrite }, now);
+    EXPECT_FALSE(step(state, Consensus::Tick {}, now + state.options.electionTimeout * 3).messages.empty());
+}
+
 TEST(Step, OneMembershipChangeAtATime)
 {
     Consensus::State state = leader();
--- a/Source/UnitTests/Replica/LogShardTest.cpp
+++ b/Source/UnitTests/Replica/LogShardTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 using Common::Reason;
 
 namespace {
@@ -97,6 +99,33 @@
     EXPECT_NE(group.shard(leader).status().role, Replica::Role::Leader);
 }
 
+TEST(LogShard, AcknowledgesWhileTheLeadersDiskStalls)
+{
+    TestGroup group("stalled-sync");
+    proposeMany(group, "a", 5);
+    size_t stalled = *group.awaitLeader();
+    group.stallSyncs(stalled, true);
+    auto began = std::chrono::steady_clock::now();
+    // The stalled leader may hold the command already.
+    auto first = group.propose("first");
+    EXPECT_TRUE(first || first.error().reason == Reason::ConnectionLost);
+    proposeMany(group, "b", 5);
+    EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds(5));
+    EXPECT_NE(*group.awaitLeader(), stalled);
+    auto status = group.shard(stalled).status();
+    ASSERT_TRUE(status.oldestWriteAt && status.currentAt);
+    EXPECT_GT(Common::Clock::now() - *status.oldestWriteAt, Common::Milliseconds(400));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    EXPECT_GT(Common::Clock::now() - *group.shard(stalled).status().currentAt, Common::Milliseconds(500));
+    group.stallSyncs(stalled, false);
+    EXPECT_TRUE(
+        group.await([&] { return group.applied(0) == group.applied(1) && group.applied(1) == group.applied(2); }));
+    EXPECT_TRUE(group.await([&] {
+        auto now = Common::Clock::now();
+        return now - *group.shard(stalled).status().currentAt < Common::Milliseconds(300);
+    }));
+}
+
 TEST(LogShard, StopsAfterAFailedSync)
 {
     TestGroup group("failed-sync");
--- a/Source/UnitTests/Replica/TestGroup.cpp
+++ b/Source/UnitTests/Replica/TestGroup.cpp
@@ -152,6 +152,7 @@
     files.sync = [&it, sync = files.sync](Storage::FileHandle file) -> Result<void> {
         if (it.syncsFail)
             return Common::makeError(Common::Reason::StorageFailed, "sync-file", "injected");
+        it.syncsStall.wait(true);
         return sync(file);
     };
     auto shard = Replica::LogShard::open(options, hooksOf(member), files);
@@ -162,10 +163,17 @@
 
 void TestGroup::stop(size_t member)
 {
+    stallSyncs(member, false); // The shard joins the thread that syncs.
     m_bus.disconnect(m_members[member].id);
     m_members[member].shard.reset();
 }
 
+void TestGroup::stallSyncs(size_t member, bool stall)
+{
+    m_members[member].syncsStall = stall;
+    m_members[member].syncsStall.notify_all();
+}
+
 void TestGroup::removeFolder(size_t member) { std::filesystem::remove_all(m_members[member].folder); }
 
 std::vector<std::string> TestGroup::applied(size_t member)
--- a/Source/UnitTests/Replica/TestGroup.h
+++ b/Source/UnitTests/Replica/TestGroup.h
@@ -53,6 +53,8 @@
     void removeFolder(size_t member);
     // Makes all later file syncs fail.
     void failSyncs(size_t member) { m_members[member].syncsFail = true; }
+    // Makes all later file syncs wait until it is called with false.
+    void stallSyncs(size_t member, bool stall);
     Replica::LogShard& shard(size_t member) { return *m_members[member].shard; }
     std::vector<std::string> applied(size_t member);
     // Both wait for 20 s at most.
@@ -69,6 +71,7 @@
         std::unique_ptr<Replica::LogShard> shard;
         std::vector<std::string> applied;
         std::atomic<bool> syncsFail { false };
+        std::atomic<bool> syncsStall { false };
     };
 
     Replica::Hooks hooksOf(size_t member);
