Accept a restarted control instance whose clock was set back

What callers could see: servers that report to that control instance alone stay unknown to relays for up to 12 s, so a route that was added for them isn't served; servers that leave through it keep getting work.

Cause: the epoch of a control instance is the time of day at its start. If the clock stepped back between two starts, the later one has the lower epoch, and relays ignored what other control instances forward of it until the entry of the earlier start expired.

Change: two starts are ordered by the time of the last contact with each where that differs by more than the age that a reply can have (2.5 s); by the epoch within that time. A forwarded copy of the earlier start is then ignored too, although its epoch is higher.

Evidence: Sources.ALowerEpochCountsOnceTheHigherOneIsSilent failed before.

--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -195,7 +195,7 @@
         isNewlyBehind = control.isLogBehind && !wasLogBehind;
         for (const Roster::SourceState& state : reply.sources) {
             control.isBehind = control.isBehind || state.silentFor > staleThreshold;
-            if (Roster::isFromEarlierEpoch(sources, state))
+            if (Roster::isFromEarlierEpoch(sources, state, now))
                 ignoredSources.push_back(state.source);
             auto changes = Roster::applyState(sources, serverView, state, now, sourceRetention);
             std::move(changes.begin(), changes.end(), std::back_inserter(statusChanges));
--- a/Source/Core/Roster/Sources.cpp
+++ b/Source/Core/Roster/Sources.cpp
@@ -15,6 +15,9 @@
     // it: a multiple of the heartbeat interval.
     constexpr Milliseconds restartGracePeriod { 4'000 };
 
+    // Watch requests time out after this time, so a reply that says how long its source was silent is no older.
+    constexpr Milliseconds maximumReplyAge { 2'500 };
+
     InstanceId sourceId(const Common::Address& source) { return InstanceId(source.value()); }
 
     // The source has restarted: its earlier reports count under another id for a grace period.
@@ -37,18 +40,24 @@
     return all;
 }
 
-// A lower epoch counts only if the source itself reports it: it has restarted after its clock stepped back.
-bool isFromEarlierEpoch(const Sources& sources, const SourceState& state)
+// The epochs give the order of two starts unless the clock of the source stepped back between them. Then the source
+// itself reports the lower epoch, or nobody has been in contact with the higher one for a while.
+bool isFromEarlierEpoch(const Sources& sources, const SourceState& state, TimePoint now)
 {
-    bool isFromItself = state.silentFor == Milliseconds(0);
     auto it = sources.known.find(state.source);
-    return it != sources.known.end() && state.epoch < it->second.epoch && !isFromItself;
+    if (it == sources.known.end() || it->second.epoch == state.epoch)
+        return false;
+    Milliseconds later = now - state.silentFor - it->second.lastContact;
+    if (later > maximumReplyAge)
+        return false;
+    bool isFromItself = state.silentFor == Milliseconds(0);
+    return later < Milliseconds(0) - maximumReplyAge || (state.epoch < it->second.epoch && !isFromItself);
 }
 
 std::vector<StatusChange> applyState(
     Sources& sources, ServerView& view, const SourceState& state, TimePoint now, Milliseconds retention)
 {
-    if (state.silentFor > retention || isFromEarlierEpoch(sources, state))
+    if (state.silentFor > retention || isFromEarlierEpoch(sources, state, now))
         return {};
     auto [it, isNew] = sources.known.try_emplace(state.source);
     Sources::Source& entry = it->second;
--- a/Source/Core/Roster/Sources.h
+++ b/Source/Core/Roster/Sources.h
@@ -29,7 +29,7 @@
 std::vector<SourceVersion> sourceVersions(const Sources&);
 
 // Whether the state belongs to an earlier start of the source than the known state, so that it is ignored.
-bool isFromEarlierEpoch(const Sources&, const SourceState&);
+bool isFromEarlierEpoch(const Sources&, const SourceState&, Common::TimePoint now);
 
 // Applies what is newer than the known state of the source, also to `view`. A source that was silent for longer than
 // `retention` is ignored. Returns the status changes of servers.
--- a/Source/UnitTests/Roster/FollowTest.cpp
+++ b/Source/UnitTests/Roster/FollowTest.cpp
@@ -229,6 +229,28 @@
     EXPECT_EQ(sources.known.at(x).epoch, Epoch(10));
 }
 
+// Guards against servers that stay unknown while a source that restarted with its clock set back is ignored.
+TEST(Sources, ALowerEpochCountsOnceTheHigherOneIsSilent)
+{
+    Sources sources;
+    ServerView view;
+    SourceState before { x, FailureDomain("d"), Epoch(20), {}, { { true, Revision(1), { reportOf("1", 1) } } }, {}, 0 };
+    applyState(sources, view, before, at(0), retention);
+    SourceState after = before;
+    after.epoch = Epoch(10);
+    after.silentFor = Milliseconds(5);
+    after.shards = { { true, Revision(1), { reportOf("1", 1), reportOf("2", 1) } } };
+    EXPECT_TRUE(applyState(sources, view, after, at(2'000), retention).empty());
+    EXPECT_EQ(eligibleCount(view), 1u);
+    applyState(sources, view, after, at(3'000), retention);
+    EXPECT_EQ(sources.known.at(x).epoch, Epoch(10));
+    EXPECT_EQ(eligibleCount(view), 2u);
+    before.silentFor = Milliseconds(3'100);
+    EXPECT_TRUE(applyState(sources, view, before, at(3'100), retention).empty())
+        << "another instance still forwards it";
+    EXPECT_EQ(sources.known.at(x).epoch, Epoch(10));
+}
+
 TEST(Sources, ASilentOneIsDroppedUnlessAllAre)
 {
     Sources sources;
