Bound what a server may send that is no complete answer

What callers could see: a relay that is killed for its memory, or ends, with all calls that it holds.

Change: the header is parsed alone, so the limit of the body holds; bodies up to 8 MB; 64 KB for what the parser leaves in the buffer; 32 interim responses; and 24 MB for incomplete responses of the whole process, beyond which only those over 256 KB are given up, so small answers of sound servers don't suffer. A closed connection gives its buffers back. Each ends as a lost connection, which the query treats as before: retried if it may be, otherwise 502.

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -1,6 +1,7 @@
 #include "Http/Connection.h"
 
 #include "Http/Loops.h"
+#include "Http/ResponseBudget.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -29,8 +30,12 @@
     namespace Beast = boost::beast::http;
 
     constexpr size_t readSize = 8'192;
-    constexpr uint64_t maximumBody = 64 << 20;
+    constexpr uint64_t maximumBody = 8 << 20;
+    // Also of what the parser leaves in the buffer, such as the extension of a chunk.
     constexpr uint32_t maximumHead = 64 << 10;
+    constexpr int maximumInterimResponses = 32;
+    // A server can send without end, so what a process buffers must not depend on the number of such servers.
+    ResponseBudget responseBudget { Common::Bytes(24 << 20), Common::Bytes(256 << 10) };
     // Closes a connection whose sent bytes stay unacknowledged. A peer that lost power sends no RST.
     constexpr int tcpUserTimeoutMs = 4'000;
     // Closes an idle connection before the peer's keep-alive timeout, so that no request races the peer's close.
@@ -94,12 +99,16 @@
     bool isWriting { false };
     bool isReading { false };
     bool isHead { false };
+    int interimResponses { 0 };
+    Common::Bytes buffered; // What this connection uses of responseBudget.
     bool mayHaveSent { false }; // Whether any byte of the request may have reached the peer.
 
     void start(std::string text, bool head, Done fn);
     void connect();
     void write();
     void resetParser();
+    Common::Bytes bytesToBuffer() const;
+    const char* exceededLimit();
     void read();
     void onRead(const boost::system::error_code&, size_t bytes);
     void parse(bool atEnd);
@@ -153,6 +162,7 @@
 void Connection::Private::write()
 {
     resetParser();
+    interimResponses = 0;
     isWriting = true;
     mayHaveSent = true;
     boost::asio::async_write(socket, boost::asio::buffer(out),
@@ -167,12 +177,29 @@
 void Connection::Private::resetParser()
 {
     parser.emplace();
-    parser->eager(true);
+    // An eager parser ignores that the announced length of the body exceeds the limit, and reserves the memory for it.
+    parser->eager(false);
     parser->body_limit(maximumBody);
     parser->header_limit(maximumHead);
     parser->skip(isHead);
 }
 
+Common::Bytes Connection::Private::bytesToBuffer() const
+{
+    return Common::Bytes(static_cast<int64_t>(buffer.size() + (parser ? parser->get().body().size() : 0)));
+}
+
+// Returns the limit that the response exceeds, or null.
+const char* Connection::Private::exceededLimit()
+{
+    if (buffer.size() > maximumHead)
+        return "a header, chunk header or trailer is too long";
+    if (interimResponses > maximumInterimResponses)
+        return "too many interim responses";
+    auto before = std::exchange(buffered, bytesToBuffer());
+    return resize(responseBudget, before, buffered) ? nullptr : "too many bytes of responses are buffered";
+}
+
 // A read is also pending while the connection is idle: any data or EOF that arrives then closes it.
 void Connection::Private::read()
 {
@@ -213,16 +240,22 @@
             fail(Reason::ConnectionLost, "request", "malformed response: " + error.message());
             return;
         }
+        parser->eager(parser->is_header_done());
         bool isInterim = parser->is_header_done() && parser->get().result_int() < 200;
-        if (isInterim)
+        if (isInterim) {
+            ++interimResponses;
             resetParser();
-        else if (!used || error == Beast::error::need_more)
+        } else if (!used || error == Beast::error::need_more)
             break;
     }
     if (parser->is_done()) {
         finishResponse();
         return;
     }
+    if (const char* limit = exceededLimit()) {
+        fail(Reason::ConnectionLost, "request", limit);
+        return;
+    }
     if (!atEnd) {
         read();
         return;
@@ -240,6 +273,7 @@
 void Connection::Private::finishResponse()
 {
     auto message = parser->release();
+    resize(responseBudget, std::exchange(buffered, Common::Bytes(0)), Common::Bytes(0));
     Response response;
     response.status = static_cast<int>(message.result_int());
     for (auto& field : message) {
@@ -302,7 +336,9 @@
     open = false;
     isReading = false;
     isWriting = false;
-    buffer.consume(buffer.size());
+    buffer = {};
+    parser.reset();
+    resize(responseBudget, std::exchange(buffered, Common::Bytes(0)), Common::Bytes(0));
     boost::system::error_code ignored; // The socket is unusable either way.
     socket.close(ignored);
     if (!done)
--- a/Source/UnitTests/Http/RawServer.cpp
+++ b/Source/UnitTests/Http/RawServer.cpp
@@ -93,6 +93,12 @@
     return static_cast<int>(std::count_if(m_heads.begin(), m_heads.end(), matches));
 }
 
+size_t RawServer::openConnections() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_open.size();
+}
+
 void RawServer::accept()
 {
     for (;;) {
@@ -125,6 +131,10 @@
             if (::write(fd, reply.later.data(), reply.later.size()) < 0)
                 break;
         }
+        while (!reply.endless.empty()) {
+            if (::send(fd, reply.endless.data(), reply.endless.size(), MSG_NOSIGNAL) < 0)
+                reply = { "", After::Close, "", "" };
+        }
         if (reply.after == After::Close)
             break;
         if (m_answer == Answer::AtHead) {
--- a/Source/UnitTests/Http/RawServer.h
+++ b/Source/UnitTests/Http/RawServer.h
@@ -25,6 +25,7 @@
         std::string bytes;
         After after { After::KeepOpen };
         std::string later; // Sent 50 ms after bytes.
+        std::string endless; // Sent after that, again and again, until the client closes the connection.
     };
     // connection and request count from 0, request within its connection.
     using Script = std::function<Reply(int connection, int request, const std::string& head)>;
@@ -42,6 +43,8 @@
     // Number of requests so far whose header begins with the text.
     int count(const std::string& start) const;
     int connections() const { return m_connections; }
+    // Number of connections that are open now.
+    size_t openConnections() const;
 
 private:
     void accept();
--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -46,6 +46,18 @@
 """
 
 
+# Responses without end: the first bytes, those that are repeated, and the seconds between two repetitions.
+ENDLESS = {
+    "endless-bytes": (b"", b"a" * 16384, 0),
+    "endless-head": (b"HTTP/1.1 200 OK\r\n", b"X-Field: " + b"a" * 16384 + b"\r\n", 0),
+    "endless-interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n", 0),
+    "endless-body": (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 16384, 0),
+    "endless-chunk-header": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", b"a" * 16384, 0),
+    "endless-trickle": (b"HTTP/1.1 200 OK\r\n\r\n", b"a", 0.005),
+    "absurd-length": (b"HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n", b"a" * 16384, 0),
+}
+
+
 def call(address, method, path, body=None, headers=None, timeout=3):
     """Returns (status, headers, body bytes); the status is 0 without a complete response."""
     host, port = address
@@ -68,6 +80,7 @@
         self.id, self.born, self.seq = f"i-{number:04x}", int(time.time() * 1000) + number, 0
         self.state, self.delay, self.fault = "ready", 0.0, None
         self.arrived, self.runs, self.lock = [], set(), threading.Lock()
+        self.endless_streams = 0  # Responses without end that are being sent.
         seed = hashlib.sha256(service.encode()).digest()
         self.records = [hashlib.sha256(seed + struct.pack(">I", i)).digest()[:RECORD_BYTES] for i in range(25)]
         leaf = self
@@ -110,11 +123,28 @@
             self.runs.add(request)
         if self.delay:
             time.sleep(self.delay)
+        if self.fault in ENDLESS:
+            return self.send_endless(handler, *ENDLESS[self.fault])
         stamp = {"X-Server-Stamp": f"{self.id}.{request}", "X-Request-Id": request}
         if self.fault == "fail":
             return self.reply(handler, 500, b"broken", stamp)
         return self.reply(handler, 200, b"".join(random.sample(self.records, len(self.records))), stamp)
 
+    def send_endless(self, handler, start, repeated, pause):
+        """Sends bytes that are no answer until the caller closes the connection."""
+        with self.lock:
+            self.endless_streams += 1
+        handler.close_connection = True
+        try:
+            handler.connection.sendall(start)
+            while not self.cluster.stopping.is_set():
+                handler.connection.sendall(repeated)
+                time.sleep(pause)
+        except OSError:
+            pass
+        with self.lock:
+            self.endless_streams -= 1
+
     def reply(self, handler, status, body, headers):
         try:
             handler.send_response(status)
--- a/Source/UnitTests/Processes/platform_test.py
+++ b/Source/UnitTests/Processes/platform_test.py
@@ -11,7 +11,7 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from platform_cluster import BINARY, HOST, PlatformCluster, call, configuration  # noqa: E402
+from platform_cluster import BINARY, ENDLESS, HOST, PlatformCluster, call, configuration  # noqa: E402
 
 EXPLAIN = os.path.join(os.path.dirname(os.path.dirname(BINARY)), "corianderlock")
 
@@ -21,6 +21,8 @@
 ACK_SECONDS = 5.0
 GRACE_SECONDS = 6.0
 CATCH_UP_SECONDS = 4.0
+ENDLESS_REQUESTS = 12
+RELAY_MEGABYTES = 160  # The memory of the smallest machine that runs a relay.
 BLOCKED_LINES = 6000  # Far more than the pipe buffer and the log queue hold.
 PROBLEMS = []
 
@@ -152,6 +154,39 @@
         expect(whole == 20, f"a failing server is replaced by the other replica: {whole} of 20 complete")
         leaf.fault = None
 
+    def resident_megabytes(self, ip):
+        with open(f"/proc/{self.cluster.processes[ip].pid}/status", encoding="utf-8") as lines:
+            return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM")) / 1024
+
+    def check_endless_responses(self):
+        """Checks that responses without end are bounded in memory, time and connections."""
+        for fault in ENDLESS:
+            for leaf in self.leafs_of("one") + self.leafs_of("book"):
+                leaf.fault = fault
+            for path, method in (("/moved/a", "GET"), ("/book/5", "POST")):
+                answers = []
+
+                def send(path=path, method=method, answers=answers):
+                    began = time.monotonic()
+                    status = self.send(path, method=method, body=b"x" if method == "POST" else None, time_left=800)[1]
+                    answers.append((status, time.monotonic() - began))
+                threads = [threading.Thread(target=send) for _ in range(ENDLESS_REQUESTS)]
+                for thread in threads:
+                    thread.start()
+                for thread in threads:
+                    thread.join()
+                expect(all(status >= 500 and took < 1.3 for status, took in answers),
+                       f"{fault}, {method}: answered with a failure in time: {sorted(set(answers))[-3:]}")
+            leafs = self.leafs_of("one") + self.leafs_of("book")
+            closed = wait_for(1, lambda leafs=leafs: not any(leaf.endless_streams for leaf in leafs))
+            expect(closed, f"{fault}: all its connections are closed, {[leaf.endless_streams for leaf in leafs]} are open")
+        for leaf in self.cluster.leafs:
+            leaf.fault = None
+        peaks = [self.resident_megabytes(ip) for ip in self.cluster.relays]
+        expect(max(peaks) < RELAY_MEGABYTES, f"peak memory of the relays: {[round(peak) for peak in peaks]} MB")
+        served = wait_for(5, lambda: all(self.send("/moved/a", ip)[1] == 200 for ip in self.cluster.relays))
+        expect(served, "afterwards requests are served")
+
     def explain(self, request):
         """Returns the output of `corianderlock explain` for a request, from the logs of all relays."""
         logs = [os.path.join(self.cluster.folder, ip + ".log") for ip in self.cluster.relays]
@@ -301,6 +336,7 @@
         self.check_operator()
         self.check_requests()
         self.check_faults()
+        self.check_endless_responses()
         self.check_explain()
         self.check_caller_disconnect()
         self.check_draining()
