Bound chunk extensions and trailers of callers' requests

What callers could see: a relay or control instance killed for its memory.

Cause: the parser of Beast keeps the extension of a chunk and trailer fields in the buffer until they are complete, without a limit, and the connection reads on until the timeout of the body.

Change: what is left in the buffer after the head is bounded like the head (431).

RequestBody.AbsurdLengthIsAnswered413 passed before and stays as a guard: on this side the parser reports the limit.

--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -242,8 +242,12 @@
             dispatch();
             return;
         }
-        if (!used || error == Beast::error::need_more)
-            return;
+        if (used && error != Beast::error::need_more)
+            continue;
+        // Chunk extensions and trailers have no limit in the parser, which leaves them in the buffer.
+        if (m_headerDone && m_buffer.size() > static_cast<size_t>(m_limits.maximumHead.value()))
+            sendError(headTooLarge, "a chunk header or trailer is too large");
+        return;
     }
 }
 
--- a/Source/UnitTests/Http/EndlessResponseTest.cpp
+++ b/Source/UnitTests/Http/EndlessResponseTest.cpp
@@ -1,11 +1,11 @@
 #include "Http/Connection.h"
+#include "Http/ProcessMemory.h"
 #include "Http/RawServer.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <chrono>
-#include <fstream>
 #include <future>
 #include <memory>
 #include <thread>
@@ -14,6 +14,7 @@
 using Common::Milliseconds;
 using Common::Reason;
 using HttpTest::RawServer;
+using HttpTest::residentBytes;
 
 namespace {
 
@@ -23,15 +24,6 @@
 constexpr int parallelRequests = 16;
 constexpr std::chrono::seconds closeTimeout { 2 };
 
-size_t residentBytes()
-{
-    std::ifstream in("/proc/self/statm");
-    size_t total = 0;
-    size_t resident = 0;
-    in >> total >> resident;
-    return resident * 4'096;
-}
-
 struct Endless {
     const char* name;
     std::string start;
--- a/Source/UnitTests/Http/RequestBodyTest.cpp
+++ b/Source/UnitTests/Http/RequestBodyTest.cpp
@@ -1,8 +1,10 @@
+#include "Http/ProcessMemory.h"
 #include "Http/RawClient.h"
 #include "Http/TestServer.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <thread>
@@ -114,6 +116,37 @@
     EXPECT_EQ(m_calls, 1) << "the late request was handed to the handler";
 }
 
+// Guards against a process that ends because it reserves the announced length.
+TEST_F(RequestBody, AbsurdLengthIsAnswered413)
+{
+    for (const char* length : { "2000", "9000000000", "9000000000000000000" }) {
+        RawClient client(m_address);
+        ASSERT_TRUE(
+            client.send(std::string("POST /long HTTP/1.1\r\nHost: x\r\nContent-Length: ") + length + "\r\n\r\nabc"));
+        EXPECT_EQ(client.readAnswer(bound).substr(0, 12), "HTTP/1.1 413") << length;
+        EXPECT_TRUE(client.isClosed(bound));
+        expectOthersAreServed();
+    }
+}
+
+// Guards against chunk extensions and trailers without end, which the parser leaves in the buffer.
+TEST_F(RequestBody, EndlessChunkExtensionOrTrailerEndsTheConnection)
+{
+    const std::string filler(16'384, 'a');
+    for (const std::string& start : { std::string("4;"), "4\r\nabcd\r\n0\r\nX-Field: " + filler }) {
+        RawClient client(m_address);
+        ASSERT_TRUE(client.send(chunkedPost("/endless") + start));
+        auto begun = Clock::now();
+        size_t before = HttpTest::residentBytes();
+        size_t peak = before;
+        while (Clock::now() - begun < bodyTimeout + slack && client.send(filler))
+            peak = std::max(peak, HttpTest::residentBytes());
+        EXPECT_LT(Clock::now() - begun, bodyTimeout + slack);
+        EXPECT_LT(peak - before, size_t { 16 } << 20);
+        expectOthersAreServed();
+    }
+}
+
 TEST_F(RequestBody, TricklingDoesNotExtendTheTimeout)
 {
     RawClient client(m_address);
