Test acknowledged changes against lost disks and a power loss of all machines

PlatformProcessTest kills all eight processes right after an acknowledgement, deletes two data folders and starts all: the version is read at all control instances and served by all relays within 12 s, and the next change is in force in time.

--- a/Source/UnitTests/Consensus/FakeCluster.cpp
+++ b/Source/UnitTests/Consensus/FakeCluster.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-FakeCluster::FakeCluster(uint64_t seed, size_t memberCount)
-    : m_random(seed)
+FakeCluster::FakeCluster(uint64_t seed, size_t memberCount, size_t bootstrapCount)
+    : m_bootstrapCount(bootstrapCount)
+    , m_random(seed)
 {
     for (size_t i = 0; i < memberCount; ++i) {
         Node node;
@@ -32,6 +33,7 @@
     }
     for (size_t i = 0; i < memberCount; ++i)
         restart(i);
+    m_isBootstrapped = true;
 }
 
 void FakeCluster::schedule(TimePoint time, std::function<void()> fn) { m_events.emplace(time, std::move(fn)); }
@@ -67,8 +69,16 @@
     ++node.generation;
     Consensus::Options options;
     options.self = { node.instance, node.disk.storage };
-    for (const Node& it : m_nodes)
-        options.initialVoters.push_back(it.instance);
+    size_t initialCount = m_bootstrapCount ? m_bootstrapCount : m_nodes.size();
+    for (size_t i = 0; i < initialCount; ++i) {
+        options.contacts.push_back(m_nodes[i].instance);
+        if (!m_bootstrapCount || !m_isBootstrapped)
+            options.initialVoters.push_back(m_nodes[i].instance);
+    }
+    if (m_bootstrapCount) {
+        options.targetVoters = m_nodes.size();
+        options.minimumCopies = m_nodes.size() / 2 + 1;
+    }
     options.keptEntries = 5;
     options.maximumBatchEntries = 3;
     options.maximumInFlight = 4;
@@ -100,6 +110,15 @@
     }
 }
 
+void FakeCluster::losePower(const std::vector<size_t>& loseDisk, Milliseconds time)
+{
+    for (size_t i = 0; i < m_nodes.size(); ++i)
+        kill(i, std::find(loseDisk.begin(), loseDisk.end(), i) != loseDisk.end());
+    run(time);
+    for (size_t i = 0; i < m_nodes.size(); ++i)
+        restart(i);
+}
+
 void FakeCluster::scheduleTick(size_t member)
 {
     Node& node = m_nodes[member];
--- a/Source/UnitTests/Consensus/FakeCluster.h
+++ b/Source/UnitTests/Consensus/FakeCluster.h
@@ -13,7 +13,9 @@
 // Simulates members with fake disks on a fake network in virtual time. A run is determined by its seed.
 class FakeCluster {
 public:
-    FakeCluster(uint64_t seed, size_t memberCount);
+    // With bootstrapCount, only that many members form the group at first, and the others are admitted; an entry needs
+    // copies on a majority. Otherwise all members form it.
+    FakeCluster(uint64_t seed, size_t memberCount, size_t bootstrapCount = 0);
 
     // Injects faults of all kinds while clients propose commands and read.
     void runWithFaults(Common::Milliseconds);
@@ -24,6 +26,8 @@
     void checkConverged();
 
     void kill(size_t member, bool loseDisk);
+    // All members lose power at once, and these lose their disks as well. All restart after the time.
+    void losePower(const std::vector<size_t>& loseDisk, Common::Milliseconds time);
     void restart(size_t member);
     std::optional<size_t> leader() const;
     void propose(size_t member);
@@ -81,6 +85,8 @@
     bool mayLoseDisk(size_t) const;
     std::optional<size_t> indexOf(const Common::InstanceId&) const;
 
+    const size_t m_bootstrapCount;
+    bool m_isBootstrapped { false }; // All members were started once.
     Common::Random m_random;
     Common::TimePoint m_now;
     std::multimap<Common::TimePoint, std::function<void()>> m_events;
--- a/Source/UnitTests/Processes/platform_test.py
+++ b/Source/UnitTests/Processes/platform_test.py
@@ -21,6 +21,7 @@
 ACK_SECONDS = 5.0
 GRACE_SECONDS = 6.0
 CATCH_UP_SECONDS = 4.0
+RECOVERY_SECONDS = 12.0
 ENDLESS_REQUESTS = 12
 RELAY_MEGABYTES = 160  # The memory of the smallest machine that runs a relay.
 BLOCKED_LINES = 6000  # Far more than the pipe buffer and the log queue hold.
@@ -266,6 +267,31 @@
         for ip in self.cluster.controls[3:]:
             self.cluster.start(ip, False)
 
+    def check_final_loss(self):
+        """Kills all processes right after an acknowledgement; two control instances lose their disks as well."""
+        document = configuration(25, SHARDS, "one", "book").replace("/one/", "/final/")
+        expect(self.put_until_accepted(document), "a change is accepted before all processes are killed")
+        instances = self.cluster.controls + list(self.cluster.relays)
+        for ip in instances:
+            self.cluster.signal(ip, signal.SIGKILL, wait=False)
+        for ip in instances:
+            self.cluster.processes[ip].wait(timeout=15)
+        for ip in self.cluster.controls[1:3]:
+            self.cluster.wipe(ip)
+        time.sleep(1)
+        for ip in instances:
+            self.cluster.start(ip, False)
+        began = time.monotonic()
+        known = wait_for(RECOVERY_SECONDS, lambda: all(
+            self.read(i) == (200, 25) for i in range(len(self.cluster.controls))))
+        expect(known, f"all control instances read the acknowledged version after {time.monotonic() - began:.1f} s")
+        served = wait_for(RECOVERY_SECONDS, lambda: all(
+            self.send("/final/a", ip)[1] == 200 for ip in self.cluster.relays))
+        expect(served, f"all relays serve the acknowledged route after {time.monotonic() - began:.1f} s")
+        expect(self.put_until_accepted(configuration(26, SHARDS, "one", "book")), "the next change is accepted")
+        expect(wait_for(IN_FORCE_SECONDS, lambda: all(self.send("/one/a", ip)[1] == 200 for ip in self.cluster.relays)),
+               "and in force on all relays in time")
+
     def check_unresponsive_gatherer(self):
         relays = list(self.cluster.relays)
         os.kill(self.cluster.processes[relays[1]].pid, signal.SIGSTOP)
@@ -341,6 +367,7 @@
         self.check_caller_disconnect()
         self.check_draining()
         self.check_control_losses()
+        self.check_final_loss()
         self.check_unresponsive_gatherer()
         self.check_blocked_log()
         self.check_stop()
