Apply changed seeds in control instances too

Cause: only relays read the seeds again.

Change: on a reload the seeds are handed to the log shards, whose members announce themselves to them, and to the roster, which watches them and forwards to them.

Evidence: PlatformLateControlTest now rewrites the settings at its end; without the change the instance was not admitted within 4 s, with it, it is and reads the latest version.

--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -306,6 +306,8 @@
     m_private->listener = std::move(fn);
 }
 
+void ControlRole::setSeeds(const std::vector<Common::Address>& seeds) { m_private->state->setSeeds(seeds); }
+
 bool ControlRole::storageFailed() const
 {
     auto all = status();
--- a/Source/Core/Daemon/ControlRole.h
+++ b/Source/Core/Daemon/ControlRole.h
@@ -41,6 +41,7 @@
     Common::Milliseconds configurationBehind() const;
     // Calls fn, from any thread, after each change of the configuration.
     void onConfigurationChanged(std::function<void()> fn);
+    void setSeeds(const std::vector<Common::Address>&);
     bool storageFailed() const;
     // Gives up the leadership of all log shards, before a planned stop.
     void transferLeadership();
--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -214,6 +214,10 @@
         auto seeds = Settings::seedPeers(changed.value());
         if (m_relay)
             m_relay->setSeeds(seeds);
+        if (m_control)
+            m_control->setSeeds(seeds);
+        if (m_rosterServer)
+            m_rosterServer->setSeeds(seeds);
         Observe::logEvent(Part::Daemon, Observe::Event::Reloaded, { { "seeds", std::to_string(seeds.size()) } });
     }
 
--- a/Source/Core/Daemon/ReplicatedState.cpp
+++ b/Source/Core/Daemon/ReplicatedState.cpp
@@ -317,6 +317,15 @@
     return addresses;
 }
 
+void ReplicatedState::setSeeds(const std::vector<Common::Address>& seeds)
+{
+    std::vector<Common::InstanceId> contacts;
+    for (const Common::Address& seed : seeds)
+        contacts.emplace_back(seed.value());
+    for (auto& shard : m_private->shards)
+        shard->log->setContacts(contacts);
+}
+
 void ReplicatedState::transferLeadership()
 {
     for (auto& shard : m_private->shards)
--- a/Source/Core/Daemon/ReplicatedState.h
+++ b/Source/Core/Daemon/ReplicatedState.h
@@ -48,6 +48,8 @@
     // Returns the addresses of all members of log shard 0, including this one.
     std::vector<Common::Address> memberAddresses() const;
 
+    // Replaces the seeds, to which an instance outside the group announces itself.
+    void setSeeds(const std::vector<Common::Address>&);
     // Gives up the leadership of all log shards, before a planned stop.
     void transferLeadership();
     void stop();
--- a/Source/Core/Daemon/RosterServer.cpp
+++ b/Source/Core/Daemon/RosterServer.cpp
@@ -64,6 +64,7 @@
         : dependencies(d)
         , self(d.settings.peer.listen)
         , epoch(d.incarnation.value())
+        , seeds(Settings::seedPeers(d.settings))
     {
     }
 
@@ -81,6 +82,7 @@
     std::mutex mirrorMutex; // Guards what follows.
     std::map<Address, Roster::Mirror> mirrors; // Of the other control instances, each with a watch request in progress.
     std::set<Address> otherControls; // Members and seeds.
+    std::vector<Address> seeds;
 
     Shard& shardOf(const Common::BackendServerId& server)
     {
@@ -160,13 +162,13 @@
 void RosterServer::Private::followOtherControls()
 {
     auto members = dependencies.control.memberAddresses();
-    for (auto& seed : Settings::seedPeers(dependencies.settings)) {
-        if (std::find(members.begin(), members.end(), seed) == members.end())
-            members.push_back(seed);
-    }
     std::vector<Address> added;
     {
         std::lock_guard lock(mirrorMutex);
+        for (const Address& seed : seeds) {
+            if (std::find(members.begin(), members.end(), seed) == members.end())
+                members.push_back(seed);
+        }
         otherControls = { members.begin(), members.end() };
         otherControls.erase(self);
         for (const Address& address : otherControls) {
@@ -406,6 +408,12 @@
     reply(Wire::encode(table));
 }
 
+void RosterServer::setSeeds(std::vector<Address> seeds)
+{
+    std::lock_guard lock(m_private->mirrorMutex);
+    m_private->seeds = std::move(seeds);
+}
+
 void RosterServer::stop()
 {
     m_private->stopped = true;
--- a/Source/Core/Daemon/RosterServer.h
+++ b/Source/Core/Daemon/RosterServer.h
@@ -33,6 +33,8 @@
     void leave(const Common::BackendServerId&, Common::Incarnation);
     // Handles a message of the service Roster.
     void handle(std::string_view bytes, const Peer::Reply&);
+    // Replaces the seeds after the settings were reloaded.
+    void setSeeds(std::vector<Common::Address>);
     void stop();
 
 private:
--- a/Source/Core/Replica/LogShard.cpp
+++ b/Source/Core/Replica/LogShard.cpp
@@ -172,6 +172,12 @@
         return status;
     }
 
+    void setContacts(std::vector<Common::InstanceId> contacts)
+    {
+        std::lock_guard lock(m_mutex);
+        m_state.options.contacts = std::move(contacts);
+    }
+
     void transferLeadership()
     {
         Outbox outbox;
@@ -522,6 +528,8 @@
 
 Status LogShard::status() const { return m_private->status(); }
 
+void LogShard::setContacts(std::vector<Common::InstanceId> contacts) { m_private->setContacts(std::move(contacts)); }
+
 void LogShard::transferLeadership() { m_private->transferLeadership(); }
 
 void LogShard::stop() { m_private->stop(); }
--- a/Source/Core/Replica/LogShard.h
+++ b/Source/Core/Replica/LogShard.h
@@ -92,6 +92,8 @@
     // Unavailable: this member is not the leader, or lost leadership.
     void confirmRead(ReadDone done);
     Status status() const;
+    // Replaces the instances to which a member outside the group announces itself.
+    void setContacts(std::vector<Common::InstanceId>);
     // Transfers leadership to the most caught-up voter before a planned stop. Returns when leadership is lost, or after
     // an election timeout.
     void transferLeadership();
--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -201,7 +201,7 @@
     def relay_address(self, ip):
         return ip, self.port + 2
 
-    def start(self, ip, found, output=None, seeds=None):
+    def write_settings(self, ip, found, seeds=None):
         role = "control" if ip in self.controls else "relay"
         listens = f'control: "{ip}:{self.port + 2}"'
         if role == "relay":
@@ -211,8 +211,14 @@
             domain=self.relays.get(ip) or self.control_domains.get(ip, "a"), folder=os.path.join(self.folder, "data-" + ip),
             seeds=", ".join(f'"{seed}:{self.port + 2}"' for seed in seeds or self.seeds), wait=600 if role == "relay" else 100)
         path = os.path.join(self.folder, ip + ".yaml")
-        with open(path, "w", encoding="utf-8") as out:
+        # Renamed, so that a running process never reads a part of it.
+        with open(path + ".new", "w", encoding="utf-8") as out:
             out.write(text)
+        os.replace(path + ".new", path)
+        return path
+
+    def start(self, ip, found, output=None, seeds=None):
+        path = self.write_settings(ip, found, seeds)
         with open(os.path.join(self.folder, ip + ".log"), "ab") as log:
             self.processes[ip] = subprocess.Popen([BINARY, "--config", path], stdout=output or log, stderr=log)
 
--- a/Source/UnitTests/Processes/platform_late_control_test.py
+++ b/Source/UnitTests/Processes/platform_late_control_test.py
@@ -2,8 +2,10 @@
 """Guards against relays that stay on an old route table because their control instance answers but is outside the group.
 
 The control instance of one failure domain loses its disk and restarts with seeds that no longer exist, so that it is not
-admitted. Changes that the others accept must be in force on all relays in time.
+admitted. Changes that the others accept must be in force on all relays in time. Once its settings name other seeds, it is
+admitted without a restart.
 """
+import json
 import os
 import signal
 import sys
@@ -14,6 +16,7 @@
 
 ACK_SECONDS = 5.0
 IN_FORCE_SECONDS = 3.0  # The platform's limit for a configuration change to take effect everywhere.
+CATCH_UP_SECONDS = 4.0
 CHANGES = 4
 GONE_SEED = "127.0.2.99"
 PROBLEMS = []
@@ -53,6 +56,10 @@
             time.sleep(0.05)
         return None
 
+    def read(self, control):
+        status, _, body = call((control, self.cluster.port + 2), "GET", "/-/config", timeout=2)
+        return status, json.loads(body)["version"] if status == 200 else None
+
     def has(self, relay, version):
         headers = {"Host": HOST, "X-Request-Id": f"v{version}", "X-Deadline-Ms": "500"}
         return call(self.cluster.relay_address(relay), "GET", f"/v{version}/a", headers=headers, timeout=1)[0] != 404
@@ -80,6 +87,10 @@
         time.sleep(1)
         for version in range(3, 3 + CHANGES):
             self.check_in_force(version, "beside a control instance that is not admitted")
+        last = version
+        self.cluster.write_settings(self.late, False)
+        expect(wait_for(CATCH_UP_SECONDS, lambda: self.read(self.late) == (200, last)),
+               "the instance is admitted after its settings name other seeds")
 
 
 def main():
