Keep the only voter leading while its disk stalls

What callers would see: a control group of one instance refuses reads for as long as its disk takes nothing, since it steps down for a member that doesn't exist.

Change: a leader steps down for a stalled disk only if another voter is active.

Evidence: Step.OnlyVoterKeepsLeadingWhileItsDiskStalls failed before.

--- a/Source/Core/Consensus/Transfer.cpp
+++ b/Source/Core/Consensus/Transfer.cpp
@@ -39,8 +39,10 @@
 
 void yieldLeadership(Context& c)
 {
-    if (const MemberId* target = mostCaughtUpVoter(c))
-        send(c, *target, TimeoutNow {});
+    const MemberId* target = mostCaughtUpVoter(c);
+    if (!target)
+        return;
+    send(c, *target, TimeoutNow {});
     becomeFollower(c, c.state.hard.term, std::nullopt);
 }
 
--- a/Source/UnitTests/Consensus/StepTest.cpp
+++ b/Source/UnitTests/Consensus/StepTest.cpp
@@ -155,6 +155,25 @@
     EXPECT_FALSE(step(state, Consensus::Tick {}, now + state.options.electionTimeout * 3).messages.empty());
 }
 
+TEST(Step, OnlyVoterKeepsLeadingWhileItsDiskStalls)
+{
+    Consensus::State state = voter("a", 1);
+    state.memberships.back().second.members.resize(1);
+    TimePoint now;
+    for (int i = 0; i < 20 && !isLeading(state); ++i) {
+        now = now + state.options.electionTimeout;
+        step(state, Consensus::Tick {}, now);
+        step(state, Consensus::Persisted { state.lastWrite }, now);
+    }
+    ASSERT_TRUE(isLeading(state));
+    step(state, Consensus::Propose { { "new" } }, now);
+    for (int i = 0; i < 100; ++i) {
+        now = now + state.options.heartbeat;
+        step(state, Consensus::Tick {}, now);
+    }
+    EXPECT_TRUE(isLeading(state));
+}
+
 TEST(Step, OneMembershipChangeAtATime)
 {
     Consensus::State state = leader();
