--- a/Source/Core/Daemon/ReplicatedState.cpp
+++ b/Source/Core/Daemon/ReplicatedState.cpp
@@ -320,6 +320,7 @@
 void ReplicatedState::setSeeds(const std::vector<Common::Address>& seeds)
 {
     std::vector<Common::InstanceId> contacts;
+    contacts.reserve(seeds.size());
     for (const Common::Address& seed : seeds)
         contacts.emplace_back(seed.value());
     for (auto& shard : m_private->shards)
