Name the two ways in which a control instance may be behind

isBehind said nothing of what is behind once the log had a flag of its own: the one about the roster is isRosterBehind now. No change of behaviour; RosterTest passes.

--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -190,11 +190,11 @@
         isNewlyReachable = !control.answeredAt || control.hasFailed;
         control.answeredAt = now;
         control.hasFailed = false;
-        control.isBehind = false;
+        control.isRosterBehind = false;
         bool wasLogBehind = std::exchange(control.isLogBehind, reply.logBehind > logBehindThreshold);
         isNewlyBehind = control.isLogBehind && !wasLogBehind;
         for (const Roster::SourceState& state : reply.sources) {
-            control.isBehind = control.isBehind || state.silentFor > staleThreshold;
+            control.isRosterBehind = control.isRosterBehind || state.silentFor > staleThreshold;
             if (Roster::isFromEarlierEpoch(sources, state, now))
                 ignoredSources.push_back(state.source);
             auto changes = Roster::applyState(sources, serverView, state, now, sourceRetention);
--- a/Source/Core/Roster/FollowChoice.cpp
+++ b/Source/Core/Roster/FollowChoice.cpp
@@ -43,7 +43,7 @@
     std::vector<Address> order = members;
     std::sort(order.begin(), order.end(), [&](const Address& a, const Address& b) { return sortKey(a) < sortKey(b); });
     std::vector<Address> chosen;
-    bool mayAddForBehind = true;
+    bool mayAddForRoster = true;
     // Each committed change is held by one instance of any majority.
     size_t majority = members.size() / 2 + 1;
     size_t responsive = 0;
@@ -61,9 +61,9 @@
                 break;
             continue;
         }
-        if (!it->second.isBehind || !mayAddForBehind)
+        if (!it->second.isRosterBehind || !mayAddForRoster)
             break;
-        mayAddForBehind = false;
+        mayAddForRoster = false;
     }
     return chosen;
 }
--- a/Source/Core/Roster/FollowChoice.h
+++ b/Source/Core/Roster/FollowChoice.h
@@ -14,7 +14,7 @@
     std::optional<Common::TimePoint> startedAt; // When the first request was sent; empty if it is not followed.
     std::optional<Common::TimePoint> answeredAt; // The time of its last reply since then.
     bool hasFailed { false }; // The last request failed.
-    bool isBehind { false }; // It has had no reply from another control instance recently.
+    bool isRosterBehind { false }; // It has had no reply from another control instance recently.
     bool isLogBehind { false }; // It has not held all committed changes recently.
 };
 
--- a/Source/Core/Roster/Messages.h
+++ b/Source/Core/Roster/Messages.h
@@ -53,8 +53,8 @@
 struct WatchReply {
     std::vector<SourceState> sources;
     Common::TableNumber table; // The latest one that the replying instance has applied.
-    Common::Milliseconds
-        logBehind; // Since it last held all that was committed; infinite if it has not since its start.
+    // Since the replying instance last held all that was committed; infinite if it has not since its start.
+    Common::Milliseconds logBehind;
     std::vector<Common::Address> members; // The control instances.
 };
 
--- a/Source/UnitTests/Roster/FollowTest.cpp
+++ b/Source/UnitTests/Roster/FollowTest.cpp
@@ -324,12 +324,12 @@
 {
     start(at(0));
     answer(Address("near"), at(100));
-    followed[Address("near")].isBehind = true;
+    followed[Address("near")].isRosterBehind = true;
     start(at(110));
     auto two = chosen(at(120));
     EXPECT_EQ(two.size(), 2u);
     answer(two[1], at(130));
-    followed[two[1]].isBehind = true;
+    followed[two[1]].isRosterBehind = true;
     EXPECT_EQ(chosen(at(140)).size(), 2u) << "only one more, even if all are behind because one is lost";
 }
 
