Check that the late control test's requests are served

The check took any answer but 404 for a route in force, so a relay without a table (503) or without an answer passed. It requires 200 now, within the same bounds. Found when reading the diff again. A comment of FakeCluster is reworded.

--- a/Source/UnitTests/Consensus/FakeCluster.h
+++ b/Source/UnitTests/Consensus/FakeCluster.h
@@ -26,7 +26,7 @@
     void checkConverged();
 
     void kill(size_t member, bool loseDisk);
-    // All members lose power at once, and these lose their disks as well. All restart after the time.
+    // All members lose power at once, and those in loseDisk lose their disks too. All of them restart after the time.
     void losePower(const std::vector<size_t>& loseDisk, Common::Milliseconds time);
     void restart(size_t member);
     std::optional<size_t> leader() const;
--- a/Source/UnitTests/Processes/platform_late_control_test.py
+++ b/Source/UnitTests/Processes/platform_late_control_test.py
@@ -62,7 +62,7 @@
 
     def has(self, relay, version):
         headers = {"Host": HOST, "X-Request-Id": f"v{version}", "X-Deadline-Ms": "500"}
-        return call(self.cluster.relay_address(relay), "GET", f"/v{version}/a", headers=headers, timeout=1)[0] != 404
+        return call(self.cluster.relay_address(relay), "GET", f"/v{version}/a", headers=headers, timeout=1)[0] == 200
 
     def check_in_force(self, version, when):
         acknowledged = self.put(version)
