Match each answer to its request on every HTTP connection

Change: a responder answers in the turn of its own request only, once. An answer without the id is accepted only on a connection that carried no other request. Connections are dropped after an unusable answer, and if bytes have arrived while they were idle. cancel() and timers name their request.

Tests: CallerConnection.ASecondAnswerToARequestIsNotSentToTheNext fails on; ServerAnswer.WithoutTheRequestsIdIsAcceptedOnlyOnAConnectionThat- CarriedNoOtherRequest and Connection.CancelOfAnEarlierRequestLeavesTheNextOne- Alone use new interfaces.

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -87,6 +87,7 @@
     const Milliseconds timeout;
     boost::asio::io_context& loop;
     std::atomic<bool> open { false };
+    std::atomic<uint64_t> sends { 0 };
 
     // Accessed on the event loop's thread only.
     tcp::socket socket;
@@ -96,6 +97,8 @@
     std::string out;
     Done done;
     uint64_t socketGeneration { 0 }; // Completion handlers of an earlier socket are ignored.
+    ExchangeId exchange; // The current or last request.
+    bool isReused { false }; // The current request is not the first on its socket.
     bool isWriting { false };
     bool isReading { false };
     bool isHead { false };
@@ -103,7 +106,8 @@
     Common::Bytes buffered; // What this connection uses of responseBudget.
     bool mayHaveSent { false }; // Whether any byte of the request may have reached the peer.
 
-    void start(std::string text, bool head, Done fn);
+    void start(ExchangeId, std::string text, bool head, Done fn);
+    bool hasStrayBytes();
     void connect();
     void write();
     void resetParser();
@@ -119,14 +123,23 @@
     void closeSocket();
 };
 
-void Connection::Private::start(std::string text, bool head, Done fn)
+// Bytes that arrived while the connection was idle belong to no request, and would be taken for the next answer.
+bool Connection::Private::hasStrayBytes()
 {
+    boost::system::error_code error;
+    return socket.available(error) > 0 || error;
+}
+
+void Connection::Private::start(ExchangeId id, std::string text, bool head, Done fn)
+{
+    exchange = id;
     done = std::move(fn);
     out = std::move(text);
     isHead = head;
     mayHaveSent = false;
     startTimer(timeout);
-    if (open && reuse == Reuse::Allowed)
+    isReused = open && reuse == Reuse::Allowed && !hasStrayBytes();
+    if (isReused)
         write();
     else
         connect();
@@ -282,6 +295,7 @@
     }
     response.contentType = headerOf(response.headers, "content-type");
     response.body = std::move(message.body());
+    response.isOnReusedConnection = isReused;
     // The connection is not reusable if extra bytes follow the response, since they belong to no request, or if the
     // request is still being written, since its rest would mix with the next one.
     bool isClean = message.keep_alive() && !message.need_eof() && !buffer.size() && !isWriting;
@@ -310,9 +324,11 @@
 void Connection::Private::startTimer(Milliseconds time)
 {
     timer.expires_after(Clock::toChrono(time));
-    timer.async_wait([weak = weak_from_this(), generation = socketGeneration](const boost::system::error_code& error) {
+    // A timer of the idle time that has just expired must not end the next request.
+    timer.async_wait([weak = weak_from_this(), generation = socketGeneration, id = exchange, isIdle = !done](
+                         const boost::system::error_code& error) {
         auto self = weak.lock();
-        if (error || !self)
+        if (error || !self || self->exchange != id || isIdle != !self->done)
             return;
         if (self->done)
             self->fail(self->mayHaveSent ? Reason::DeadlineExceeded : Reason::ConnectionFailed, "request",
@@ -362,20 +378,24 @@
 void Connection::send(const Request& request, Done done)
 {
     auto self = m_private;
+    ExchangeId id(++self->sends);
     boost::asio::post(self->loop,
-        [self, text = encode(request, self->peer), head = request.method == "HEAD", done = std::move(done)]() mutable {
-            self->start(std::move(text), head, std::move(done));
-        });
+        [self, id, text = encode(request, self->peer), head = request.method == "HEAD",
+            done = std::move(done)]() mutable { self->start(id, std::move(text), head, std::move(done)); });
 }
 
-void Connection::cancel()
+ExchangeId Connection::nextExchange() const { return ExchangeId(m_private->sends + 1); }
+
+void Connection::cancel(ExchangeId id)
 {
-    boost::asio::post(m_private->loop, [self = m_private] {
-        if (self->done)
+    boost::asio::post(m_private->loop, [self = m_private, id] {
+        if (self->done && self->exchange == id)
             self->fail(Reason::Cancelled, "request", "cancelled");
     });
 }
 
+void Connection::cancel() { cancel(ExchangeId(m_private->sends)); }
+
 bool Connection::isOpen() const { return m_private->open; }
 
 } // namespace Http
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -20,6 +20,9 @@
 // Cancelled: it is unknown whether the request was executed.
 using Done = std::function<void(Common::Result<Response>)>;
 
+// Numbers the requests of one connection.
+using ExchangeId = Common::Quantity<struct ExchangeIdTag, uint64_t>;
+
 // At most one TCP connection to one peer, carrying one request at a time.
 class Connection {
 public:
@@ -30,7 +33,11 @@
 
     // Calls done once, on an event loop thread and never from inside send(). Only one request may be in progress.
     void send(const Request&, Done done);
-    // Closes the connection of a request in progress; its done receives Cancelled.
+    // The id that the next send() uses. Only the holder of the connection may rely on it.
+    ExchangeId nextExchange() const;
+    // Closes the connection if this request is in progress; its done receives Cancelled.
+    void cancel(ExchangeId);
+    // The same for the request that was sent last.
     void cancel();
     // Whether the next request can be sent without opening a new connection.
     bool isOpen() const;
--- a/Source/Core/Http/Message.h
+++ b/Source/Core/Http/Message.h
@@ -45,6 +45,8 @@
     std::string contentType { "application/json" };
     bool closeAfter { false }; // Close the connection after this answer.
     bool drop { false }; // Close the connection without sending an answer.
+    // Received on a connection that carried earlier requests, so it may be the late answer to one of them.
+    bool isOnReusedConnection { false };
 };
 
 // Splits a path at its slashes: "/v1/query/a" gives {"v1", "query", "a"}.
--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -278,6 +278,7 @@
 {
     auto message = m_parser->release();
     m_state = State::Handling;
+    m_answered = false;
     m_keepAlive = message.keep_alive();
     Request request;
     request.method = std::string(message.method_string());
@@ -296,15 +297,19 @@
         m_disconnectHandlers.clear();
     }
     m_server->requestStarted();
-    m_server->handle(std::move(request), [self](Response response) {
+    m_server->handle(std::move(request), [self, turn = ++m_turn](Response response) {
         // Posted, since an answer may start the next request, which must not run inside the handler.
-        boost::asio::post(
-            self->m_socket.get_executor(), [self, response = std::move(response)] { self->respond(response); });
+        boost::asio::post(self->m_socket.get_executor(),
+            [self, turn, response = std::move(response)] { self->respond(turn, response); });
     });
 }
 
-void ServerConnection::respond(const Response& response)
+// An answer is written only in the turn of its request. A second answer to an earlier request is dropped.
+void ServerConnection::respond(uint64_t turn, const Response& response)
 {
+    if (turn != m_turn || m_answered)
+        return;
+    m_answered = true;
     if (m_state != State::Handling) {
         m_server->requestFinished();
         return;
--- a/Source/Core/Http/ServerConnection.h
+++ b/Source/Core/Http/ServerConnection.h
@@ -73,7 +73,7 @@
     void onHeaderComplete();
     void dispatch();
     void sendError(int status, const char* message);
-    void respond(const Response&);
+    void respond(uint64_t turn, const Response&);
     void write(const Response&, bool close);
     void onWritten(bool close);
     void linger();
@@ -98,6 +98,8 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     State m_state { State::Reading };
+    bool m_answered { false }; // The current request has received its answer from the handler.
+    uint64_t m_turn { 0 }; // Counts the requests of this connection.
     bool m_isReading { false };
     bool m_disconnected { false };
     bool m_headerDone { false };
--- a/Source/Core/Relay/Load.cpp
+++ b/Source/Core/Relay/Load.cpp
@@ -82,6 +82,7 @@
         pause(load, shedBackoff, now);
         return;
     case Outcome::Kind::Failed:
+    case Outcome::Kind::Unusable:
         pause(load, failedBackoff, now);
         return;
     case Outcome::Kind::Unreachable:
--- a/Source/Core/Relay/Load.h
+++ b/Source/Core/Relay/Load.h
@@ -14,6 +14,7 @@
         Shed, // The server rejected it for lack of capacity.
         Unreachable, // No connection, or the connection was lost.
         Misdirected, // Another server has the address.
+        Unusable, // The answer is malformed or belongs to another request.
         Cancelled, // Cancelled by this instance. The time taken is a lower bound.
     };
 
--- a/Source/Core/Relay/ServerPool.cpp
+++ b/Source/Core/Relay/ServerPool.cpp
@@ -64,7 +64,8 @@
 {
     m_servers.ifPresent(id, [&](Server& server) {
         end(server.load, sentAt, outcome, now);
-        if (connection->isOpen() && outcome.kind != Outcome::Kind::Misdirected)
+        bool isTrusted = outcome.kind != Outcome::Kind::Misdirected && outcome.kind != Outcome::Kind::Unusable;
+        if (connection->isOpen() && isTrusted)
             server.idle.push_back(std::move(connection));
     });
 }
--- a/Source/UnitTests/Http/CallerConnectionTest.cpp
+++ b/Source/UnitTests/Http/CallerConnectionTest.cpp
@@ -33,7 +33,8 @@
         ASSERT_TRUE(m_server);
     }
 
-    // Answers /held when its caller disconnects, all others immediately.
+    // Answers /held when its caller disconnects, all others immediately. A /next after a /twice repeats the answer to
+    // the latter first.
     void handle(const Http::Request& request, const Http::Responder& done)
     {
         ++m_calls;
@@ -44,6 +45,10 @@
         }
         Http::Response response;
         response.body = request.target;
+        if (request.path == "/twice")
+            m_answerAgain = [done, response] { done(response); };
+        if (request.path == "/next" && m_answerAgain)
+            m_answerAgain();
         if (request.path != "/held") {
             done(response);
             return;
@@ -66,6 +71,7 @@
     std::atomic<int> m_calls { 0 };
     std::promise<void> m_held;
     std::promise<void> m_gone;
+    std::function<void()> m_answerAgain;
 
 private:
     std::mutex m_mutex;
@@ -101,6 +107,16 @@
     EXPECT_EQ(m_server->waitForAnswers(bound), 0u);
 }
 
+TEST_F(CallerConnection, ASecondAnswerToARequestIsNotSentToTheNext)
+{
+    RawClient client(m_address);
+    ASSERT_TRUE(client.send("GET /twice HTTP/1.1\r\nHost: x\r\n\r\n"));
+    EXPECT_EQ(client.readAnswer(bound), "HTTP/1.1 200 OK /twice");
+    ASSERT_TRUE(client.send("GET /next HTTP/1.1\r\nHost: x\r\n\r\n"));
+    EXPECT_EQ(client.readAnswer(bound), "HTTP/1.1 200 OK /next");
+    EXPECT_EQ(m_server->waitForAnswers(bound), 0u);
+}
+
 TEST_F(CallerConnection, TargetHeadersAndBodyArePassedUnchanged)
 {
     const std::string body("a\0\r\n\xff%41", 8);
--- a/Source/UnitTests/Http/ConnectionTest.cpp
+++ b/Source/UnitTests/Http/ConnectionTest.cpp
@@ -108,6 +108,25 @@
     EXPECT_EQ(result.error().reason, Reason::Cancelled) << result.error();
 }
 
+TEST(Connection, CancelOfAnEarlierRequestLeavesTheNextOneAlone)
+{
+    RawServer server([](int, int request, const std::string&) {
+        return request ? RawServer::Reply { "", RawServer::After::KeepOpen, okReply() }
+                       : RawServer::Reply { okReply(), RawServer::After::KeepOpen, "" };
+    });
+    Http::Connection connection(server.address(), Http::Reuse::Allowed, timeout);
+    Http::ExchangeId first = connection.nextExchange();
+    auto answer = exchange(connection, "GET");
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(answer.value().isOnReusedConnection);
+    std::promise<Common::Result<Http::Response>> promise;
+    connection.send({}, [&](Common::Result<Http::Response> result) { promise.set_value(std::move(result)); });
+    connection.cancel(first);
+    auto next = promise.get_future().get();
+    ASSERT_TRUE(next) << next.error();
+    EXPECT_TRUE(next.value().isOnReusedConnection);
+}
+
 TEST(Connection, TimeoutIsReportedAsDeadlineExceeded)
 {
     RawServer server([](int, int, const std::string&) {
--- a/Source/UnitTests/Platform/CodecTest.cpp
+++ b/Source/UnitTests/Platform/CodecTest.cpp
@@ -42,9 +42,10 @@
     return Platform::decodeCall(std::move(request));
 }
 
-SubAnswer decode(int status, Http::Fields fields)
+SubAnswer decode(int status, Http::Fields fields, bool isOnReusedConnection = false)
 {
     Http::Response response;
+    response.isOnReusedConnection = isOnReusedConnection;
     response.status = status;
     for (auto& [name, value] : fields)
         response.headers[Http::lowerCase(name)] = value;
@@ -155,6 +156,19 @@
     EXPECT_EQ(decode(500, { { "X-Server-Stamp", "s" } }).outcome, Outcome::Failure);
 }
 
+TEST(ServerAnswer, WithoutTheRequestsIdIsAcceptedOnlyOnAConnectionThatCarriedNoOtherRequest)
+{
+    EXPECT_EQ(decode(200, { { "X-Server-Stamp", "s" } }).outcome, SubAnswer::Outcome::Success);
+    for (int status : { 200, 421, 500, 503 }) {
+        auto answer = decode(status, { { "X-Server-Stamp", "s" }, { "X-Not-Executed", "1" } }, true);
+        EXPECT_EQ(answer.outcome, SubAnswer::Outcome::Unusable) << status;
+    }
+    EXPECT_EQ(decode(200, { { "X-Server-Stamp", "s" }, { "X-Request-Id", "id" } }, true).outcome,
+        SubAnswer::Outcome::Success);
+    EXPECT_EQ(
+        decode(200, { { "X-Server-Stamp", "s" }, { "X-Request-Id", "other" } }).outcome, SubAnswer::Outcome::Unusable);
+}
+
 TEST(Answer, ListsSignaturesAndMissingParts)
 {
     auto response = Platform::encodeAnswer(
