--- a/Source/Core/Backend/Client.cpp
+++ b/Source/Core/Backend/Client.cpp
@@ -80,7 +80,7 @@
         }
         std::string reason = decodeErrorReason(response.body);
         std::string message = "status " + std::to_string(response.status) + " " + reason;
-        if (response.status == 409 || response.status == 400 || !Http::headerOf(response.headers, "x-not-run").empty())
+        if (response.status == 409 || response.status == 400 || Http::findField(response.fields, "x-not-run"))
             return Common::makeError(Reason::Refused, "search", message, peer);
         if (response.status == 499)
             return Common::makeError(Reason::Cancelled, "search", message, peer);
@@ -94,7 +94,7 @@
         if (!result)
             return result.error();
         const Http::Response& response = result.value();
-        if (!Http::headerOf(response.headers, "x-not-run").empty())
+        if (Http::findField(response.fields, "x-not-run"))
             return Common::makeError(Reason::Refused, "run", decodeErrorReason(response.body), peer);
         // Any other 5xx leaves it unknown whether the request was executed.
         if (response.status >= 500)
--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -261,8 +261,8 @@
             if (!m_frontEnd)
                 return Common::makeError(Reason::InvalidInput, "start",
                     "the role relay requires a front end, which this program does not have");
-            m_relay = std::make_unique<RelayRole>(RelayDependencies {
-                m_settings, m_peers, m_timers, m_metrics, m_frontEnd->backendCodec, m_frontEnd->decodeTable });
+            m_relay = std::make_unique<RelayRole>(RelayDependencies { m_settings, m_incarnation, m_peers, m_timers,
+                m_metrics, m_frontEnd->backendCodec, m_frontEnd->decodeTable });
         }
         if (m_settings.isEntry)
             m_entry = std::make_unique<EntryRole>(EntryDependencies { m_settings, m_incarnation,
--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -24,13 +24,13 @@
 struct RelayRole::Private : std::enable_shared_from_this<RelayRole::Private> {
     explicit Private(RelayDependencies d)
         : dependencies(std::move(d))
-        , engine(engineOptions(dependencies.settings), dependencies.backendCodec, peers(dependencies.peers),
-              dependencies.timers, dependencies.metrics)
+        , engine(engineOptions(dependencies), dependencies.backendCodec, peers(dependencies.peers), dependencies.timers,
+              dependencies.metrics)
         , rosterFollower({ dependencies.settings, dependencies.peers, dependencies.timers })
     {
     }
 
-    static Relay::EngineOptions engineOptions(const Settings::Daemon&);
+    static Relay::EngineOptions engineOptions(const RelayDependencies&);
     static Relay::Peers peers(Peer::Client&);
 
     RelayDependencies dependencies;
@@ -50,9 +50,12 @@
     void takeTable(const Address& from, const Result<std::string>&);
 };
 
-Relay::EngineOptions RelayRole::Private::engineOptions(const Settings::Daemon& settings)
+Relay::EngineOptions RelayRole::Private::engineOptions(const RelayDependencies& dependencies)
 {
+    const Settings::Daemon& settings = dependencies.settings;
     Relay::EngineOptions options;
+    options.incarnation = dependencies.incarnation;
+    options.processorShare = settings.relay.processorShare.value();
     options.self = { settings.peer.listen, settings.failureDomain };
     options.returnMargin = settings.relay.returnMargin;
     options.retryBudget = { settings.relay.retryRatio, settings.relay.retryMinimum, settings.relay.retryWindow };
@@ -65,7 +68,7 @@
     peers.gather = [&client](const Address& to, const Relay::BundleRequest& call, Milliseconds timeout, auto done) {
         client.call(to, Peer::Service::Relay, Wire::encode(call), timeout,
             [done = std::move(done)](const Result<std::string>& result) {
-                done(result ? Wire::decodeAnswer(result.value()) : Result<Relay::Answer>(result.error()));
+                done(result ? Wire::decodeBundleAnswer(result.value()) : Result<Relay::BundleAnswer>(result.error()));
             });
     };
     peers.probe = [&client](const Address& to, Milliseconds timeout, auto done) {
@@ -191,7 +194,7 @@
         reply(call.error());
         return;
     }
-    m_private->engine.gather(call.value(), [reply](const Result<Relay::Answer>& answer) {
+    m_private->engine.gather(call.value(), [reply](const Result<Relay::BundleAnswer>& answer) {
         if (answer)
             reply(Wire::encode(answer.value()));
         else
--- a/Source/Core/Daemon/RelayRole.h
+++ b/Source/Core/Daemon/RelayRole.h
@@ -15,6 +15,7 @@
 
 struct RelayDependencies {
     const Settings::Daemon& settings;
+    Common::Incarnation incarnation;
     Peer::Client& peers;
     Common::Timers& timers;
     Observe::Metrics& metrics;
--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -107,7 +107,6 @@
     bool mayHaveSent { false }; // Whether any byte of the request may have reached the peer.
 
     void start(ExchangeId, std::string text, bool head, Done fn);
-    bool hasStrayBytes();
     void connect();
     void write();
     void resetParser();
@@ -123,13 +122,6 @@
     void closeSocket();
 };
 
-// Bytes that arrived while the connection was idle belong to no request, and would be taken for the next answer.
-bool Connection::Private::hasStrayBytes()
-{
-    boost::system::error_code error;
-    return socket.available(error) > 0 || error;
-}
-
 void Connection::Private::start(ExchangeId id, std::string text, bool head, Done fn)
 {
     exchange = id;
@@ -138,7 +130,7 @@
     isHead = head;
     mayHaveSent = false;
     startTimer(timeout);
-    isReused = open && reuse == Reuse::Allowed && !hasStrayBytes();
+    isReused = open && reuse == Reuse::Allowed;
     if (isReused)
         write();
     else
@@ -158,6 +150,7 @@
     }
     boost::system::error_code ignored; // Without these options, answers and failures only arrive later.
     socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof tcpUserTimeoutMs);
     socket.async_connect(*endpoint,
         [self = shared_from_this(), generation = socketGeneration](const boost::system::error_code& failure) {
@@ -219,13 +212,18 @@
     if (isReading)
         return;
     isReading = true;
-    socket.async_read_some(buffer.prepare(readSize),
-        [self = shared_from_this(), generation = socketGeneration](
-            const boost::system::error_code& error, size_t bytes) {
+    // Waits before it reads, since a read right after the request would find nothing.
+    socket.async_wait(tcp::socket::wait_read,
+        [self = shared_from_this(), generation = socketGeneration](const boost::system::error_code& waitError) {
             if (generation != self->socketGeneration)
                 return;
             self->isReading = false;
-            self->onRead(error, bytes);
+            boost::system::error_code error = waitError;
+            size_t bytes = error ? 0 : self->socket.read_some(self->buffer.prepare(readSize), error);
+            if (error == boost::asio::error::would_block)
+                self->read();
+            else
+                self->onRead(error, bytes);
         });
 }
 
@@ -289,11 +287,10 @@
     resize(responseBudget, std::exchange(buffered, Common::Bytes(0)), Common::Bytes(0));
     Response response;
     response.status = static_cast<int>(message.result_int());
-    for (auto& field : message) {
+    for (auto& field : message)
         response.fields.emplace_back(field.name_string(), field.value());
-        response.headers[lowerCase(std::string(field.name_string()))] = std::string(field.value());
-    }
-    response.contentType = headerOf(response.headers, "content-type");
+    const std::string* contentType = findField(response.fields, "Content-Type");
+    response.contentType = contentType ? *contentType : std::string();
     response.body = std::move(message.body());
     response.isOnReusedConnection = isReused;
     // The connection is not reusable if extra bytes follow the response, since they belong to no request, or if the
@@ -376,12 +373,17 @@
 }
 
 void Connection::send(const Request& request, Done done)
+{
+    send(encode(request, m_private->peer), request.method == "HEAD", std::move(done));
+}
+
+void Connection::send(std::string text, bool isHead, Done done)
 {
     auto self = m_private;
     ExchangeId id(++self->sends);
-    boost::asio::post(self->loop,
-        [self, id, text = encode(request, self->peer), head = request.method == "HEAD",
-            done = std::move(done)]() mutable { self->start(id, std::move(text), head, std::move(done)); });
+    boost::asio::post(self->loop, [self, id, text = std::move(text), isHead, done = std::move(done)]() mutable {
+        self->start(id, std::move(text), isHead, std::move(done));
+    });
 }
 
 ExchangeId Connection::nextExchange() const { return ExchangeId(m_private->sends + 1); }
--- a/Source/Core/Http/Connection.h
+++ b/Source/Core/Http/Connection.h
@@ -33,6 +33,8 @@
 
     // Calls done once, on an event loop thread and never from inside send(). Only one request may be in progress.
     void send(const Request&, Done done);
+    // The same for an encoded request.
+    void send(std::string text, bool isHead, Done done);
     // The id that the next send() uses. Only the holder of the connection may rely on it.
     ExchangeId nextExchange() const;
     // Closes the connection if this request is in progress; its done receives Cancelled.
--- a/Source/Core/Http/Message.cpp
+++ b/Source/Core/Http/Message.cpp
@@ -31,6 +31,15 @@
     return text;
 }
 
+const std::string* findField(const Fields& fields, std::string_view name)
+{
+    auto isSame = [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); };
+    auto it = std::find_if(fields.rbegin(), fields.rend(), [&](const auto& field) {
+        return std::equal(field.first.begin(), field.first.end(), name.begin(), name.end(), isSame);
+    });
+    return it == fields.rend() ? nullptr : &it->second;
+}
+
 std::string headerOf(const Headers& headers, const std::string& name)
 {
     auto it = headers.find(name);
--- a/Source/Core/Http/Message.h
+++ b/Source/Core/Http/Message.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -39,8 +40,8 @@
 
 struct Response {
     int status { 200 };
-    Headers headers;
-    Fields fields; // See Request::fields.
+    Headers headers; // When sending only.
+    Fields fields; // As received. When sending, both lists are written.
     std::string body;
     std::string contentType { "application/json" };
     bool closeAfter { false }; // Close the connection after this answer.
@@ -58,6 +59,9 @@
 // Returns the header's value, or "" if it is absent.
 std::string headerOf(const Headers&, const std::string& name);
 
+// Returns the last header of this name in any case, or null if there is none.
+const std::string* findField(const Fields&, std::string_view name);
+
 // Percent-encode a path (slashes are kept) and a query's names and values.
 std::string encodePath(const std::string&);
 std::string encodeQueryText(const std::string&);
--- a/Source/Core/Relay/Assembly.cpp
+++ b/Source/Core/Relay/Assembly.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    bool hasNotAnswered(const Assembly::Part& part) { return part.isAwaited && part.missing.empty(); }
+
     size_t missingGroups(const Assembly& assembly)
     {
         size_t n = 0;
@@ -17,6 +19,14 @@
         return n;
     }
 
+    size_t awaitedGroups(const Assembly& assembly)
+    {
+        size_t n = 0;
+        for (const Assembly::Part& part : assembly.parts)
+            n += hasNotAnswered(part) ? part.groups.size() : 0;
+        return n;
+    }
+
     size_t pendingGroups(const Assembly::Part& part)
     {
         return static_cast<size_t>(std::count_if(
@@ -40,6 +50,8 @@
         for (const Assembly::Part& part : assembly.parts) {
             for (const MissingGroup& group : part.missing)
                 all.missing.push_back({ part.groups.at(group.place), false });
+            for (size_t place : hasNotAnswered(part) ? part.groups : std::vector<size_t>())
+                all.missing.push_back({ place, false });
         }
         all.body = greatestRecords(bodies, assembly.fanOut->topRecords);
         return all;
@@ -115,8 +127,10 @@
     size_t allowed = allowedMissing(*assembly.fanOut, assembly.fanOut->groups.size());
     bool isEnough = missingGroups(assembly) <= allowed;
     bool cannotSucceed = !isEnough && !assembly.refusals.empty() && !assembly.isResumed;
-    // Answers of resumed bundles are late already, so a sufficient answer is returned at once.
-    bool mayWait = isAwaited(assembly) && !(isEnough && assembly.isResumed) && !cannotSucceed;
+    bool isEnoughNow = missingGroups(assembly) + awaitedGroups(assembly) <= allowed;
+    // An answer that is late already is returned as soon as it is sufficient.
+    bool isLate = assembly.isDue || assembly.isResumed;
+    bool mayWait = isAwaited(assembly) && !(isEnoughNow && isLate) && !cannotSucceed;
     if (mayWait)
         return step;
     if (!isEnough && !cannotSucceed && !assembly.isResumed) {
@@ -135,4 +149,16 @@
     return step;
 }
 
+AssemblyStep objectivePassed(Assembly& assembly)
+{
+    AssemblyStep step;
+    assembly.isDue = true;
+    size_t allowed = allowedMissing(*assembly.fanOut, assembly.fanOut->groups.size());
+    if (assembly.finished || missingGroups(assembly) + awaitedGroups(assembly) > allowed)
+        return step;
+    assembly.finished = true;
+    step.answer = mergeAll(assembly);
+    return step;
+}
+
 } // namespace Relay
--- a/Source/Core/Relay/Assembly.h
+++ b/Source/Core/Relay/Assembly.h
@@ -10,8 +10,9 @@
 
 // Merges the bundle answers of one call. Plain data: the caller keeps it under a lock.
 //
-// Each bundle is delivered at the latency objective with the groups that have answered by then. If the call as a whole
-// is missing too many groups, the bundles that still have pending groups are resumed.
+// Each bundle is delivered at the latency objective with the groups that have answered by then. A bundle that is late
+// does not hold back the others: once the objective has passed, the call is answered as soon as enough groups are in.
+// If the call as a whole is missing too many groups, the bundles that still have pending groups are resumed.
 struct Assembly {
     struct Part {
         std::vector<size_t> groups; // Indexes in fanOut->groups.
@@ -24,6 +25,7 @@
     std::vector<Merged> merged;
     std::vector<Refusal> refusals;
     bool isResumed { false };
+    bool isDue { false }; // The objective has passed.
     bool finished { false };
 };
 
@@ -45,4 +47,7 @@
 
 AssemblyStep addBundleAnswer(Assembly&, size_t bundle, Answer);
 
+// Returns the answer if enough groups are in.
+AssemblyStep objectivePassed(Assembly&);
+
 } // namespace Relay
--- a/Source/Core/Relay/Call.h
+++ b/Source/Core/Relay/Call.h
@@ -41,7 +41,7 @@
 
     Outcome outcome { Outcome::Unusable };
     int status { 0 };
-    Http::Fields fields; // Headers to forward.
+    Http::Fields fields; // As received.
     std::string signature; // The server's proof that it ran this request.
     std::string body;
 };
@@ -79,8 +79,12 @@
 
 // Encodes requests to backend servers and decodes their answers. Supplied by the front end.
 struct BackendCodec {
+    // Encodes what the requests of a call to all servers share.
+    std::function<std::string(const Call&)> encodeHead;
     // Encodes the request for one server. `timeLeft` is passed on as the server's time limit.
-    std::function<Http::Request(const Call&, const Common::BackendServerId&, Common::Milliseconds timeLeft)> encode;
+    std::function<std::string(
+        const std::string& head, const Call&, const Common::BackendServerId&, Common::Milliseconds timeLeft)>
+        encode;
     std::function<SubAnswer(const Call&, Http::Response)> decode;
 };
 
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -61,10 +61,9 @@
     done(Refusal { Common::makeError(reason, "admit", message), true, retryAfter });
 }
 
-Times Engine::Private::timesOf(
-    const Relay::Call& call, const Routes::Route& route, TimePoint arrived, Milliseconds extraMargin) const
+Times Engine::Private::timesOf(const Relay::Call& call, const Routes::Route& route, TimePoint arrived) const
 {
-    Milliseconds margin = options.returnMargin + extraMargin;
+    Milliseconds margin = options.returnMargin;
     Milliseconds wait = std::min(call.timeLeft.value_or(route.timeout), route.timeout) - margin;
     Times times { arrived, arrived + route.latencyObjective - margin, arrived + wait };
     times.objective = std::min(times.objective, times.deadline);
@@ -88,7 +87,7 @@
         refuse(call, routes, Reason::NotFound, "no route matches", Milliseconds(0), done);
         return;
     }
-    Times times = timesOf(*call, *route, now, Milliseconds(0));
+    Times times = timesOf(*call, *route, now);
     if (route->fanOut)
         gather(call, routes, *route, times, std::move(done));
     else
@@ -112,6 +111,7 @@
         refuse(call, routes, error->reason, error->message, refusedRetryAfter, done);
         return;
     }
+    active->requestHead = backendCodec.encodeHead(*call);
     active->done = std::move(done);
     active->bundle = request.bundle;
     ++this->pendingOperations;
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -4,6 +4,7 @@
 #include "Limits/WindowRetryBudget.h"
 #include "Observe/Metrics.h"
 #include "Relay/Call.h"
+#include "Relay/Delegation.h"
 #include "Relay/Gatherers.h"
 #include "Roster/ServerView.h"
 #include "Routes/Table.h"
@@ -17,16 +18,18 @@
 
 // A bundle of a call's groups, sent to a gatherer.
 struct DelegatedCall {
-    uint64_t bundle { 0 }; // Unique per requesting instance.
+    BundleId bundle;
     Common::TableNumber table; // The table under which the call was admitted.
     Common::Milliseconds waited; // Time since the call arrived.
+    std::optional<Common::Milliseconds> objectiveIn; // Time until the requester needs the answers that are in by then.
     std::vector<size_t> groups; // Indexes in the route's FanOut::groups.
     CallPtr call;
 };
 
 // Requests this many further groups of a bundle that was already delivered.
 struct ResumeBundle {
-    uint64_t bundle { 0 };
+    BundleId bundle;
+    Common::RequestId call;
     size_t needed { 0 };
 };
 
@@ -35,11 +38,18 @@
     std::variant<DelegatedCall, ResumeBundle> body;
 };
 
+// A gatherer's answer.
+struct BundleAnswer {
+    Answer answer;
+    Common::RequestId call; // The call that it belongs to.
+    Common::Milliseconds took; // From the request's arrival at the gatherer to this answer.
+};
+
 // Messages to other instances.
 struct Peers {
     // The errors Unavailable, ConnectionFailed and Overloaded guarantee that nothing was sent to servers.
     std::function<void(const Common::Address&, const BundleRequest&, Common::Milliseconds timeout,
-        std::function<void(Common::Result<Answer>)> done)>
+        std::function<void(Common::Result<BundleAnswer>)> done)>
         gather;
     // Reports whether the instance responds within the timeout.
     std::function<void(const Common::Address&, Common::Milliseconds timeout, std::function<void(bool)> done)> probe;
@@ -47,6 +57,8 @@
 
 struct EngineOptions {
     Roster::Peer self;
+    Common::Incarnation incarnation;
+    double processorShare { 1 }; // Of a core, of each instance.
     Limits::RetryBudgetRule retryBudget;
     // Subtracted from the caller's time limit to leave time for returning the answer.
     Common::Milliseconds returnMargin { 10 };
@@ -74,7 +86,7 @@
     using Done = std::function<void(Answer)>;
     void relay(const CallPtr&, Done);
     // Gathers a bundle for another instance. Unavailable if the call was admitted under another route table.
-    void gather(const BundleRequest&, const std::function<void(Common::Result<Answer>)>& done);
+    void gather(const BundleRequest&, const std::function<void(Common::Result<BundleAnswer>)>& done);
     size_t inFlight() const;
 
 private:
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -8,22 +8,25 @@
 
 namespace {
 
-    // Round trip between two instances, subtracted from the latency objective of a delegated bundle.
-    constexpr Milliseconds delegationMargin { 3 };
-    // All bundles of a call are delivered at the same time and processed one after the other. Time for each on a tenth
-    // of a core.
-    constexpr Milliseconds bundleMargin { 1 };
+    // Of the time that a bundle spends outside its gatherer, before enough of it was measured, and the bounds after
+    // that.
+    constexpr Milliseconds initialReturnMargin { 7 };
+    constexpr Milliseconds minimumReturnMargin { 1 };
+    constexpr Milliseconds maximumReturnMargin { 10 };
+    constexpr double returnPathQuantile = 0.5;
+    constexpr double minimumReturnPaths = 20;
     // For the probe before a bundle is sent. An instance that has a tenth of a core and other work can answer in this
     // time, and another instance can still gather the bundle afterwards.
     constexpr Milliseconds firstProbeTimeout { 25 };
-    // A gatherer that has not answered this long after the objective is probed, and is bypassed if it does not respond.
-    constexpr Milliseconds probeAfterObjective { 10 };
     constexpr Milliseconds probeTimeout { 40 };
     // Bundles are delivered at the objective, so merged answers this much later still count as in time.
     constexpr Milliseconds lateTolerance { 8 };
     constexpr Milliseconds gathererPause { 1'500 };
     // Servers announce themselves about once a second.
     constexpr Milliseconds unservedRetryAfter { 250 };
+    constexpr Milliseconds minimumObjective { 1 };
+
+    using State = BundleProgress::State;
 
     std::vector<GroupName> groupsAt(const Routes::FanOut& fanOut, const std::vector<size_t>& places)
     {
@@ -34,8 +37,25 @@
         return groups;
     }
 
+    bool hasSentNothing(Reason reason)
+    {
+        return reason == Reason::Unavailable || reason == Reason::ConnectionFailed || reason == Reason::Overloaded;
+    }
+
 } // namespace
 
+void Gathering::finish(Answer answer)
+{
+    Engine::Done fn;
+    {
+        std::lock_guard lock(mutex);
+        assembly.finished = true;
+        fn = std::exchange(done, nullptr);
+    }
+    if (fn)
+        fn(std::move(answer));
+}
+
 // Gathers the groups in bundles, each from one failure domain that has servers of all its groups.
 void Engine::Private::gather(
     const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
@@ -55,12 +75,13 @@
         return;
     }
     auto gathering = std::make_shared<Gathering>();
-    gathering->bundles = requestedBundlesOf(*route.fanOut, times.arrived);
+    gathering->bundles = requestedBundlesOf(route, times.arrived);
     size_t bundleCount = gathering->bundles.size();
     std::vector<std::vector<size_t>> groupsOfBundles;
     for (const RequestedBundle& bundle : gathering->bundles)
         groupsOfBundles.push_back(bundle.groups);
     gathering->assembly = makeAssembly(*route.fanOut, groupsOfBundles);
+    gathering->progress.resize(bundleCount);
     gathering->call = call;
     gathering->table = routes;
     gathering->route = &route;
@@ -85,37 +106,163 @@
         });
     }
     for (size_t i = 0; i < bundleCount; ++i)
-        gatherBundle(gathering, i);
+        startBundle(gathering, i);
+    check(gathering);
+    std::weak_ptr<Gathering> weak = gathering;
+    timers.at(times.objective, [self = shared_from_this(), weak] {
+        auto gathering = weak.lock();
+        if (!gathering)
+            return;
+        AssemblyStep step;
+        {
+            std::lock_guard lock(gathering->mutex);
+            step = objectivePassed(gathering->assembly);
+        }
+        self->take(gathering, std::move(step));
+    });
 }
 
-void Engine::Private::gatherBundle(const GatheringPtr& gathering, size_t index)
+// A gatherer that may have left receives a probe first. Whether an unresponsive one sent anything would be unknown, and
+// sending the requests again would take from the retry budget.
+void Engine::Private::startBundle(const GatheringPtr& gathering, size_t index)
 {
-    RequestedBundle bundle;
+    RequestedBundle& bundle = gathering->bundles[index]; // Not shared before its first event.
+    if (!bundle.gatherer) {
+        gatherLocally(gathering, index, false);
+        return;
+    }
+    Common::Address gatherer = *bundle.gatherer;
+    bool isHeard = false;
+    {
+        std::lock_guard lock(viewMutex);
+        isHeard = isTrusted(health, gatherer, Clock::now());
+    }
+    if (isHeard) {
+        sendBundle(gathering, index);
+        return;
+    }
     {
         std::lock_guard lock(gathering->mutex);
-        bundle = gathering->bundles[index];
+        gathering->progress[index].state = State::Probing;
     }
-    Done done = [self = shared_from_this(), gathering, index](
-                    Answer answer) { self->bundleAnswered(gathering, index, std::move(answer)); };
-    if (!bundle.gatherer) {
-        runBundle(*gathering, bundle, false, std::move(done));
+    ++pendingOperations;
+    peers.probe(gatherer, firstProbeTimeout, [self = shared_from_this(), gathering, index, gatherer](bool hasAnswered) {
+        --self->pendingOperations;
+        if (!hasAnswered) {
+            self->passBy(gathering, index, false, "no answer to a probe");
+            return;
+        }
+        {
+            std::lock_guard lock(self->viewMutex);
+            markHeard(self->health, gatherer, Clock::now());
+        }
+        self->sendBundle(gathering, index);
+    });
+}
+
+void Engine::Private::sendBundle(const GatheringPtr& gathering, size_t index)
+{
+    auto now = Clock::now();
+    const RequestedBundle& bundle = gathering->bundles[index]; // Its id and groups are immutable.
+    Common::Address gatherer;
+    {
+        std::lock_guard lock(gathering->mutex);
+        if (gathering->assembly.finished)
+            return;
+        gathering->progress[index] = { State::Sent, now, 0 };
+        gatherer = *bundle.gatherer;
+    }
+    DelegatedCall call { bundle.id, gathering->table->number, now - gathering->times.arrived,
+        std::max(gathering->times.objective - now - returnMargin(), minimumObjective), bundle.groups, gathering->call };
+    ++pendingOperations;
+    peers.gather(gatherer, { options.self.address, std::move(call) }, gathering->times.deadline - now,
+        [self = shared_from_this(), gathering, index](const Common::Result<BundleAnswer>& result) {
+            --self->pendingOperations;
+            self->gathererAnswered(gathering, index, result);
+        });
+}
+
+void Engine::Private::gathererAnswered(
+    const GatheringPtr& gathering, size_t index, const Common::Result<BundleAnswer>& result)
+{
+    auto now = Clock::now();
+    bool isOwnAnswer = result && result.value().call == gathering->call->id;
+    Common::Address gatherer;
+    TimePoint sentAt;
+    {
+        std::lock_guard lock(gathering->mutex);
+        BundleProgress& progress = gathering->progress[index];
+        if (progress.state != State::Sent)
+            return;
+        sentAt = progress.sentAt;
+        gatherer = *gathering->bundles[index].gatherer;
+        if (isOwnAnswer)
+            progress.state = State::Answered;
+    }
+    if (!isOwnAnswer) {
+        bool mayHaveSent = result || !hasSentNothing(result.error().reason);
+        passBy(gathering, index, mayHaveSent, result ? "the answer to another call" : Common::describe(result.error()));
         return;
     }
-    auto delegation = std::make_shared<Delegation>();
-    delegation->done = std::move(done);
-    delegation->gathering = gathering;
-    delegation->index = index;
-    delegation->bundle = bundle;
-    delegate(delegation);
+    {
+        std::lock_guard lock(viewMutex);
+        markHeard(health, gatherer, now);
+    }
+    {
+        std::lock_guard lock(returnPathsMutex);
+        Routing::record(returnPaths, now - sentAt - result.value().took);
+    }
+    bundleAnswered(gathering, index, result.value().answer);
 }
 
-void Engine::Private::runBundle(
-    const Gathering& gathering, const RequestedBundle& bundle, bool mayHaveBeenSent, Done done)
+// The time between a gatherer's answer and its arrival here, which the bundle's objective leaves.
+Milliseconds Engine::Private::returnMargin()
 {
-    run(gathering.call, gathering.table, *gathering.route,
-        { groupsAt(*gathering.route->fanOut, bundle.groups), BundleKey { options.self.address, bundle.id },
+    std::lock_guard lock(returnPathsMutex);
+    if (returnPaths.total < minimumReturnPaths)
+        return initialReturnMargin;
+    return std::clamp(Routing::quantile(returnPaths, returnPathQuantile), minimumReturnMargin, maximumReturnMargin);
+}
+
+void Engine::Private::gatherLocally(const GatheringPtr& gathering, size_t index, bool mayHaveBeenSent)
+{
+    const RequestedBundle& bundle = gathering->bundles[index]; // Its id and groups are immutable.
+    run(gathering->call, gathering->table, *gathering->route,
+        { groupsAt(*gathering->route->fanOut, bundle.groups), BundleKey { options.self.address, bundle.id },
             mayHaveBeenSent },
-        gathering.times, std::move(done));
+        gathering->times, [self = shared_from_this(), gathering, index](Answer answer) {
+            {
+                std::lock_guard lock(gathering->mutex);
+                gathering->progress[index].state = State::Answered;
+            }
+            self->bundleAnswered(gathering, index, std::move(answer));
+        });
+}
+
+// Gathers a bundle here instead of at its gatherer.
+void Engine::Private::passBy(const GatheringPtr& gathering, size_t index, bool mayHaveSent, const std::string& why)
+{
+    Common::Address gatherer;
+    bool isWanted = false;
+    {
+        std::lock_guard lock(gathering->mutex);
+        BundleProgress& progress = gathering->progress[index];
+        if (progress.state != State::Probing && progress.state != State::Sent)
+            return;
+        progress.state = gathering->assembly.finished ? State::Answered : State::Local;
+        isWanted = !gathering->assembly.finished;
+        gatherer = *gathering->bundles[index].gatherer;
+        gathering->bundles[index].gatherer.reset();
+    }
+    {
+        std::lock_guard lock(viewMutex);
+        pause(health, gatherer, Clock::now() + gathererPause);
+    }
+    Observe::logEvent(Observe::Part::Relay, Observe::Event::GathererPassedBy,
+        { { "request", gathering->call->id.value() }, { "gatherer", gatherer.value() },
+            { "may_have_sent", mayHaveSent ? "yes" : "no" }, { "why", why } });
+    if (isWanted)
+        gatherLocally(gathering, index, mayHaveSent);
 }
 
 void Engine::Private::bundleAnswered(const GatheringPtr& gathering, size_t index, Answer answer)
@@ -125,6 +272,11 @@
         std::lock_guard lock(gathering->mutex);
         step = addBundleAnswer(gathering->assembly, index, std::move(answer));
     }
+    take(gathering, std::move(step));
+}
+
+void Engine::Private::take(const GatheringPtr& gathering, AssemblyStep step)
+{
     if (step.answer)
         gathering->finish(std::move(*step.answer));
     for (const ResumePart& part : step.resume)
@@ -133,31 +285,42 @@
 
 void Engine::Private::resumeBundle(const GatheringPtr& gathering, const ResumePart& part)
 {
-    RequestedBundle bundle;
+    BundleId id;
+    std::optional<Common::Address> peer;
     {
         std::lock_guard lock(gathering->mutex);
-        bundle = gathering->bundles[part.bundle];
+        id = gathering->bundles[part.bundle].id;
+        peer = gathering->bundles[part.bundle].gatherer;
     }
     Done done = [self = shared_from_this(), gathering, index = part.bundle](
                     Answer answer) { self->bundleAnswered(gathering, index, std::move(answer)); };
-    if (!bundle.gatherer) {
-        resumeLocally({ options.self.address, bundle.id }, part.needed, done);
+    const Common::RequestId& call = gathering->call->id;
+    if (!peer) {
+        resumeLocally({ options.self.address, id }, call, part.needed, done);
         return;
     }
-    peers.gather(*bundle.gatherer, { options.self.address, ResumeBundle { bundle.id, part.needed } },
-        gathering->times.deadline - Clock::now(), [done = std::move(done)](const Common::Result<Answer>& result) {
-            done(result ? result.value() : Answer(Refusal { result.error(), false, Milliseconds(0) }));
+    peers.gather(*peer, { options.self.address, ResumeBundle { id, call, part.needed } },
+        gathering->times.deadline - Clock::now(),
+        [done = std::move(done), call](const Common::Result<BundleAnswer>& result) {
+            if (result && result.value().call == call) {
+                done(result.value().answer);
+                return;
+            }
+            auto error
+                = result ? Common::makeError(Reason::Internal, "resume", "the answer to another call") : result.error();
+            done(Refusal { error, false, Milliseconds(0) });
         });
 }
 
-void Engine::Private::resumeLocally(const BundleKey& key, size_t needed, const Done& done)
+void Engine::Private::resumeLocally(
+    const BundleKey& key, const Common::RequestId& call, size_t needed, const Done& done)
 {
     QueryId id;
     ActiveCallPtr active;
     bundles.ifPresent(key, [&](QueryId& found) { id = found; });
     queries.ifPresent(id, [&](ActiveCallPtr& found) { active = found; });
     bool isAlive = false;
-    if (active) {
+    if (active && active->call->id == call) {
         std::lock_guard lock(active->mutex);
         isAlive = active->query.isDelivered && !active->query.finished;
         if (isAlive)
@@ -171,111 +334,56 @@
     step(active, id, [&](Query& query) { return resume(query, needed, Clock::now()); });
 }
 
-// An unresponsive gatherer must not receive a bundle. Whether it sent anything would be unknown, and sending the
-// requests again would take from the retry budget.
-void Engine::Private::delegate(const std::shared_ptr<Delegation>& delegation)
+// Acts on the bundles whose gatherers are silent, and schedules the next check.
+void Engine::Private::check(const GatheringPtr& gathering)
 {
-    const Common::Address& gatherer = *delegation->bundle.gatherer;
-    bool isAlive = false;
+    BundleCheck due;
     {
-        std::lock_guard lock(viewMutex);
-        isAlive = wasHeardRecently(health, gatherer, Clock::now());
-    }
-    if (isAlive) {
-        sendDelegation(delegation);
-        return;
-    }
-    ++pendingOperations;
-    peers.probe(gatherer, firstProbeTimeout, [self = shared_from_this(), delegation](bool hasAnswered) {
-        --self->pendingOperations;
-        if (!hasAnswered) {
-            self->gatherLocally(delegation, false, "no answer to a probe");
+        std::lock_guard lock(gathering->mutex);
+        if (gathering->assembly.finished)
             return;
-        }
-        {
-            std::lock_guard lock(self->viewMutex);
-            markHeard(self->health, *delegation->bundle.gatherer, Clock::now());
-        }
-        self->sendDelegation(delegation);
-    });
-}
-
-void Engine::Private::sendDelegation(const std::shared_ptr<Delegation>& delegation)
-{
-    auto now = Clock::now();
-    ++pendingOperations;
-    const Gathering& gathering = *delegation->gathering;
-    DelegatedCall call { delegation->bundle.id, gathering.table->number, now - gathering.times.arrived,
-        delegation->bundle.groups, gathering.call };
-    auto self = shared_from_this();
-    peers.gather(*delegation->bundle.gatherer, { options.self.address, call }, gathering.times.deadline - now,
-        [self, delegation](const Common::Result<Answer>& result) {
-            --self->pendingOperations;
-            if (result) {
-                {
-                    std::lock_guard lock(self->viewMutex);
-                    markHeard(self->health, *delegation->bundle.gatherer, Clock::now());
-                }
-                if (auto done = delegation->takeDone())
-                    done(result.value());
-                return;
-            }
-            Reason reason = result.error().reason;
-            bool hasSentNothing
-                = reason == Reason::Unavailable || reason == Reason::ConnectionFailed || reason == Reason::Overloaded;
-            self->gatherLocally(delegation, !hasSentNothing, Common::describe(result.error()));
-        });
-    scheduleProbe(delegation);
+        due = checkBundles(gathering->progress, gathering->times, Clock::now());
+    }
+    for (size_t index : due.probe)
+        probeGatherer(gathering, index);
+    if (due.next)
+        checkAt(gathering, *due.next);
 }
 
-// Detects a gatherer that stalls after it received a bundle. Its connection would report that only much later.
-void Engine::Private::scheduleProbe(const std::shared_ptr<Delegation>& delegation)
+void Engine::Private::checkAt(const GatheringPtr& gathering, TimePoint when)
 {
-    std::weak_ptr<Delegation> weak = delegation;
-    auto self = shared_from_this();
-    timers.at(delegation->gathering->times.objective + probeAfterObjective, [self, weak] {
-        auto delegation = weak.lock();
-        if (!delegation)
-            return;
-        {
-            std::lock_guard lock(delegation->mutex);
-            if (!delegation->done)
-                return;
-        }
-        self->peers.probe(*delegation->bundle.gatherer, probeTimeout, [self, delegation](bool isAlive) {
-            if (!isAlive)
-                self->gatherLocally(delegation, true, "the gatherer does not respond");
-        });
+    std::weak_ptr<Gathering> weak = gathering;
+    timers.at(when, [self = shared_from_this(), weak] {
+        if (auto gathering = weak.lock())
+            self->check(gathering);
     });
 }
 
-void Engine::Private::gatherLocally(
-    const std::shared_ptr<Delegation>& delegation, bool mayHaveSent, const std::string& why)
+// Detects a gatherer that stalls. Its connection would report that only much later.
+void Engine::Private::probeGatherer(const GatheringPtr& gathering, size_t index)
 {
-    auto now = Clock::now();
-    {
-        std::lock_guard lock(viewMutex);
-        pause(health, *delegation->bundle.gatherer, now + gathererPause);
-    }
-    auto done = delegation->takeDone();
-    if (!done)
-        return;
-    const Gathering& gathering = *delegation->gathering;
-    Observe::logEvent(Observe::Part::Relay, Observe::Event::GathererPassedBy,
-        { { "request", gathering.call->id.value() }, { "gatherer", delegation->bundle.gatherer->value() },
-            { "may_have_sent", mayHaveSent ? "yes" : "no" }, { "why", why } });
+    Common::Address gatherer;
     {
-        std::lock_guard lock(delegation->gathering->mutex);
-        delegation->gathering->bundles[delegation->index].gatherer.reset();
+        std::lock_guard lock(gathering->mutex);
+        if (gathering->progress[index].state != State::Sent)
+            return;
+        gatherer = *gathering->bundles[index].gatherer;
     }
-    runBundle(gathering, delegation->bundle, mayHaveSent, std::move(done));
+    peers.probe(gatherer, probeTimeout, [self = shared_from_this(), gathering, index](bool isAlive) {
+        if (!isAlive)
+            self->passBy(gathering, index, true, "the gatherer does not respond");
+    });
 }
 
-void Engine::gather(const BundleRequest& request, const std::function<void(Common::Result<Answer>)>& done)
+void Engine::gather(const BundleRequest& request, const std::function<void(Common::Result<BundleAnswer>)>& done)
 {
-    Done answer = [done](Answer a) { done(std::move(a)); };
+    auto received = Clock::now();
+    auto answerTo = [&](const Common::RequestId& call) -> Done {
+        return [done, call, received](Answer a) { done(BundleAnswer { std::move(a), call, Clock::now() - received }); };
+    };
     if (auto resume = std::get_if<ResumeBundle>(&request.body)) {
-        m_private->resumeLocally({ request.requester, resume->bundle }, resume->needed, answer);
+        m_private->resumeLocally(
+            { request.requester, resume->bundle }, resume->call, resume->needed, answerTo(resume->call));
         return;
     }
     auto& delegated = std::get<DelegatedCall>(request.body);
@@ -288,12 +396,12 @@
         done(Common::makeError(Reason::Unavailable, "gather", "another route table is in force here"));
         return;
     }
-    auto arrived = Clock::now() - delegated.waited;
+    Times times = m_private->timesOf(*delegated.call, *route, received - delegated.waited);
+    if (delegated.objectiveIn)
+        times.objective = std::min(received + *delegated.objectiveIn, times.deadline);
     m_private->run(delegated.call, routes, *route,
-        { groupsAt(*route->fanOut, delegated.groups), BundleKey { request.requester, delegated.bundle }, false },
-        m_private->timesOf(*delegated.call, *route, arrived,
-            delegationMargin + bundleMargin * static_cast<double>(partitionCount(route->fanOut->groups.size()))),
-        std::move(answer));
+        { groupsAt(*route->fanOut, delegated.groups), BundleKey { request.requester, delegated.bundle }, false }, times,
+        answerTo(delegated.call->id));
 }
 
 } // namespace Relay
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -49,30 +49,17 @@
     GroupName group;
     Common::BackendServerId server;
     ConnectionPtr connection;
+    Http::ExchangeId exchange; // On the connection.
     TimePoint sentAt;
     Purpose purpose { Purpose::First };
     bool isAbandoned { false };
 };
 
-// Identifies a bundle at its gatherer.
-struct BundleKey {
-    Common::Address requester;
-    uint64_t bundle { 0 };
-
-    friend bool operator==(const BundleKey&, const BundleKey&) = default;
-};
-
-struct BundleKeyHash {
-    size_t operator()(const BundleKey& key) const
-    {
-        return std::hash<Common::Address> {}(key.requester) ^ std::hash<uint64_t> {}(key.bundle);
-    }
-};
-
 // A call and its query. The mutex serialises the query's events.
 struct ActiveCall {
     std::mutex mutex;
     CallPtr call;
+    std::string requestHead; // Shared by the call's requests to servers.
     Query query;
     Engine::Done done; // Called at delivery and at the end, if set at that time.
     Common::TimerId wake;
@@ -90,7 +77,7 @@
 
 // A bundle at the instance that requested it.
 struct RequestedBundle {
-    uint64_t id { 0 };
+    BundleId id;
     std::vector<size_t> groups; // Indexes in the route's FanOut::groups.
     std::optional<Common::Address> gatherer; // Empty if this instance gathers it.
 };
@@ -104,38 +91,14 @@
     std::mutex mutex; // Guards the members below.
     Assembly assembly;
     std::vector<RequestedBundle> bundles;
+    std::vector<BundleProgress> progress; // One per bundle.
     Engine::Done done;
 
-    void finish(Answer answer)
-    {
-        Engine::Done fn;
-        {
-            std::lock_guard lock(mutex);
-            assembly.finished = true;
-            fn = std::exchange(done, nullptr);
-        }
-        if (fn)
-            fn(std::move(answer));
-    }
+    void finish(Answer answer);
 };
 
 using GatheringPtr = std::shared_ptr<Gathering>;
 
-// A bundle delegated to another instance. Completed once, by the gatherer's answer or by gathering locally.
-struct Delegation {
-    std::mutex mutex; // Guards done.
-    Engine::Done done;
-    GatheringPtr gathering;
-    size_t index { 0 }; // Index of the bundle.
-    RequestedBundle bundle;
-
-    Engine::Done takeDone()
-    {
-        std::lock_guard lock(mutex);
-        return std::exchange(done, nullptr);
-    }
-};
-
 struct GroupState {
     Limits::WaitQueue waiting;
     Limits::WindowRetryBudget budget;
@@ -148,8 +111,6 @@
 
 template <> struct std::hash<Relay::AttemptKey> : Relay::AttemptKeyHash {
 };
-template <> struct std::hash<Relay::BundleKey> : Relay::BundleKeyHash {
-};
 
 namespace Relay {
 
@@ -185,6 +146,8 @@
     Common::ShardedMap<QueryId, ActiveCallPtr> queries;
     Common::ShardedMap<BundleKey, QueryId> bundles;
     std::atomic<uint64_t> nextBundle { 1 };
+    std::mutex returnPathsMutex;
+    Routing::LatencyStats returnPaths; // Time of bundles that their gatherers did not spend, guarded by the mutex.
     Common::ShardedMap<AttemptKey, InFlightRequest> inFlightRequests;
     Common::ShardedMap<GroupName, GroupState> groups;
     Common::ShardedMap<GroupName, Limits::LoadShedder> shedders; // Keyed by the first group of the fan-out.
@@ -194,20 +157,25 @@
     void relay(const CallPtr&, Done);
     void run(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const LocalRequest&, const Times&, Done);
     void gather(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
-    void gatherBundle(const GatheringPtr&, size_t index);
-    void runBundle(const Gathering&, const RequestedBundle&, bool mayHaveBeenSent, Done);
+    void startBundle(const GatheringPtr&, size_t index);
+    void sendBundle(const GatheringPtr&, size_t index);
+    void gathererAnswered(const GatheringPtr&, size_t index, const Common::Result<BundleAnswer>&);
+    void gatherLocally(const GatheringPtr&, size_t index, bool mayHaveBeenSent);
+    void passBy(const GatheringPtr&, size_t index, bool mayHaveSent, const std::string& why);
     void bundleAnswered(const GatheringPtr&, size_t index, Answer);
+    void take(const GatheringPtr&, AssemblyStep);
     void resumeBundle(const GatheringPtr&, const ResumePart&);
-    void resumeLocally(const BundleKey&, size_t needed, const Done&);
+    void resumeLocally(const BundleKey&, const Common::RequestId&, size_t needed, const Done&);
+    void check(const GatheringPtr&);
+    void checkAt(const GatheringPtr&, TimePoint);
+    void probeGatherer(const GatheringPtr&, size_t index);
+    Milliseconds returnMargin();
+    size_t partitionsOf(const Routes::Route&) const;
     std::vector<Bundle> bundlesOf(const Routes::FanOut&);
-    std::vector<RequestedBundle> requestedBundlesOf(const Routes::FanOut&, TimePoint now);
+    std::vector<RequestedBundle> requestedBundlesOf(const Routes::Route&, TimePoint now);
     size_t unservedGroups(const Routes::FanOut&) const;
-    void delegate(const std::shared_ptr<Delegation>&);
-    void sendDelegation(const std::shared_ptr<Delegation>&);
-    void gatherLocally(const std::shared_ptr<Delegation>&, bool mayHaveSent, const std::string& why);
-    void scheduleProbe(const std::shared_ptr<Delegation>&);
     void refuse(const CallPtr&, const Routes::TablePtr&, Reason, const std::string&, Milliseconds, const Done&);
-    Times timesOf(const Relay::Call&, const Routes::Route&, TimePoint arrived, Milliseconds extraMargin) const;
+    Times timesOf(const Relay::Call&, const Routes::Route&, TimePoint arrived) const;
     void updateGatherers();
     std::optional<Common::Error> checkOverload(const Query&, TimePoint now);
     void perform(const ActiveCallPtr&, QueryId, Effects);
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -42,8 +42,9 @@
         case SubAnswer::Outcome::OtherServer:
             return Outcome::Kind::Misdirected;
         case SubAnswer::Outcome::Failure:
-        case SubAnswer::Outcome::Unusable:
             return Outcome::Kind::Failed;
+        case SubAnswer::Outcome::Unusable:
+            return Outcome::Kind::Unusable;
         }
         return Outcome::Kind::Failed;
     }
@@ -145,7 +146,9 @@
             pool.release(usable[i].server, lease->connection, now, { Outcome::Kind::Cancelled, Milliseconds(0) }, now);
             return true;
         }
-        inFlightRequests.insert(key, { group, usable[i].server, lease->connection, now, send.purpose, false });
+        inFlightRequests.insert(key,
+            { group, usable[i].server, lease->connection, lease->connection->nextExchange(), now, send.purpose,
+                false });
         metrics.count(send.purpose == Purpose::First ? Counter::FirstSends
                 : send.purpose == Purpose::Retry     ? Counter::Retries
                                                      : Counter::Hedges,
@@ -167,10 +170,11 @@
     const Common::BackendServerId& server)
 {
     Milliseconds left = active->query.times.deadline - Clock::now();
-    auto request = backendCodec.encode(*active->call, server, std::max(left, Milliseconds(1)));
-    connection->send(request, [self = shared_from_this(), active, key](const Common::Result<Http::Response>& result) {
-        self->requestEnded(active, key, result);
-    });
+    auto text = backendCodec.encode(active->requestHead, *active->call, server, std::max(left, Milliseconds(1)));
+    bool isHead = active->call->method == "HEAD";
+    connection->send(std::move(text), isHead,
+        [self = shared_from_this(), active, key](
+            const Common::Result<Http::Response>& result) { self->requestEnded(active, key, result); });
 }
 
 void Engine::Private::requestEnded(
@@ -238,16 +242,18 @@
 {
     AttemptKey key { id, abandon.attempt };
     ConnectionPtr connection;
+    Http::ExchangeId exchange;
     bool isInFlight = inFlightRequests.ifPresent(key, [&](InFlightRequest& inFlight) {
         inFlight.isAbandoned = true;
         connection = inFlight.connection;
+        exchange = inFlight.exchange;
     });
     if (isInFlight) {
         metrics.count(Counter::Cancellations, active->query.route->name.value());
-        timers.after(options.abandonGrace, [self = shared_from_this(), key, connection] {
+        timers.after(options.abandonGrace, [self = shared_from_this(), key, connection, exchange] {
             bool isStillInFlight = self->inFlightRequests.ifPresent(key, [](InFlightRequest&) {});
             if (isStillInFlight)
-                connection->cancel();
+                connection->cancel(exchange);
         });
         return;
     }
--- a/Source/Core/Relay/EngineView.cpp
+++ b/Source/Core/Relay/EngineView.cpp
@@ -77,12 +77,12 @@
     auto forEachFanOut = [&](const auto& fn) {
         for (const Routes::Route& route : table ? table->routes : std::vector<Routes::Route>()) {
             if (route.fanOut)
-                fn(*route.fanOut);
+                fn(route);
         }
     };
-    forEachFanOut([&](const Routes::FanOut& fanOut) {
-        partitions = std::max(partitions, partitionCount(fanOut.groups.size()));
-        for (const GroupName& name : fanOut.groups) {
+    forEachFanOut([&](const Routes::Route& route) {
+        partitions = std::max(partitions, partitionsOf(route));
+        for (const GroupName& name : route.fanOut->groups) {
             auto it = fanOutGroups.insert(name).second ? servers->find(name) : servers->end();
             if (it == servers->end())
                 continue;
@@ -91,21 +91,26 @@
         }
     });
     gatherers = chooseGatherers(instances, domains, partitions);
-    forEachFanOut([&](const Routes::FanOut& fanOut) {
-        size_t count = partitionCount(fanOut.groups.size());
-        for (size_t i = 0; i < fanOut.groups.size(); ++i) {
+    forEachFanOut([&](const Routes::Route& route) {
+        size_t count = partitionsOf(route);
+        for (size_t i = 0; i < route.fanOut->groups.size(); ++i) {
             if (ownsPartition(gatherers, options.self, partitionOf(i, count)))
-                ownedGroups.insert(fanOut.groups[i]);
+                ownedGroups.insert(route.fanOut->groups[i]);
         }
     });
 }
 
+size_t Engine::Private::partitionsOf(const Routes::Route& route) const
+{
+    return partitionCount({ route.fanOut->groups.size(), route.latencyObjective, options.processorShare });
+}
+
 // Splits each bundle by the gatherer of its groups.
-std::vector<RequestedBundle> Engine::Private::requestedBundlesOf(const Routes::FanOut& fanOut, TimePoint now)
+std::vector<RequestedBundle> Engine::Private::requestedBundlesOf(const Routes::Route& route, TimePoint now)
 {
-    size_t partitions = partitionCount(fanOut.groups.size());
+    size_t partitions = partitionsOf(route);
     std::vector<RequestedBundle> requested;
-    for (const Bundle& bundle : bundlesOf(fanOut)) {
+    for (const Bundle& bundle : bundlesOf(*route.fanOut)) {
         std::map<std::optional<Common::Address>, std::vector<size_t>> byGatherer;
         {
             std::lock_guard lock(viewMutex);
@@ -116,7 +121,7 @@
             }
         }
         for (auto& [gatherer, places] : byGatherer)
-            requested.push_back({ nextBundle++, std::move(places), gatherer });
+            requested.push_back({ { options.incarnation, nextBundle++ }, std::move(places), gatherer });
     }
     return requested;
 }
--- a/Source/Core/Relay/Gatherers.cpp
+++ b/Source/Core/Relay/Gatherers.cpp
@@ -14,12 +14,14 @@
 
 namespace {
 
-    // A bundle costs both instances and the network about as much as this many sub-requests cost a gatherer. The total
-    // cost of a call is lowest with sqrt(groups / this cost) bundles, rounded down.
-    constexpr double bundleCostInSubRequests = 5.5;
-    // Bounds the calls lost when a gatherer stalls: those that arrive within this time after its last response. If
-    // calls arrive less often, each is preceded by a probe, which costs a few milliseconds.
-    constexpr Common::Milliseconds heardRecentlyWindow { 150 };
+    // Processor time on a whole core.
+    constexpr Common::Milliseconds subRequestCost { 0.08 };
+    constexpr Common::Milliseconds bundleCost { 0.4 };
+    // Share of the objective for the instances' processor time. The rest is for the servers and the network.
+    constexpr double processorShareOfObjective = 0.25;
+    // A gatherer that stalls is noticed soon after a bundle was sent to it, so only one that has been silent for long
+    // is probed first.
+    constexpr Common::Milliseconds trustWindow { 30'000 };
 
     // Rendezvous hashing: the instance with the greatest hash for the partition that owns no earlier partition.
     const Roster::Peer* ownerOf(
@@ -39,9 +41,16 @@
 
 } // namespace
 
-size_t partitionCount(size_t groups)
+size_t partitionCount(const WidthInputs& inputs)
 {
-    return std::max<size_t>(1, static_cast<size_t>(std::sqrt(static_cast<double>(groups) / bundleCostInSubRequests)));
+    auto groups = static_cast<double>(inputs.groups);
+    double fastest = std::max(1.0, std::floor(std::sqrt(groups * subRequestCost.value() / bundleCost.value())));
+    Common::Milliseconds available = inputs.objective * processorShareOfObjective * inputs.processorShare;
+    for (double n = 1; n < fastest; ++n) {
+        if (bundleCost * n + subRequestCost * std::ceil(groups / n) <= available)
+            return static_cast<size_t>(n);
+    }
+    return static_cast<size_t>(fastest);
 }
 
 size_t partitionOf(size_t place, size_t partitions) { return place % std::max<size_t>(partitions, 1); }
@@ -66,17 +75,15 @@
     return chosen;
 }
 
-void pause(GathererHealth& health, const Address& address, TimePoint until)
-{
-    health.records[address].pausedUntil = until;
-}
+void pause(GathererHealth& health, const Address& address, TimePoint until) { health.records[address] = { {}, until }; }
 
 void markHeard(GathererHealth& health, const Address& address, TimePoint now) { health.records[address].heardAt = now; }
 
-bool wasHeardRecently(const GathererHealth& health, const Address& address, TimePoint now)
+bool isTrusted(const GathererHealth& health, const Address& address, TimePoint now)
 {
     auto it = health.records.find(address);
-    return it != health.records.end() && it->second.heardAt + heardRecentlyWindow > now;
+    bool wasHeard = it != health.records.end() && it->second.heardAt > TimePoint();
+    return wasHeard && it->second.heardAt + trustWindow > now;
 }
 
 std::optional<Address> pickGatherer(const Gatherers& gatherers, const Common::FailureDomain& domain, size_t partition,
--- a/Source/Core/Relay/Gatherers.h
+++ b/Source/Core/Relay/Gatherers.h
@@ -23,8 +23,18 @@
     friend bool operator==(const Gatherers&, const Gatherers&) = default;
 };
 
-// The number of partitions for this many groups.
-size_t partitionCount(size_t groups);
+// What decides over how many gatherers a call is spread. All instances must see the same values, so that they agree on
+// the owners.
+struct WidthInputs {
+    size_t groups { 0 };
+    Common::Milliseconds objective; // The route's latency objective.
+    double processorShare { 1 }; // Of a core, of each instance.
+};
+
+// The number of partitions. Answers the load of many groups on instances with a small share of a core, where a call's
+// time is the processor time of the busiest instance: the fewest gatherers with which that time fits the objective, at
+// most those with which it is shortest.
+size_t partitionCount(const WidthInputs&);
 // The partition of a group, by its index in the fan-out.
 size_t partitionOf(size_t place, size_t partitions);
 
@@ -45,8 +55,8 @@
 
 void pause(GathererHealth&, const Common::Address&, Common::TimePoint until);
 void markHeard(GathererHealth&, const Common::Address&, Common::TimePoint now);
-// Whether it responded recently enough to receive a bundle without a probe.
-bool wasHeardRecently(const GathererHealth&, const Common::Address&, Common::TimePoint now);
+// Whether it answered the last request, recently enough to receive a bundle without a probe.
+bool isTrusted(const GathererHealth&, const Common::Address&, Common::TimePoint now);
 
 // The gatherer for a partition in a domain: its owner, or the owner of the next partition if that one is paused. Empty
 // if the gatherer is `self` or no owner is available.
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -143,6 +143,8 @@
     void readRelay(Section section, Relay& relay)
     {
         relay.returnMargin = readDuration(section, "return_margin_ms", relay.returnMargin, 0);
+        relay.processorShare
+            = Common::Ratio(section.number("processor_share", relay.processorShare.value(), 0.01, 1'000));
         relay.retryRatio = Common::Ratio(section.number("repeat_ratio", relay.retryRatio.value(), 0, 1));
         relay.retryMinimum = section.number("repeat_minimum", relay.retryMinimum, 0, 1e6);
         relay.retryWindow = readDuration(section, "repeat_window_ms", relay.retryWindow, 100);
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -63,6 +63,7 @@
 // The relay role, which forwards callers' requests to backend servers.
 struct Relay {
     Common::Milliseconds returnMargin { 10 }; // Reserved from the caller's deadline for the return path.
+    Common::Ratio processorShare { 1 }; // Of a core, of each relay instance. All must have the same value.
     // The retry budget of a group: the retries and hedges that all instances may send in any window. The budget is a
     // share of the first sends plus a minimum.
     Common::Ratio retryRatio { 0.1 };
--- a/Source/Core/Wire/Relay.capnp
+++ b/Source/Core/Wire/Relay.capnp
@@ -21,7 +21,9 @@
   target @7 :Text;
   fields @8 :List(Field);
   body @9 :Data;
-  bundle @10 :UInt64; # Unique within the requesting instance.
+  bundle @10 :UInt64; # Unique within an incarnation of the requesting instance.
+  incarnation @11 :UInt64; # Of the requesting instance; 0 from instances that do not send it.
+  objectiveInMs @12 :Float64 = -1; # When the requester needs the answers that are in; negative if not given.
 }
 
 struct Request {
@@ -42,6 +44,8 @@
 struct Resume {
   bundle @0 :UInt64; # As in Call.
   needed @1 :UInt16;
+  incarnation @2 :UInt64; # As in Call.
+  call @3 :Text; # The id of the bundle's call.
 }
 
 struct Merged {
@@ -65,4 +69,6 @@
     merged @1 :Merged;
     refusal @2 :Refusal;
   }
+  call @3 :Text; # The id of the call that it belongs to.
+  tookMs @4 :Float64; # From the arrival of the request to this answer.
 }
--- a/Source/Core/Wire/Relay.capnp.h
+++ b/Source/Core/Wire/Relay.capnp.h
@@ -54,7 +54,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4adb7993b1f947b, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(c4adb7993b1f947b, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -103,7 +103,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(87db365c9858a7eb, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(87db365c9858a7eb, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -152,7 +152,7 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9683ac9b378d4d3b, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9683ac9b378d4d3b, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -298,6 +298,10 @@
 
   inline  ::uint64_t getBundle() const;
 
+  inline  ::uint64_t getIncarnation() const;
+
+  inline double getObjectiveInMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -388,6 +392,12 @@
   inline  ::uint64_t getBundle();
   inline void setBundle( ::uint64_t value);
 
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline double getObjectiveInMs();
+  inline void setObjectiveInMs(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -628,6 +638,11 @@
 
   inline  ::uint16_t getNeeded() const;
 
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasCall() const;
+  inline  ::capnp::Text::Reader getCall() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -662,6 +677,16 @@
   inline  ::uint16_t getNeeded();
   inline void setNeeded( ::uint16_t value);
 
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasCall();
+  inline  ::capnp::Text::Builder getCall();
+  inline void setCall( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCall(unsigned int size);
+  inline void adoptCall(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCall();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -934,6 +959,11 @@
   inline bool hasRefusal() const;
   inline  ::Wire::RelaySchema::Refusal::Reader getRefusal() const;
 
+  inline bool hasCall() const;
+  inline  ::capnp::Text::Reader getCall() const;
+
+  inline double getTookMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -982,6 +1012,16 @@
   inline void adoptRefusal(::capnp::Orphan< ::Wire::RelaySchema::Refusal>&& value);
   inline ::capnp::Orphan< ::Wire::RelaySchema::Refusal> disownRefusal();
 
+  inline bool hasCall();
+  inline  ::capnp::Text::Builder getCall();
+  inline void setCall( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCall(unsigned int size);
+  inline void adoptCall(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCall();
+
+  inline double getTookMs();
+  inline void setTookMs(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1376,6 +1416,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Call::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Call::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Call::Reader::getObjectiveInMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+
+inline double Call::Builder::getObjectiveInMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+inline void Call::Builder::setObjectiveInMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
+}
+
 inline  ::Wire::RelaySchema::Request::Which Request::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
@@ -1597,6 +1665,54 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Resume::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Resume::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Resume::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Resume::Reader::hasCall() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Resume::Builder::hasCall() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Resume::Reader::getCall() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Resume::Builder::getCall() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Resume::Builder::setCall( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Resume::Builder::initCall(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Resume::Builder::adoptCall(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Resume::Builder::disownCall() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Merged::Reader::hasSignatures() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1978,6 +2094,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Answer::Reader::hasCall() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Answer::Builder::hasCall() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Answer::Reader::getCall() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Answer::Builder::getCall() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Answer::Builder::setCall( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Answer::Builder::initCall(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Answer::Builder::adoptCall(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Answer::Builder::disownCall() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline double Answer::Reader::getTookMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double Answer::Builder::getTookMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setTookMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Core/Wire/RelayCodec.cpp
+++ b/Source/Core/Wire/RelayCodec.cpp
@@ -28,7 +28,10 @@
         const Relay::Call& call = *delegated.call;
         out.setTableNumber(delegated.table.value());
         out.setWaitedMs(delegated.waited.value());
-        out.setBundle(delegated.bundle);
+        out.setBundle(delegated.bundle.number);
+        out.setIncarnation(delegated.bundle.requester.value());
+        if (delegated.objectiveIn)
+            out.setObjectiveInMs(delegated.objectiveIn->value());
         out.setId(toText(call.id));
         out.setHost(toText(call.host));
         out.setTimeLeftMs(call.timeLeft ? call.timeLeft->value() : unknownTimeLeft);
@@ -59,7 +62,9 @@
         for (auto field : in.getFields())
             call->fields.emplace_back(fromText(field.getName()), fromText(field.getValue()));
         Relay::DelegatedCall delegated;
-        delegated.bundle = in.getBundle();
+        delegated.bundle = { Common::Incarnation(in.getIncarnation()), in.getBundle() };
+        if (in.getObjectiveInMs() >= 0)
+            delegated.objectiveIn = Milliseconds(in.getObjectiveInMs());
         delegated.table = Common::TableNumber(in.getTableNumber());
         delegated.waited = Milliseconds(in.getWaitedMs());
         for (auto group : in.getGroups())
@@ -99,7 +104,9 @@
     } else {
         auto& resume = std::get<Relay::ResumeBundle>(request.body);
         auto part = out.initResume();
-        part.setBundle(resume.bundle);
+        part.setBundle(resume.bundle.number);
+        part.setIncarnation(resume.bundle.requester.value());
+        part.setCall(toText(resume.call));
         part.setNeeded(static_cast<uint16_t>(resume.needed));
     }
     return serializeFlat(message);
@@ -112,18 +119,23 @@
         request.requester = fromText<Common::Address>(in.getAsker());
         if (in.isCall())
             request.body = read(in.getCall());
-        else
-            request.body = Relay::ResumeBundle { in.getResume().getBundle(), in.getResume().getNeeded() };
+        else {
+            auto resume = in.getResume();
+            request.body = Relay::ResumeBundle { { Common::Incarnation(resume.getIncarnation()), resume.getBundle() },
+                fromText<Common::RequestId>(resume.getCall()), resume.getNeeded() };
+        }
         return request;
     });
 }
 
-std::string encode(const Relay::Answer& answer)
+std::string encode(const Relay::BundleAnswer& answer)
 {
     capnp::MallocMessageBuilder message;
     auto out = message.initRoot<Schema::Answer>();
     out.setFormatVersion(formatVersion);
-    if (auto merged = std::get_if<Relay::Merged>(&answer)) {
+    out.setCall(toText(answer.call));
+    out.setTookMs(answer.took.value());
+    if (auto merged = std::get_if<Relay::Merged>(&answer.answer)) {
         auto part = out.initMerged();
         auto missing = part.initMissing(static_cast<unsigned>(merged->missing.size()));
         for (unsigned i = 0; i < missing.size(); ++i) {
@@ -134,7 +146,7 @@
         auto signatures = part.initSignatures(static_cast<unsigned>(merged->signatures.size()));
         for (unsigned i = 0; i < signatures.size(); ++i)
             signatures.set(i, toText(merged->signatures[i]));
-    } else if (auto refusal = std::get_if<Relay::Refusal>(&answer)) {
+    } else if (auto refusal = std::get_if<Relay::Refusal>(&answer.answer)) {
         write(out.initRefusal(), *refusal);
     } else {
         auto error = Common::makeError(Common::Reason::Internal, "gather", "this kind of answer has no encoding");
@@ -143,9 +155,12 @@
     return serializeFlat(message);
 }
 
-Common::Result<Relay::Answer> decodeAnswer(std::string_view bytes)
+Common::Result<Relay::BundleAnswer> decodeBundleAnswer(std::string_view bytes)
 {
-    return readFlatMessage<Schema::Answer>(bytes, [](Schema::Answer::Reader in) { return read(in); });
+    return readFlatMessage<Schema::Answer>(bytes, [](Schema::Answer::Reader in) {
+        return Relay::BundleAnswer { read(in), fromText<Common::RequestId>(in.getCall()),
+            Milliseconds(in.getTookMs()) };
+    });
 }
 
 } // namespace Wire
--- a/Source/Core/Wire/RelayCodec.h
+++ b/Source/Core/Wire/RelayCodec.h
@@ -11,7 +11,7 @@
 std::string encode(const Relay::BundleRequest&);
 Common::Result<Relay::BundleRequest> decodeBundleRequest(std::string_view);
 // Answers to another instance are Merged or Refusal; any other kind is encoded as an internal error.
-std::string encode(const Relay::Answer&);
-Common::Result<Relay::Answer> decodeAnswer(std::string_view);
+std::string encode(const Relay::BundleAnswer&);
+Common::Result<Relay::BundleAnswer> decodeBundleAnswer(std::string_view);
 
 } // namespace Wire
--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -109,9 +109,9 @@
             self.arrived.append((time.monotonic(), request, handler.command, handler.path, body,
                                  handler.headers.get("X-Deadline-Ms")))
         if handler.headers.get("X-Expect-Instance") != self.id:
-            return self.reply(handler, 421, b"", {})
+            return self.reply(handler, 421, b"", {"X-Request-Id": request})
         if self.fault == "shed":
-            return self.reply(handler, 503, b"", {"X-Not-Executed": "1"})
+            return self.reply(handler, 503, b"", {"X-Not-Executed": "1", "X-Request-Id": request})
         if self.fault == "cut":
             with self.lock:
                 self.runs.add(request)
--- /dev/null
+++ b/Source/UnitTests/Wire/RelayCodecTest.cpp
@@ -0,0 +1,42 @@
+#include "Wire/RelayCodec.h"
+
+#include <gtest/gtest.h>
+
+using Common::Incarnation;
+using Common::Milliseconds;
+using Common::RequestId;
+
+TEST(RelayCodec, BundlesNameTheirRequestersIncarnationAndCall)
+{
+    auto call = std::make_shared<Relay::Call>();
+    call->id = RequestId("r1");
+    call->target = "/a/b?c";
+    Relay::DelegatedCall delegated { { Incarnation(5), 7 }, Common::TableNumber(3), Milliseconds(2), Milliseconds(40),
+        { 1, 4 }, call };
+    auto decoded = Wire::decodeBundleRequest(Wire::encode({ Common::Address("a:1"), delegated }));
+    ASSERT_TRUE(decoded);
+    auto& read = std::get<Relay::DelegatedCall>(decoded.value().body);
+    EXPECT_EQ(read.bundle, delegated.bundle);
+    EXPECT_EQ(read.objectiveIn, delegated.objectiveIn);
+    EXPECT_EQ(read.call->id, call->id);
+    delegated.objectiveIn.reset();
+    decoded = Wire::decodeBundleRequest(Wire::encode({ Common::Address("a:1"), delegated }));
+    EXPECT_FALSE(std::get<Relay::DelegatedCall>(decoded.value().body).objectiveIn);
+
+    Relay::ResumeBundle resume { { Incarnation(5), 7 }, RequestId("r1"), 2 };
+    decoded = Wire::decodeBundleRequest(Wire::encode({ Common::Address("a:1"), resume }));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(std::get<Relay::ResumeBundle>(decoded.value().body).bundle, resume.bundle);
+    EXPECT_EQ(std::get<Relay::ResumeBundle>(decoded.value().body).call, resume.call);
+}
+
+TEST(RelayCodec, AnswersNameTheirCall)
+{
+    Relay::Merged merged { { "s1", "s2" }, { { 3, true } }, "body" };
+    auto decoded = Wire::decodeBundleAnswer(Wire::encode({ merged, RequestId("r1"), Milliseconds(12) }));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded.value().call, RequestId("r1"));
+    EXPECT_EQ(decoded.value().took, Milliseconds(12));
+    EXPECT_EQ(std::get<Relay::Merged>(decoded.value().answer).signatures, merged.signatures);
+    EXPECT_FALSE(Wire::decodeBundleAnswer("not a message"));
+}
