Obey what a backend server says of itself in its answers

Cause: nothing read Server-Leaving and Retry-After in servers' answers. A server that leaves but whose heartbeats say ready got all 60 of 60 requests, single and gathered; two that answered 503 with Retry-After: 3 got 110 and 41 requests from one relay in that time, and callers were told Retry-After: 0.050 (platform_test.py, check_server_notices, on the code before this change).

Change: Limits/ServerNotice decides: a server that says that it leaves gets nothing more from this instance until its next incarnation; one that is closed gets nothing until the time has passed (60 s at most), and then one request at a time until it has served one. Requests of a group whose servers are all closed are refused at once as not run, those that wait in its queue too, with a Retry-After after the first server reopens, spread over half of that time again. A date is read as HTTP allows; what can't be read counts as absent. platform/ translates the two headers. Logged as server-notice.

Not done: the word does not travel to other relays, and our own backend protocol does not have it yet.

--- a/Source/Core/Observe/EventLog.h
+++ b/Source/Core/Observe/EventLog.h
@@ -18,6 +18,7 @@
     ServerFailed,
     SendFailed,
     GathererPassedBy,
+    ServerNotice,
     ServerChanged,
     ServerLearned,
     ControlFound,
--- a/Source/Core/Relay/Call.h
+++ b/Source/Core/Relay/Call.h
@@ -4,6 +4,7 @@
 #include "Common/Error.h"
 #include "Common/Ids.h"
 #include "Http/Message.h"
+#include "Limits/ServerNotice.h"
 
 #include <functional>
 #include <memory>
@@ -42,6 +43,7 @@
     Outcome outcome { Outcome::Unusable };
     int status { 0 };
     Http::Fields fields; // As received.
+    Limits::ServerNotice notice;
     std::string signature; // The server's proof that it ran this request.
     std::string body;
 };
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -48,6 +48,7 @@
 struct InFlightRequest {
     GroupName group;
     Common::BackendServerId server;
+    Common::Incarnation incarnation; // Of the server.
     ConnectionPtr connection;
     Http::ExchangeId exchange; // On the connection.
     TimePoint sentAt;
@@ -189,6 +190,8 @@
     bool trySend(const ActiveCallPtr&, const AttemptKey&, const Send&, const GroupName&);
     void transmit(const ActiveCallPtr&, const AttemptKey&, const ConnectionPtr&, const Common::BackendServerId&);
     void requestEnded(const ActiveCallPtr&, const AttemptKey&, const Common::Result<Http::Response>&);
+    void recordNotice(const InFlightRequest&, const SubAnswer&, TimePoint now);
+    bool refuseIfClosed(const ActiveCallPtr&, const Limits::Waiter&, const GroupName&);
     void serveWaiters(const GroupName&);
     void logAnswer(Observe::Event event, const Relay::Call&, const Routes::Table&, const Routes::Route&, const Answer&,
         Milliseconds took, const std::string& what);
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -85,12 +85,13 @@
         Limits::countFirstSend(state.budget, options.retryBudget, now);
         return true;
     });
+    std::optional<Milliseconds> retryAfter;
     auto fail = [&](Reason reason, const char* message) {
         Observe::logEvent(Observe::Part::Relay, Observe::Event::NotSent,
             { { "request", active->call->id.value() }, { "group", group.value() },
                 { "purpose", purposeName(send.purpose) }, { "why", message } });
         step(active, id, [&](Query& query) {
-            return notSent(query, send.attempt, Common::makeError(reason, "send", message), now);
+            return notSent(query, send.attempt, Common::makeError(reason, "send", message), now, retryAfter);
         });
     };
     if (!hasBudget) {
@@ -99,11 +100,13 @@
         return;
     }
     auto usable = serversOf(group);
-    bool hasServer = std::any_of(usable->begin(), usable->end(), [&](const Roster::EligibleServer& server) {
-        return std::find(send.avoid.begin(), send.avoid.end(), server.server) == send.avoid.end();
-    });
-    if (!hasServer) {
-        fail(Reason::Unavailable, usable->empty() ? "no server of the group is known" : "no other server is left");
+    if (!pool.hasOpenServer(*usable, send.avoid, now)) {
+        if (auto reopens = pool.reopensIn(*usable, now))
+            retryAfter = Limits::spreadReturn(*reopens, localRandom().unit());
+        fail(Reason::Unavailable,
+            usable->empty()  ? "no server of the group is known"
+                : retryAfter ? "the servers take no requests for now"
+                             : "no other server is left");
         return;
     }
     if (trySend(active, key, send, group))
@@ -147,8 +150,8 @@
             return true;
         }
         inFlightRequests.insert(key,
-            { group, usable[i].server, lease->connection, lease->connection->nextExchange(), now, send.purpose,
-                false });
+            { group, usable[i].server, usable[i].incarnation, lease->connection, lease->connection->nextExchange(), now,
+                send.purpose, false });
         metrics.count(send.purpose == Purpose::First ? Counter::FirstSends
                 : send.purpose == Purpose::Retry     ? Counter::Retries
                                                      : Counter::Hedges,
@@ -187,6 +190,7 @@
     Milliseconds took = now - inFlight->sentAt;
     if (result) {
         SubAnswer answer = backendCodec.decode(*active->call, result.value());
+        recordNotice(*inFlight, answer, now);
         pool.release(inFlight->server, inFlight->connection, inFlight->sentAt, { kindOf(answer.outcome), took }, now);
         if (answer.outcome == SubAnswer::Outcome::Success) {
             latencies.withValue(
@@ -218,6 +222,36 @@
     step(active, key.query, [&](Query& query) { return sendFailed(query, key.attempt, failure, error, now); });
 }
 
+void Engine::Private::recordNotice(const InFlightRequest& request, const SubAnswer& answer, TimePoint now)
+{
+    if (answer.outcome == SubAnswer::Outcome::Unusable || answer.outcome == SubAnswer::Outcome::OtherServer)
+        return;
+    bool isServed = answer.outcome == SubAnswer::Outcome::Success;
+    pool.record(request.server, request.incarnation, answer.notice, isServed, now);
+    if (!answer.notice.closedFor && !answer.notice.isLeaving)
+        return;
+    Observe::logEvent(Observe::Part::Relay, Observe::Event::ServerNotice,
+        { { "server", request.server.value() }, { "leaving", answer.notice.isLeaving ? "yes" : "no" },
+            { "closed_ms", toText(answer.notice.closedFor.value_or(Milliseconds(0))) } });
+}
+
+// Refuses a queued request if no server takes requests: nothing would wake it when one reopens, and the caller knows
+// better what to do in that time.
+bool Engine::Private::refuseIfClosed(const ActiveCallPtr& active, const Limits::Waiter& waiter, const GroupName& group)
+{
+    auto now = Clock::now();
+    auto usable = serversOf(group);
+    auto reopens = pool.reopensIn(*usable, now);
+    if (!reopens || pool.hasOpenServer(*usable, waiter.avoidServers, now))
+        return false;
+    auto retryAfter = Limits::spreadReturn(*reopens, localRandom().unit());
+    step(active, waiter.query, [&](Query& query) {
+        return notSent(query, waiter.attempt,
+            Common::makeError(Reason::Unavailable, "send", "the servers take no requests for now"), now, retryAfter);
+    });
+    return true;
+}
+
 // Sends the queued requests of the group while its servers have free connections.
 void Engine::Private::serveWaiters(const GroupName& group)
 {
@@ -233,6 +267,8 @@
         Send send { waiter->attempt, 0, Purpose::First, false, waiter->avoidServers };
         if (trySend(active, { waiter->query, waiter->attempt }, send, group))
             continue;
+        if (refuseIfClosed(active, *waiter, group))
+            continue;
         groups.withValue(group, [&](GroupState& state) { Limits::push(state.waiting, *waiter); });
         return;
     }
--- a/Source/Core/Relay/Query.cpp
+++ b/Source/Core/Relay/Query.cpp
@@ -89,7 +89,7 @@
         if (!query.route->fanOut && query.parts.front().answer)
             return Forwarded { std::move(*query.parts.front().answer) };
         bool notRun = isKnownNotRun(query);
-        return Refusal { query.lastError, notRun, notRun ? refusedRetryAfter : Milliseconds(0) };
+        return Refusal { query.lastError, notRun, notRun ? query.retryAfter : Milliseconds(0) };
     }
 
     void finish(Query& query, Answer answer, Effects& effects)
@@ -289,7 +289,7 @@
     return true;
 }
 
-Effects notSent(Query& query, AttemptId id, const Error& error, TimePoint now)
+Effects notSent(Query& query, AttemptId id, const Error& error, TimePoint now, std::optional<Milliseconds> retryAfter)
 {
     size_t index = 0;
     Part* part = findPart(query, id, index);
@@ -297,6 +297,8 @@
         return {};
     Effects effects;
     query.lastError = error;
+    if (retryAfter)
+        query.retryAfter = std::max(query.retryAfter, *retryAfter);
     part->attempts.erase(part->attempts.begin() + static_cast<std::ptrdiff_t>(index));
     if (part->attempts.empty()) {
         part->state = Part::State::Failed;
--- a/Source/Core/Relay/Query.h
+++ b/Source/Core/Relay/Query.h
@@ -113,6 +113,7 @@
     uint64_t nextAttempt { 1 };
     bool finished { false };
     Common::Error lastError;
+    Common::Milliseconds retryAfter { refusedRetryAfter }; // For a refusal.
     Common::TimePoint wakeAt;
 };
 
@@ -134,8 +135,9 @@
 // A server with a free connection was found. Returns false if the attempt is no longer wanted and must not be sent.
 bool sent(Query&, Common::AttemptId, const Common::BackendServerId&, Common::TimePoint now,
     std::optional<Common::Milliseconds> hedgeDelay);
-// No server is available, or the retry budget is exhausted.
-Effects notSent(Query&, Common::AttemptId, const Common::Error&, Common::TimePoint now);
+// No server is available, or the retry budget is exhausted. retryAfter: when a server takes requests again, if known.
+Effects notSent(Query&, Common::AttemptId, const Common::Error&, Common::TimePoint now,
+    std::optional<Common::Milliseconds> retryAfter = {});
 Effects answered(Query&, Common::AttemptId, SubAnswer, Common::TimePoint now);
 Effects sendFailed(Query&, Common::AttemptId, SendFailure, const Common::Error&, Common::TimePoint now);
 Effects wake(Query&, Common::TimePoint now);
--- a/Source/Core/Relay/ServerPool.cpp
+++ b/Source/Core/Relay/ServerPool.cpp
@@ -46,7 +46,9 @@
     const Roster::EligibleServer& usable, Connections limit, TimePoint now)
 {
     return m_servers.withValue(usable.server, [&](Server& server) -> std::optional<Lease> {
-        if (static_cast<int64_t>(server.load.inFlight.size()) >= limit.value())
+        size_t inFlight = server.load.inFlight.size();
+        if (static_cast<int64_t>(inFlight) >= limit.value()
+            || !Limits::mayReceive(server.notices, usable.incarnation, inFlight, now))
             return std::nullopt;
         begin(server.load, now);
         while (!server.idle.empty()) {
@@ -70,11 +72,45 @@
     });
 }
 
+void ServerPool::record(const Common::BackendServerId& id, Common::Incarnation incarnation,
+    const Limits::ServerNotice& notice, bool isServed, TimePoint now)
+{
+    m_servers.ifPresent(
+        id, [&](Server& server) { Limits::recordNotice(server.notices, incarnation, notice, isServed, now); });
+}
+
+bool ServerPool::hasOpenServer(const std::vector<Roster::EligibleServer>& servers,
+    const std::vector<Common::BackendServerId>& avoid, TimePoint now)
+{
+    return std::any_of(servers.begin(), servers.end(), [&](const Roster::EligibleServer& usable) {
+        bool isOpen = std::find(avoid.begin(), avoid.end(), usable.server) == avoid.end();
+        if (isOpen) {
+            m_servers.ifPresent(usable.server,
+                [&](Server& server) { isOpen = Limits::mayReceive(server.notices, usable.incarnation, 0, now); });
+        }
+        return isOpen;
+    });
+}
+
+std::optional<Milliseconds> ServerPool::reopensIn(const std::vector<Roster::EligibleServer>& servers, TimePoint now)
+{
+    std::optional<Milliseconds> first;
+    for (const Roster::EligibleServer& usable : servers) {
+        m_servers.ifPresent(usable.server, [&](Server& server) {
+            auto time = Limits::reopensIn(server.notices, usable.incarnation, now);
+            if (time)
+                first = std::min(first.value_or(*time), *time);
+        });
+    }
+    return first;
+}
+
 void ServerPool::keepOnly(const std::vector<Common::BackendServerId>& ids)
 {
     std::set<Common::BackendServerId> kept(ids.begin(), ids.end());
     m_servers.eraseIf([&](const Common::BackendServerId& id, const Server& server) {
-        return server.load.inFlight.empty() && !kept.count(id);
+        bool isClosed = server.notices.isLeaving || server.notices.isReopening;
+        return server.load.inFlight.empty() && !kept.count(id) && !isClosed;
     });
 }
 
--- a/Source/Core/Relay/ServerPool.h
+++ b/Source/Core/Relay/ServerPool.h
@@ -2,6 +2,7 @@
 
 #include "Common/ShardedMap.h"
 #include "Http/Connection.h"
+#include "Limits/ServerNotice.h"
 #include "Relay/Load.h"
 #include "Roster/ServerView.h"
 #include "Routing/Candidates.h"
@@ -31,12 +32,21 @@
     // Ends a request begun by acquire(). An open connection is kept for reuse.
     void release(
         const Common::BackendServerId&, ConnectionPtr, Common::TimePoint sentAt, const Outcome&, Common::TimePoint now);
+    // Applies what the server said of itself in an answer. Call it before release().
+    void record(const Common::BackendServerId&, Common::Incarnation, const Limits::ServerNotice&, bool isServed,
+        Common::TimePoint now);
+    // Whether some server that is not in `avoid` takes requests, as far as it has said.
+    bool hasOpenServer(const std::vector<Roster::EligibleServer>&, const std::vector<Common::BackendServerId>& avoid,
+        Common::TimePoint now);
+    // How long until the first of the servers reopens; empty if none of them says so.
+    std::optional<Common::Milliseconds> reopensIn(const std::vector<Roster::EligibleServer>&, Common::TimePoint now);
     // Closes the connections of all other servers, unless they have requests in flight.
     void keepOnly(const std::vector<Common::BackendServerId>&);
 
 private:
     struct Server {
         Load load;
+        Limits::ServerNotices notices;
         std::vector<ConnectionPtr> idle;
     };
 
--- a/Source/UnitTests/Platform/CodecTest.cpp
+++ b/Source/UnitTests/Platform/CodecTest.cpp
@@ -168,6 +168,19 @@
         decode(200, { { "X-Server-Stamp", "s" }, { "X-Request-Id", "other" } }).outcome, SubAnswer::Outcome::Unusable);
 }
 
+TEST(ServerAnswer, CarriesWhatTheServerSaysOfItself)
+{
+    EXPECT_TRUE(decode(200, { { "X-Server-Stamp", "s" }, { "Server-Leaving", "1" } }).notice.isLeaving);
+    EXPECT_FALSE(decode(200, { { "X-Server-Stamp", "s" }, { "Server-Leaving", "0" } }).notice.isLeaving);
+    EXPECT_EQ(decode(503, { { "Retry-After", "3" } }).notice.closedFor, Milliseconds(3'000));
+    EXPECT_FALSE(decode(500, { { "Retry-After", "3" } }).notice.closedFor);
+    EXPECT_EQ(Platform::decodeRetryAfter("0.25", 0), Milliseconds(250));
+    EXPECT_EQ(Platform::decodeRetryAfter("Thu, 01 Jan 1970 00:00:07 GMT", 5), Milliseconds(2'000));
+    EXPECT_EQ(Platform::decodeRetryAfter("Thu, 01 Jan 1970 00:00:07 GMT", 9), Milliseconds(0));
+    for (const char* text : { "", "-1", "soon", "3x", "nan", "inf s", "Thu, 99 Jan" })
+        EXPECT_FALSE(Platform::decodeRetryAfter(text, 0)) << text;
+}
+
 TEST(Answer, ListsSignaturesAndMissingParts)
 {
     auto response = Platform::encodeAnswer(
--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -79,6 +79,7 @@
         self.cluster, self.service, self.zone = cluster, service, zone
         self.id, self.born, self.seq = f"i-{number:04x}", int(time.time() * 1000) + number, 0
         self.state, self.delay, self.fault = "ready", 0.0, None
+        self.says_leaving = False  # In its answers.
         self.arrived, self.runs, self.lock = [], set(), threading.Lock()
         self.endless_streams = 0  # Responses without end that are being sent.
         seed = hashlib.sha256(service.encode()).digest()
@@ -110,6 +111,8 @@
                                  handler.headers.get("X-Deadline-Ms")))
         if handler.headers.get("X-Expect-Instance") != self.id:
             return self.reply(handler, 421, b"", {"X-Request-Id": request})
+        if self.fault == "closed":
+            return self.reply(handler, 503, b"", {"X-Not-Executed": "1", "X-Request-Id": request, "Retry-After": "3"})
         if self.fault == "shed":
             return self.reply(handler, 503, b"", {"X-Not-Executed": "1", "X-Request-Id": request})
         if self.fault == "cut":
@@ -150,6 +153,8 @@
             handler.send_response(status)
             for name, value in headers.items():
                 handler.send_header(name, value)
+            if self.says_leaving:
+                handler.send_header("Server-Leaving", "1")
             handler.send_header("Content-Length", str(len(body)))
             handler.end_headers()
             handler.wfile.write(body)
--- a/Source/UnitTests/Processes/platform_test.py
+++ b/Source/UnitTests/Processes/platform_test.py
@@ -246,6 +246,45 @@
         leaf.born, leaf.seq, leaf.state = leaf.born + 60_000, 0, "ready"
         expect(wait_for(3, lambda: self.send("/moved/a") and leaf.count() > before), "a new incarnation serves")
 
+    def check_server_notices(self):
+        """What a server says in its answers counts, although its heartbeats say ready. All requests go to one relay."""
+        relay = list(self.cluster.relays)[0]
+        paths = {"/moved/x": self.leafs_of("one")[0], "/all/x": self.leafs_of("s3")[0]}
+        for path, leaf in paths.items():
+            leaf.says_leaving = True
+            for _ in range(20):
+                self.send(path, relay)
+            told, statuses = leaf.count(), []
+            for _ in range(60):
+                statuses.append(self.send(path, relay)[1])
+            expect(leaf.count() == told, f"{path}: {leaf.count() - told} of 60 requests reached a server that leaves")
+            expect(statuses.count(200) == 60, f"{path}: the others serve {statuses.count(200)} of 60")
+            leaf.says_leaving = False
+            leaf.id += "-next"  # Its next start.
+            leaf.born = int(time.time() * 1000)
+        time.sleep(2.5)
+        for path, service in (("/moved/x", "one"), ("/all/x", "s3")):
+            leafs = self.leafs_of(service)
+            for leaf in leafs:
+                leaf.fault = "closed"
+            began, refused = time.monotonic(), []
+            while time.monotonic() - began < 3:
+                _, status, headers, _ = self.send(path, relay)
+                refused.append((time.monotonic() - began, status, headers.get("Retry-After")))
+                time.sleep(0.02)
+            arrived = [[row[0] - began for row in leaf.arrived if began + 0.55 < row[0] < began + 2.9] for leaf in leafs]
+            expect(all(len(times) <= 2 for times in arrived),
+                   f"{path}: while closed {[len(times) for times in arrived]} requests reach the servers")
+            if path == "/moved/x":
+                later = [(at, status, float(wait or 0)) for at, status, wait in refused if 0.5 < at < 2.5]
+                expect(all(status == 503 and at + wait > 2.9 for at, status, wait in later),
+                       f"{len(later)} callers are refused until the servers reopen: {later[:2]}")
+            for leaf in leafs:
+                leaf.fault = None
+            time.sleep(1)
+            served = sum(1 for _ in range(20) if self.send(path, relay)[1] == 200)
+            expect(served == 20, f"{path}: afterwards {served} of 20 are served")
+
     def check_control_losses(self):
         document = configuration(20, SHARDS, "one", "book")
         for ip in self.cluster.controls[:2]:
@@ -366,6 +405,7 @@
         self.check_explain()
         self.check_caller_disconnect()
         self.check_draining()
+        self.check_server_notices()
         self.check_control_losses()
         self.check_final_loss()
         self.check_unresponsive_gatherer()
