--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -75,7 +75,7 @@
         return;
     }
     auto gathering = std::make_shared<Gathering>();
-    gathering->bundles = requestedBundlesOf(route, times.arrived);
+    gathering->bundles = requestedBundlesOf(*route.fanOut, times.arrived);
     size_t bundleCount = gathering->bundles.size();
     std::vector<std::vector<size_t>> groupsOfBundles;
     for (const RequestedBundle& bundle : gathering->bundles)
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -11,6 +11,7 @@
 #include "Routing/LatencyStats.h"
 
 #include <atomic>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -140,6 +141,7 @@
     std::shared_ptr<const ServersByGroup> servers { std::make_shared<const ServersByGroup>() };
     std::vector<Roster::Peer> instances;
     Gatherers gatherers;
+    std::map<GroupName, size_t> partitions; // See partitionCounts().
     std::set<GroupName> fanOutGroups; // Groups of all fan-out routes, served through gatherers.
     std::set<GroupName> ownedGroups; // The subset in partitions that this instance owns.
     GathererHealth health;
@@ -171,9 +173,9 @@
     void checkAt(const GatheringPtr&, TimePoint);
     void probeGatherer(const GatheringPtr&, size_t index);
     Milliseconds returnMargin();
-    size_t partitionsOf(const Routes::Route&) const;
+    size_t partitionsOf(const Routes::FanOut&) const;
     std::vector<Bundle> bundlesOf(const Routes::FanOut&);
-    std::vector<RequestedBundle> requestedBundlesOf(const Routes::Route&, TimePoint now);
+    std::vector<RequestedBundle> requestedBundlesOf(const Routes::FanOut&, TimePoint now);
     size_t unservedGroups(const Routes::FanOut&) const;
     void refuse(const CallPtr&, const Routes::TablePtr&, Reason, const std::string&, Milliseconds, const Done&);
     Times timesOf(const Relay::Call&, const Routes::Route&, TimePoint arrived) const;
--- a/Source/Core/Relay/EngineView.cpp
+++ b/Source/Core/Relay/EngineView.cpp
@@ -73,16 +73,17 @@
     fanOutGroups.clear();
     ownedGroups.clear();
     std::set<Common::FailureDomain> domains;
-    size_t partitions = 0;
+    size_t most = 0;
+    partitions = table ? partitionCounts(*table, options.processorShare) : std::map<GroupName, size_t>();
     auto forEachFanOut = [&](const auto& fn) {
         for (const Routes::Route& route : table ? table->routes : std::vector<Routes::Route>()) {
             if (route.fanOut)
-                fn(route);
+                fn(*route.fanOut);
         }
     };
-    forEachFanOut([&](const Routes::Route& route) {
-        partitions = std::max(partitions, partitionsOf(route));
-        for (const GroupName& name : route.fanOut->groups) {
+    forEachFanOut([&](const Routes::FanOut& fanOut) {
+        most = std::max(most, partitionsOf(fanOut));
+        for (const GroupName& name : fanOut.groups) {
             auto it = fanOutGroups.insert(name).second ? servers->find(name) : servers->end();
             if (it == servers->end())
                 continue;
@@ -90,33 +91,38 @@
                 domains.insert(server.domain);
         }
     });
-    gatherers = chooseGatherers(instances, domains, partitions);
-    forEachFanOut([&](const Routes::Route& route) {
-        size_t count = partitionsOf(route);
-        for (size_t i = 0; i < route.fanOut->groups.size(); ++i) {
+    gatherers = chooseGatherers(instances, domains, most);
+    forEachFanOut([&](const Routes::FanOut& fanOut) {
+        size_t count = partitionsOf(fanOut);
+        for (size_t i = 0; i < fanOut.groups.size(); ++i) {
             if (ownsPartition(gatherers, options.self, partitionOf(i, count)))
-                ownedGroups.insert(route.fanOut->groups[i]);
+                ownedGroups.insert(fanOut.groups[i]);
         }
     });
 }
 
-size_t Engine::Private::partitionsOf(const Routes::Route& route) const
+// Called with viewMutex held.
+size_t Engine::Private::partitionsOf(const Routes::FanOut& fanOut) const
 {
-    return partitionCount({ route.fanOut->groups.size(), route.latencyObjective, options.processorShare });
+    auto it = partitions.find(fanOut.groups.front());
+    return it == partitions.end() ? 1 : it->second;
 }
 
 // Splits each bundle by the gatherer of its groups.
-std::vector<RequestedBundle> Engine::Private::requestedBundlesOf(const Routes::Route& route, TimePoint now)
+std::vector<RequestedBundle> Engine::Private::requestedBundlesOf(const Routes::FanOut& fanOut, TimePoint now)
 {
-    size_t partitions = partitionsOf(route);
+    size_t count = 1;
+    {
+        std::lock_guard lock(viewMutex);
+        count = partitionsOf(fanOut);
+    }
     std::vector<RequestedBundle> requested;
-    for (const Bundle& bundle : bundlesOf(*route.fanOut)) {
+    for (const Bundle& bundle : bundlesOf(fanOut)) {
         std::map<std::optional<Common::Address>, std::vector<size_t>> byGatherer;
         {
             std::lock_guard lock(viewMutex);
             for (size_t place : bundle.groups) {
-                byGatherer[pickGatherer(
-                               gatherers, bundle.domain, partitionOf(place, partitions), options.self, health, now)]
+                byGatherer[pickGatherer(gatherers, bundle.domain, partitionOf(place, count), options.self, health, now)]
                     .push_back(place);
             }
         }
--- a/Source/Core/Relay/Gatherers.cpp
+++ b/Source/Core/Relay/Gatherers.cpp
@@ -53,6 +53,19 @@
     return static_cast<size_t>(fastest);
 }
 
+std::map<Common::GroupName, size_t> partitionCounts(const Routes::Table& table, double processorShare)
+{
+    std::map<Common::GroupName, size_t> counts;
+    for (const Routes::Route& route : table.routes) {
+        if (!route.fanOut)
+            continue;
+        size_t& count = counts[route.fanOut->groups.front()];
+        count
+            = std::max(count, partitionCount({ route.fanOut->groups.size(), route.latencyObjective, processorShare }));
+    }
+    return counts;
+}
+
 size_t partitionOf(size_t place, size_t partitions) { return place % std::max<size_t>(partitions, 1); }
 
 Gatherers chooseGatherers(
--- a/Source/Core/Relay/Gatherers.h
+++ b/Source/Core/Relay/Gatherers.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Roster/Messages.h"
+#include "Routes/Table.h"
 
 #include <map>
 #include <optional>
@@ -35,6 +36,9 @@
 // time is the processor time of the busiest instance: the fewest gatherers with which that time fits the objective, at
 // most those with which it is shortest.
 size_t partitionCount(const WidthInputs&);
+// The number of partitions of each fan-out, by its first group. Routes over the same groups use the number of the one
+// that needs most: with different ones, several owners would send to a server, and none of them would see its load.
+std::map<Common::GroupName, size_t> partitionCounts(const Routes::Table&, double processorShare);
 // The partition of a group, by its index in the fan-out.
 size_t partitionOf(size_t place, size_t partitions);
 
--- a/Source/UnitTests/Http/ConnectionTest.cpp
+++ b/Source/UnitTests/Http/ConnectionTest.cpp
@@ -92,6 +92,22 @@
     EXPECT_EQ(result.error().reason, Reason::ConnectionFailed) << result.error();
 }
 
+TEST(Connection, AResponseThatBreaksOffAtAnyByteIsNoResponse)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 20\r\n\r\n01234567890123456789";
+    RawServer server([&](int connection, int, const std::string&) {
+        return RawServer::Reply { whole.substr(0, static_cast<size_t>(connection)), RawServer::After::Close, "" };
+    });
+    for (size_t sent = 0; sent <= whole.size(); ++sent) {
+        Http::Connection connection(server.address(), Http::Reuse::Never, timeout);
+        auto result = exchange(connection, "GET");
+        EXPECT_EQ(bool(result), sent == whole.size()) << sent << " bytes";
+        if (!result) {
+            EXPECT_EQ(result.error().reason, Reason::ConnectionLost) << result.error();
+        }
+    }
+}
+
 TEST(Connection, CancelEndsAnUnansweredRequest)
 {
     RawServer server([](int, int, const std::string&) {
--- a/Source/UnitTests/Relay/GatherersTest.cpp
+++ b/Source/UnitTests/Relay/GatherersTest.cpp
@@ -142,6 +142,21 @@
     EXPECT_EQ(*std::max_element(sizes.begin(), sizes.end()), 13u);
 }
 
+TEST(Gatherers, RoutesOverTheSameGroupsHaveTheSameOwners)
+{
+    Routes::Table table;
+    for (double objective : { 200, 80 }) {
+        Routes::Route route;
+        route.latencyObjective = Milliseconds(objective);
+        route.fanOut = fanOutOf(90, 1);
+        table.routes.push_back(route);
+    }
+    table.routes.emplace_back();
+    auto counts = partitionCounts(table, 0.12);
+    EXPECT_EQ(counts, (std::map<GroupName, size_t> { { GroupName("g0"), 4 } }));
+    EXPECT_LT(partitionCount({ 90, Milliseconds(200), 0.12 }), 4u);
+}
+
 TEST(Bundles, CoverEachGroupOnceInFewDomains)
 {
     // The last group has two servers in one domain, the second to last has none.
