--- a/Source/UnitTests/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -46,6 +46,8 @@
     expectError(validSettings + "http: 7\n", "a.yaml:8: field http is '7', expected a map of fields");
     expectError(validSettings + "entry: {attempts: 99}\n",
         "field entry.attempts is '99', expected a whole number from 1 to 10");
+    expectError(validSettings + "relay: {processor_share: 0}\n", "field relay.processor_share is '0', expected");
+    expectError(validSettings + "relay: {processor_share: half}\n", "field relay.processor_share is 'half', expected");
     expectError(validSettings + "log: {level: loud}\n", "field log.level is 'loud'");
     expectError("roles: [entry\n", "not YAML");
     expectError("- 1\n", "expected a map of fields");
