--- a/Source/UnitTests/Relay/GatherersTest.cpp
+++ b/Source/UnitTests/Relay/GatherersTest.cpp
@@ -126,6 +126,9 @@
     EXPECT_EQ(partitionCount({ 90, Milliseconds(40), 1 }), 1u) << "a whole core does it in time";
     EXPECT_EQ(partitionCount({ 90, Milliseconds(40), 0.12 }), 4u) << "never in time: the fastest";
     EXPECT_EQ(partitionCount({ 180, Milliseconds(200), 0.12 }), 3u);
+    EXPECT_EQ(partitionCount({ 20, Milliseconds(80), 0.25 }), 1u);
+    EXPECT_EQ(partitionCount({ 20, Milliseconds(40), 0.12 }), 2u);
+    EXPECT_EQ(partitionCount({ 1'000, Milliseconds(40), 0.12 }), 14u);
     for (size_t groups : { 1, 20, 90, 180, 1'000 }) {
         size_t wider = 0;
         for (double objective : { 1'000, 200, 80, 40, 10 }) {
