Log what tells a resent request that crashes servers from retries of our own

Cause: send-failed named neither the content of the request nor the incarnation of the server, so sends of one request under several ids could not be matched, nor the lost start of a server with its next one. The counters of retries, hedges, first sends and cancellations are documented by group and held the route. Change: the digest of the content, the incarnation, the group and the purpose in send-failed; the counters hold the group. The digest is computed once by the relay that takes the call and travels with delegated bundles.

--- a/Source/Core/Relay/Call.h
+++ b/Source/Core/Relay/Call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "Common/ContentDigest.h"
 #include "Common/Error.h"
 #include "Common/Ids.h"
 #include "Http/Message.h"
@@ -25,9 +26,14 @@
     std::string target;
     Http::Fields fields; // Headers to forward.
     std::string body;
+    std::string identity; // Who asks, from the headers that say so; empty if none does.
+    Common::ContentDigest content; // Equal for all sends of the same request; see contentOf().
     std::shared_ptr<Http::Caller> caller;
 };
 
+// The digest of what a resend has in common with the request: caller, method, host, target and body.
+Common::ContentDigest contentOf(const Call&);
+
 using CallPtr = std::shared_ptr<const Call>;
 
 // The answer of one backend server.
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -155,7 +155,7 @@
         metrics.count(send.purpose == Purpose::First ? Counter::FirstSends
                 : send.purpose == Purpose::Retry     ? Counter::Retries
                                                      : Counter::Hedges,
-            active->query.route->name.value());
+            group.value());
         if (send.purpose != Purpose::First) {
             Observe::logEvent(Observe::Part::Relay, Observe::Event::SentAgain,
                 { { "request", active->call->id.value() }, { "group", group.value() },
@@ -212,8 +212,10 @@
         { isCancelled ? Outcome::Kind::Cancelled : Outcome::Kind::Unreachable, took }, now);
     if (!isCancelled) {
         Observe::logEvent(Observe::Part::Relay, Observe::Event::SendFailed,
-            { { "request", active->call->id.value() }, { "server", inFlight->server.value() }, { "why", error.message },
-                { "took_ms", toText(took) } });
+            { { "request", active->call->id.value() }, { "server", inFlight->server.value() },
+                { "incarnation", std::to_string(inFlight->incarnation.value()) }, { "group", inFlight->group.value() },
+                { "purpose", purposeName(inFlight->purpose) }, { "why", error.message }, { "took_ms", toText(took) },
+                { "content", Common::toHex(active->call->content) } });
     }
     serveWaiters(inFlight->group);
     if (inFlight->isAbandoned)
@@ -279,13 +281,15 @@
     AttemptKey key { id, abandon.attempt };
     ConnectionPtr connection;
     Http::ExchangeId exchange;
+    GroupName group;
     bool isInFlight = inFlightRequests.ifPresent(key, [&](InFlightRequest& inFlight) {
         inFlight.isAbandoned = true;
+        group = inFlight.group;
         connection = inFlight.connection;
         exchange = inFlight.exchange;
     });
     if (isInFlight) {
-        metrics.count(Counter::Cancellations, active->query.route->name.value());
+        metrics.count(Counter::Cancellations, group.value());
         timers.after(options.abandonGrace, [self = shared_from_this(), key, connection, exchange] {
             bool isStillInFlight = self->inFlightRequests.ifPresent(key, [](InFlightRequest&) {});
             if (isStillInFlight)
--- a/Source/Core/Wire/Relay.capnp.h
+++ b/Source/Core/Wire/Relay.capnp.h
@@ -54,7 +54,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4adb7993b1f947b, 6, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(c4adb7993b1f947b, 8, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -302,6 +302,10 @@
 
   inline double getObjectiveInMs() const;
 
+  inline  ::uint64_t getContentHigh() const;
+
+  inline  ::uint64_t getContentLow() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -398,6 +402,12 @@
   inline double getObjectiveInMs();
   inline void setObjectiveInMs(double value);
 
+  inline  ::uint64_t getContentHigh();
+  inline void setContentHigh( ::uint64_t value);
+
+  inline  ::uint64_t getContentLow();
+  inline void setContentLow( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1444,6 +1454,34 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
 }
 
+inline  ::uint64_t Call::Reader::getContentHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Call::Builder::getContentHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setContentHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Call::Reader::getContentLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Call::Builder::getContentLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setContentLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Wire::RelaySchema::Request::Which Request::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/RelayCodec.cpp
+++ b/Source/Core/Wire/RelayCodec.cpp
@@ -38,6 +38,8 @@
         out.setMethod(toText(call.method));
         out.setTarget(toText(call.target));
         out.setBody(toData(call.body));
+        out.setContentHigh(call.content.high);
+        out.setContentLow(call.content.low);
         auto groups = out.initGroups(static_cast<unsigned>(delegated.groups.size()));
         for (unsigned i = 0; i < groups.size(); ++i)
             groups.set(i, static_cast<uint16_t>(delegated.groups[i]));
@@ -61,6 +63,9 @@
         call->body = fromData(in.getBody());
         for (auto field : in.getFields())
             call->fields.emplace_back(fromText(field.getName()), fromText(field.getValue()));
+        call->content = { in.getContentHigh(), in.getContentLow() };
+        if (call->content == Common::ContentDigest())
+            call->content = Relay::contentOf(*call);
         Relay::DelegatedCall delegated;
         delegated.bundle = { Common::Incarnation(in.getIncarnation()), in.getBundle() };
         if (in.getObjectiveInMs() >= 0)
--- /dev/null
+++ b/Source/UnitTests/Common/ContentDigestTest.cpp
@@ -0,0 +1,18 @@
+#include "Common/ContentDigest.h"
+
+#include <gtest/gtest.h>
+
+using Common::digestOf;
+
+TEST(ContentDigest, DependsOnTheTextsAndOnWhereTheyAreDivided)
+{
+    EXPECT_EQ(digestOf({ "ab", "c" }), digestOf({ "ab", "c" }));
+    EXPECT_NE(digestOf({ "ab", "c" }), digestOf({ "a", "bc" }));
+    EXPECT_NE(digestOf({ "ab", "" }), digestOf({ "", "ab" }));
+    EXPECT_NE(digestOf({ "ab" }), digestOf({ "ab", "" }));
+}
+
+TEST(ContentDigest, IsWrittenAsHexadecimalDigits)
+{
+    EXPECT_EQ(toHex({ 0x1f, 0xa0 }), "000000000000001f00000000000000a0");
+}
--- a/Source/UnitTests/Platform/CodecTest.cpp
+++ b/Source/UnitTests/Platform/CodecTest.cpp
@@ -53,6 +53,16 @@
 
 } // namespace
 
+TEST(Call, AResendHasTheSameContentAndAnotherCallersRequestDoesNot)
+{
+    auto first = callOf({ { "X-Request-Id", "a" }, { "X-Deadline-Ms", "9" }, { "X-Tenant", "t" }, { "Trace", "1" } });
+    auto resend = callOf({ { "X-Request-Id", "b" }, { "X-Deadline-Ms", "5" }, { "X-Tenant", "t" }, { "Trace", "2" } });
+    auto other = callOf({ { "X-Request-Id", "c" }, { "X-Tenant", "u" } });
+    EXPECT_EQ(first->content, resend->content);
+    EXPECT_NE(first->content, other->content);
+    EXPECT_NE(first->content, callOf({ { "X-Tenant", "t" } }, "/a/b%20c?x=2")->content);
+}
+
 TEST(Configuration, IsDecoded)
 {
     auto table = Platform::decodeConfiguration(documentOf(validRoute));
--- a/Source/UnitTests/Wire/RelayCodecTest.cpp
+++ b/Source/UnitTests/Wire/RelayCodecTest.cpp
@@ -11,6 +11,8 @@
     auto call = std::make_shared<Relay::Call>();
     call->id = RequestId("r1");
     call->target = "/a/b?c";
+    call->identity = "someone";
+    call->content = Relay::contentOf(*call);
     Relay::DelegatedCall delegated { { Incarnation(5), 7 }, Common::TableNumber(3), Milliseconds(2), Milliseconds(40),
         { 1, 4 }, call };
     auto decoded = Wire::decodeBundleRequest(Wire::encode({ Common::Address("a:1"), delegated }));
@@ -19,6 +21,7 @@
     EXPECT_EQ(read.bundle, delegated.bundle);
     EXPECT_EQ(read.objectiveIn, delegated.objectiveIn);
     EXPECT_EQ(read.call->id, call->id);
+    EXPECT_EQ(read.call->content, call->content);
     delegated.objectiveIn.reset();
     decoded = Wire::decodeBundleRequest(Wire::encode({ Common::Address("a:1"), delegated }));
     EXPECT_FALSE(std::get<Relay::DelegatedCall>(decoded.value().body).objectiveIn);
