--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -72,6 +72,39 @@
         connection.close()
 
 
+class LeafServer(ThreadingHTTPServer):
+    """Knows its open connections, so that a crash can close them."""
+    daemon_threads = True
+
+    def __init__(self, *args):
+        self.connections, self.lock = set(), threading.Lock()
+        super().__init__(*args)
+
+    def handle_error(self, request, client_address):
+        pass
+
+    def process_request(self, request, client_address):
+        with self.lock:
+            self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        with self.lock:
+            self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def crash(self):
+        self.shutdown()
+        self.server_close()
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class Leaf:
     """One backend server with its records, a log of the requests received, and faults that a test sets."""
 
@@ -97,10 +130,31 @@
 
             do_GET = do_POST = serve
 
-        self.server = ThreadingHTTPServer((f"127.0.1.{number}", cluster.port), Handler)
-        self.server.daemon_threads = True
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        self.address = f"127.0.1.{number}:{cluster.port}"
+        self.handler, self.host, self.port = Handler, f"127.0.1.{number}", cluster.port
+        self.address = f"{self.host}:{self.port}"
+        self.crashed_at = []
+        self.listen()
+
+    def listen(self):
+        self.server = LeafServer((self.host, self.port), self.handler)
+        threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
+
+    def crash(self, seconds):
+        """Ends this start of the server: connections break, new ones are refused. The next start comes later."""
+        with self.lock:
+            if self.state == "gone":
+                return
+            self.state = "gone"
+            self.crashed_at.append(time.monotonic())
+        self.server.crash()
+        threading.Timer(seconds, self.restart).start()
+
+    def restart(self):
+        if self.cluster.stopping.is_set():
+            return
+        self.id, self.born, self.seq = f"{self.id.split('.')[0]}.{len(self.crashed_at)}", int(time.time() * 1000), 0
+        self.listen()
+        self.state = "ready"
 
     def respond(self, handler):
         length = int(handler.headers.get("Content-Length") or 0)
