--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -25,8 +25,8 @@
     explicit Private(RelayDependencies d)
         : dependencies(std::move(d))
         , engine(engineOptions(dependencies), dependencies.backendCodec, peers(dependencies.peers), dependencies.timers,
-              dependencies.metrics)
-        , rosterFollower({ dependencies.settings, dependencies.peers, dependencies.timers })
+              dependencies.metrics, suspects)
+        , rosterFollower({ dependencies.settings, dependencies.peers, dependencies.timers, suspects })
     {
     }
 
@@ -34,6 +34,7 @@
     static Relay::Peers peers(Peer::Client&);
 
     RelayDependencies dependencies;
+    const std::shared_ptr<Suspects::Board> suspects { std::make_shared<Suspects::Board>() };
     Relay::Engine engine;
     RosterFollower rosterFollower;
     std::atomic<bool> draining { false };
--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -23,6 +23,9 @@
     // Longer than the time for which a control instance holds a watch request.
     constexpr Milliseconds requestTimeout { 2'500 };
     constexpr Milliseconds retryDelay { 100 };
+    // Strikes within this time are sent in one report.
+    constexpr Milliseconds reportDelay { 20 };
+    constexpr Milliseconds reportTimeout { 500 };
     constexpr Milliseconds reviewInterval { 200 };
     constexpr Milliseconds sweepInterval { 2'000 };
     // The reports of a control instance that has been silent for longer are ignored, unless all are silent.
@@ -36,9 +39,20 @@
 
 } // namespace
 
+namespace {
+
+    // The versions of the evidence that one control instance has received from here, and sent here.
+    struct SuspectsExchange {
+        Roster::SuspectsVersion received;
+        std::vector<Common::Revision> reported;
+        bool isReporting { false };
+    };
+
+} // namespace
+
 struct RosterFollower::Private : std::enable_shared_from_this<RosterFollower::Private> {
     explicit Private(RosterFollowerDependencies d)
-        : dependencies(d)
+        : dependencies(std::move(d))
     {
     }
 
@@ -55,6 +69,7 @@
     Roster::ServerView serverView;
     std::vector<Roster::Peer> instances;
     Common::TableNumber table;
+    std::map<Address, SuspectsExchange> suspectsExchanges; // With the control instances that are followed.
 
     void scheduleReview();
     void followChosenControls();
@@ -63,6 +78,10 @@
     void handleReply(const Address&, const Result<std::string>&);
     void handleFailure(const Address&, const Common::Error&);
     void applyReply(const Address&, const Roster::WatchReply&);
+    void takeSuspects(const Address&, const Roster::WatchReply&);
+    void reportSuspects();
+    void reportSuspectsTo(const Address&);
+    void scheduleReport(Milliseconds);
     void scheduleWatch(const Address&, Milliseconds);
     void publish();
     void scheduleSweep();
@@ -121,6 +140,7 @@
         std::lock_guard lock(mutex);
         request.known = Roster::sourceVersions(sources);
         request.table = table;
+        request.suspects = suspectsExchanges[address].received;
     }
     dependencies.peers.call(address, Peer::Service::Roster, Wire::encode(Roster::Request(request)), requestTimeout,
         [self = shared_from_this(), address](
@@ -134,6 +154,7 @@
         auto chosen = chooseControls();
         if (std::find(chosen.begin(), chosen.end(), address) == chosen.end()) {
             followedControls.erase(address);
+            suspectsExchanges.erase(address);
             return;
         }
     }
@@ -151,6 +172,7 @@
         return;
     }
     applyReply(address, reply.value());
+    takeSuspects(address, reply.value());
     std::vector<Roster::TableReport> newerTables;
     {
         std::lock_guard lock(mutex);
@@ -230,6 +252,77 @@
         publish();
 }
 
+void RosterFollower::Private::takeSuspects(const Address& address, const Roster::WatchReply& reply)
+{
+    dependencies.suspects->merge(reply.suspects.records, Clock::now());
+    bool isNewEpoch = false;
+    {
+        std::lock_guard lock(mutex);
+        SuspectsExchange& exchange = suspectsExchanges[address];
+        isNewEpoch = exchange.received.epoch != reply.epoch;
+        exchange.received = { reply.epoch, reply.suspects.revisions };
+        if (isNewEpoch)
+            exchange.reported.clear();
+    }
+    if (isNewEpoch && reply.epoch != Roster::Epoch())
+        reportSuspectsTo(address);
+}
+
+void RosterFollower::Private::scheduleReport(Milliseconds delay)
+{
+    dependencies.timers.after(delay, [weak = weak_from_this()] {
+        if (auto self = weak.lock())
+            self->reportSuspects();
+    });
+}
+
+void RosterFollower::Private::reportSuspects()
+{
+    if (stopped)
+        return;
+    std::vector<Address> receivers;
+    {
+        std::lock_guard lock(mutex);
+        for (auto& [address, exchange] : suspectsExchanges)
+            receivers.push_back(address);
+    }
+    for (const Address& address : receivers)
+        reportSuspectsTo(address);
+}
+
+// Sends what the control instance lacks, if no report to it is under way. A report that fails is sent again as long as
+// the instance is followed.
+void RosterFollower::Private::reportSuspectsTo(const Address& address)
+{
+    Suspects::Changes changes;
+    {
+        std::lock_guard lock(mutex);
+        auto it = suspectsExchanges.find(address);
+        if (it == suspectsExchanges.end() || it->second.isReporting)
+            return;
+        changes = dependencies.suspects->changesSince(it->second.reported, Suspects::Scope::All, Clock::now());
+        if (changes.records.empty())
+            return;
+        it->second.isReporting = true;
+    }
+    dependencies.peers.call(address, Peer::Service::Roster,
+        Wire::encode(Roster::Request(Roster::SuspectsReport { std::move(changes.records) })), reportTimeout,
+        [self = shared_from_this(), address, revisions = std::move(changes.revisions)](
+            const Result<std::string>& result) {
+            {
+                std::lock_guard lock(self->mutex);
+                auto it = self->suspectsExchanges.find(address);
+                if (it == self->suspectsExchanges.end())
+                    return;
+                it->second.isReporting = false;
+                if (result)
+                    it->second.reported = revisions;
+            }
+            // What has changed meanwhile follows in the next report.
+            self->scheduleReport(result ? reportDelay : retryDelay);
+        });
+}
+
 void RosterFollower::Private::publish()
 {
     std::map<Common::GroupName, std::vector<Roster::EligibleServer>> servers;
@@ -252,6 +345,7 @@
             isChanged = Roster::dropSilent(self->sources, self->serverView, now, sourceRetention);
             Roster::forgetBefore(self->serverView, now - serverRetention);
         }
+        self->dependencies.suspects->expire(Clock::now());
         if (isChanged)
             self->publish();
         self->scheduleSweep();
@@ -259,7 +353,7 @@
 }
 
 RosterFollower::RosterFollower(RosterFollowerDependencies dependencies)
-    : m_private(std::make_shared<Private>(dependencies))
+    : m_private(std::make_shared<Private>(std::move(dependencies)))
 {
 }
 
@@ -269,6 +363,10 @@
 {
     m_private->hooks = std::move(hooks);
     setSeeds(Settings::seedPeers(m_private->dependencies.settings));
+    m_private->dependencies.suspects->onChange([weak = m_private->weak_from_this()] {
+        if (auto self = weak.lock())
+            self->scheduleReport(reportDelay);
+    });
     m_private->scheduleReview();
     m_private->scheduleSweep();
 }
--- a/Source/Core/Daemon/RosterFollower.h
+++ b/Source/Core/Daemon/RosterFollower.h
@@ -18,6 +18,7 @@
     const Settings::Daemon& settings;
     Peer::Client& peers;
     Common::Timers& timers;
+    std::shared_ptr<Suspects::Board> suspects; // Of this instance.
 };
 
 // Callbacks into the relay role. Called on network threads, with no lock held.
@@ -28,8 +29,9 @@
     std::function<void(const std::vector<Roster::TableReport>&)> newerTablesReported;
 };
 
-// The relay's client of the roster. Follows a control instance of its own failure domain, and others while that one is
-// silent or stale, and merges their states into one view of the backend servers.
+// The relay's client of the roster. Exchanges the evidence on suspected requests with the same instances. Follows a
+// control instance of its own failure domain, and others while that one is silent or stale, and merges their states
+// into one view of the backend servers.
 class RosterFollower {
 public:
     explicit RosterFollower(RosterFollowerDependencies);
--- a/Source/Core/Daemon/RosterServer.cpp
+++ b/Source/Core/Daemon/RosterServer.cpp
@@ -83,6 +83,8 @@
     std::map<Address, Roster::Mirror> mirrors; // Of the other control instances, each with a watch request in progress.
     std::set<Address> otherControls; // Members and seeds.
     std::vector<Address> seeds;
+    std::map<Address, Roster::SuspectsVersion> suspectsKnown; // Of the other control instances.
+    Suspects::Board suspects; // Has its own locks.
 
     Shard& shardOf(const Common::BackendServerId& server)
     {
@@ -94,7 +96,8 @@
     void flush();
     void watch(const Roster::WatchRequest&, const Peer::Reply&);
     Roster::WatchReply replyTo(const Roster::WatchRequest&);
-    static bool hasChanges(const Roster::WatchRequest&, const Roster::WatchReply&);
+    bool hasChanges(const Roster::WatchRequest&, const Roster::WatchReply&) const;
+    Suspects::Changes suspectsFor(const Roster::WatchRequest&) const;
     void reportChange(const Roster::Report&);
     void updatePeers();
     Roster::SourceState ownState(const Roster::SourceVersion*);
@@ -132,6 +135,7 @@
             for (const Roster::Report& report : lost)
                 self->reportChange(report);
         }
+        self->suspects.expire(Clock::now());
         self->followOtherControls();
         self->updatePeers();
         self->flush();
@@ -197,6 +201,7 @@
         if (it == mirrors.end())
             return;
         request.known.push_back(Roster::sourceVersion(it->second, address));
+        request.suspects = suspectsKnown[address];
         // Not the table applied here: while this instance is late, the other would answer each request at once.
         request.table = it->second.table;
     }
@@ -212,6 +217,10 @@
     auto reply = result ? Wire::decodeWatchReply(result.value()) : Common::Result<Roster::WatchReply>(result.error());
     bool isChanged = false;
     bool isFirstReply = false;
+    if (reply && !reply.value().suspects.records.empty()) {
+        suspects.merge(reply.value().suspects.records, Clock::now());
+        isChanged = true;
+    }
     {
         std::lock_guard lock(mirrorMutex);
         auto it = mirrors.find(address);
@@ -219,13 +228,16 @@
             return;
         if (!reply && !otherControls.count(address)) {
             mirrors.erase(it);
+            suspectsKnown.erase(address);
             return;
         }
+        if (reply)
+            suspectsKnown[address] = { reply.value().epoch, reply.value().suspects.revisions };
         for (const Roster::SourceState& state : reply ? reply.value().sources : std::vector<Roster::SourceState>()) {
             if (state.source != address)
                 continue;
             isFirstReply = !it->second.lastContact;
-            isChanged = Roster::applyState(it->second, state, Clock::now());
+            isChanged = Roster::applyState(it->second, state, Clock::now()) || isChanged;
             // Processes of earlier versions send the number only beside the states.
             it->second.table = std::max(it->second.table, reply.value().table);
         }
@@ -301,6 +313,8 @@
     reply.members = dependencies.control.memberAddresses();
     reply.sources.push_back(ownState(Roster::findVersion(request.known, self)));
     reply.table = reply.sources.back().table;
+    reply.epoch = epoch;
+    reply.suspects = suspectsFor(request);
     if (request.isControl)
         return reply;
     auto now = Clock::now();
@@ -313,9 +327,17 @@
     return reply;
 }
 
-bool RosterServer::Private::hasChanges(const Roster::WatchRequest& request, const Roster::WatchReply& reply)
+// Other control instances get all evidence, so that strikes which different relays reported add up.
+Suspects::Changes RosterServer::Private::suspectsFor(const Roster::WatchRequest& request) const
 {
-    return !Roster::newerTables(reply, {}, request.table).empty()
+    bool isSameEpoch = request.suspects.epoch == epoch;
+    return suspects.changesSince(isSameEpoch ? request.suspects.revisions : std::vector<Common::Revision>(),
+        request.isControl ? Suspects::Scope::All : Suspects::Scope::Suspected, Clock::now());
+}
+
+bool RosterServer::Private::hasChanges(const Roster::WatchRequest& request, const Roster::WatchReply& reply) const
+{
+    return !reply.suspects.records.empty() || !Roster::newerTables(reply, {}, request.table).empty()
         || std::any_of(reply.sources.begin(), reply.sources.end(), [&](const Roster::SourceState& state) {
                return Roster::hasChanges(state, Roster::findVersion(request.known, state.source));
            });
@@ -350,6 +372,10 @@
         if (auto self = weak.lock())
             self->scheduleFlush();
     });
+    m_private->suspects.onChange([weak] {
+        if (auto self = weak.lock())
+            self->scheduleFlush();
+    });
     m_private->scheduleSweep();
 }
 
@@ -368,6 +394,8 @@
     }
     if (isChanged)
         m_private->reportChange(report);
+    if (result == Roster::ReportResult::Accepted)
+        m_private->suspects.recordHeartbeat(report.server, report.incarnation, report.sequence);
     return result;
 }
 
@@ -400,6 +428,12 @@
         m_private->watch(*watch, reply);
         return;
     }
+    if (auto report = std::get_if<Roster::SuspectsReport>(&request.value())) {
+        m_private->suspects.merge(report->records, Clock::now());
+        m_private->scheduleFlush();
+        reply(std::string());
+        return;
+    }
     Roster::TableReply table;
     if (auto stored = m_private->dependencies.control.storedRouteTable()) {
         auto& declared = std::get<Model::RouteTable>(stored->resource);
--- a/Source/Core/Observe/EventLog.cpp
+++ b/Source/Core/Observe/EventLog.cpp
@@ -50,6 +50,8 @@
         return "server-failed";
     case Event::SendFailed:
         return "send-failed";
+    case Event::RequestSuspected:
+        return "request-suspected";
     case Event::ServerNotice:
         return "server-notice";
     case Event::GathererPassedBy:
--- a/Source/Core/Observe/EventLog.h
+++ b/Source/Core/Observe/EventLog.h
@@ -17,6 +17,7 @@
     NotSent,
     ServerFailed,
     SendFailed,
+    RequestSuspected,
     GathererPassedBy,
     ServerNotice,
     ServerChanged,
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -56,7 +56,7 @@
     metrics.count(Counter::Refusals, Common::reasonCode(reason));
     Observe::logEvent(Observe::Part::Relay, Observe::Event::Refused,
         { { "request", call->id.value() }, { "reason", Common::reasonCode(reason) }, { "why", message },
-            { "host", call->host }, { "path", call->path },
+            { "host", call->host }, { "path", call->path }, { "content", Common::toHex(call->content) },
             { "table", std::to_string(routes ? routes->number.value() : 0) } });
     done(Refusal { Common::makeError(reason, "admit", message), true, retryAfter });
 }
@@ -104,6 +104,13 @@
         refuse(call, routes, Reason::DeadlineExceeded, "the caller's deadline has passed", Milliseconds(0), done);
         return;
     }
+    auto verdict = suspects->verdictOn(call->content, now);
+    bool maySendAny = std::any_of(request.groups.begin(), request.groups.end(),
+        [&](const GroupName& group) { return Suspects::maySend(verdict, group, true); });
+    if (!maySendAny) {
+        refuse(call, routes, Reason::Quarantined, quarantineText, verdict.remaining, done);
+        return;
+    }
     auto active = std::make_shared<ActiveCall>();
     active->call = call;
     active->query = makeQuery(routes, route, request.groups, 1, request.bundle.has_value(), times);
@@ -118,7 +125,8 @@
     queries.insert(id, active);
     if (request.bundle)
         bundles.insert(*request.bundle, id);
-    step(active, id, [&](Query& query) { return start(query, now, request.mayHaveBeenSent); });
+    StartOptions options { request.mayHaveBeenSent, verdict.standing == Suspects::Standing::Suspect && !verdict.group };
+    step(active, id, [&](Query& query) { return start(query, now, options); });
     if (!call->caller)
         return;
     call->caller->onDisconnect([self = shared_from_this(), weak = std::weak_ptr<ActiveCall>(active), id] {
@@ -169,10 +177,10 @@
     logAnswer(Observe::Event::Ended, *active.call, *active.query.table, route, answer, took, what);
 }
 
-Engine::Engine(
-    EngineOptions options, BackendCodec backendCodec, Peers peers, Common::Timers& timers, Observe::Metrics& metrics)
-    : m_private(
-        std::make_shared<Private>(std::move(options), std::move(backendCodec), std::move(peers), timers, metrics))
+Engine::Engine(EngineOptions options, BackendCodec backendCodec, Peers peers, Common::Timers& timers,
+    Observe::Metrics& metrics, std::shared_ptr<Suspects::Board> suspects)
+    : m_private(std::make_shared<Private>(
+        std::move(options), std::move(backendCodec), std::move(peers), timers, metrics, std::move(suspects)))
 {
 }
 
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -8,6 +8,7 @@
 #include "Relay/Gatherers.h"
 #include "Roster/ServerView.h"
 #include "Routes/Table.h"
+#include "Suspects/Board.h"
 
 #include <functional>
 #include <map>
@@ -72,7 +73,8 @@
 // requests by id, connections by server, and wait queues, retry budgets and latencies by group.
 class Engine {
 public:
-    Engine(EngineOptions, BackendCodec, Peers, Common::Timers&, Observe::Metrics&);
+    // The board holds what is known of requests that crash servers.
+    Engine(EngineOptions, BackendCodec, Peers, Common::Timers&, Observe::Metrics&, std::shared_ptr<Suspects::Board>);
     ~Engine();
 
     void setTable(Routes::TablePtr);
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -57,6 +57,19 @@
         fn(std::move(answer));
 }
 
+// Refuses a call at once if so many of its groups are closed to it that it can't be answered.
+bool Engine::Private::refuseIfQuarantined(
+    const CallPtr& call, const Routes::TablePtr& routes, const Routes::FanOut& fanOut, const Done& done)
+{
+    auto verdict = suspects->verdictOn(call->content, Clock::now());
+    auto closed = std::count_if(fanOut.groups.begin(), fanOut.groups.end(),
+        [&](const GroupName& group) { return !Suspects::maySend(verdict, group, true); });
+    if (static_cast<size_t>(closed) <= allowedMissing(fanOut, fanOut.groups.size()))
+        return false;
+    refuse(call, routes, Reason::Quarantined, quarantineText, verdict.remaining, done);
+    return true;
+}
+
 // Gathers the groups in bundles, each from one failure domain that has servers of all its groups.
 void Engine::Private::gather(
     const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
@@ -67,6 +80,8 @@
             unservedRetryAfter, done);
         return;
     }
+    if (refuseIfQuarantined(call, routes, *route.fanOut, done))
+        return;
     const GroupName shedKey = route.fanOut->groups.front();
     double chance = localRandom().unit();
     bool isAdmitted = shedders.withValue(
@@ -76,7 +91,7 @@
         return;
     }
     auto gathering = std::make_shared<Gathering>();
-    gathering->bundles = requestedBundlesOf(*route.fanOut, times.arrived);
+    gathering->bundles = requestedBundlesOf(*call, *route.fanOut, times.arrived);
     size_t bundleCount = gathering->bundles.size();
     std::vector<std::vector<size_t>> groupsOfBundles;
     for (const RequestedBundle& bundle : gathering->bundles)
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -106,6 +106,8 @@
     Limits::WindowRetryBudget budget;
 };
 
+inline constexpr const char* quarantineText = "servers were lost each time that this request ran";
+
 Common::Random& localRandom();
 std::string toText(Milliseconds);
 
@@ -117,12 +119,14 @@
 namespace Relay {
 
 struct Engine::Private : std::enable_shared_from_this<Engine::Private> {
-    Private(EngineOptions o, BackendCodec d, Peers p, Common::Timers& t, Observe::Metrics& m)
+    Private(EngineOptions o, BackendCodec d, Peers p, Common::Timers& t, Observe::Metrics& m,
+        std::shared_ptr<Suspects::Board> s)
         : options(std::move(o))
         , backendCodec(std::move(d))
         , peers(std::move(p))
         , timers(t)
         , metrics(m)
+        , suspects(std::move(s))
     {
     }
 
@@ -131,6 +135,7 @@
     const Peers peers;
     Common::Timers& timers;
     Observe::Metrics& metrics;
+    const std::shared_ptr<Suspects::Board> suspects;
 
     std::atomic<uint64_t> nextQuery { 1 };
     std::atomic<uint64_t> nextGroupChoice { 0 };
@@ -175,7 +180,8 @@
     Milliseconds returnMargin();
     size_t partitionsOf(const Routes::FanOut&) const;
     std::vector<Bundle> bundlesOf(const Routes::FanOut&);
-    std::vector<RequestedBundle> requestedBundlesOf(const Routes::FanOut&, TimePoint now);
+    bool refuseIfQuarantined(const CallPtr&, const Routes::TablePtr&, const Routes::FanOut&, const Done&);
+    std::vector<RequestedBundle> requestedBundlesOf(const Relay::Call&, const Routes::FanOut&, TimePoint now);
     size_t unservedGroups(const Routes::FanOut&) const;
     void refuse(const CallPtr&, const Routes::TablePtr&, Reason, const std::string&, Milliseconds, const Done&);
     Times timesOf(const Relay::Call&, const Routes::Route&, TimePoint arrived) const;
@@ -193,6 +199,8 @@
     void transmit(const ActiveCallPtr&, const AttemptKey&, const ConnectionPtr&, const Common::BackendServerId&);
     void requestEnded(const ActiveCallPtr&, const AttemptKey&, const Common::Result<Http::Response>&);
     void recordNotice(const InFlightRequest&, const SubAnswer&, TimePoint now);
+    void recordStrike(const Relay::Call&, const InFlightRequest&, TimePoint now);
+    bool refuseIfSuspect(const ActiveCallPtr&, const AttemptKey&, Purpose, const GroupName&);
     bool refuseIfClosed(const ActiveCallPtr&, const Limits::Waiter&, const GroupName&);
     void serveWaiters(const GroupName&);
     void logAnswer(Observe::Event event, const Relay::Call&, const Routes::Table&, const Routes::Route&, const Answer&,
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -126,10 +126,31 @@
     serveWaiters(group);
 }
 
+// Returns whether the send was refused, because servers were lost under this call or under earlier sends of it.
+bool Engine::Private::refuseIfSuspect(
+    const ActiveCallPtr& active, const AttemptKey& key, Purpose purpose, const GroupName& group)
+{
+    auto now = Clock::now();
+    auto verdict = suspects->verdictOn(active->call->content, now);
+    if (Suspects::maySend(verdict, group, purpose == Purpose::First))
+        return false;
+    Observe::logEvent(Observe::Part::Relay, Observe::Event::NotSent,
+        { { "request", active->call->id.value() }, { "group", group.value() }, { "purpose", purposeName(purpose) },
+            { "why", quarantineText }, { "content", Common::toHex(active->call->content) } });
+    step(active, key.query, [&](Query& query) {
+        return notSent(
+            query, key.attempt, Common::makeError(Reason::Quarantined, "send", quarantineText), now, verdict.remaining);
+    });
+    return true;
+}
+
+// Every request to a server passes here: first sends, retries, hedges, queued sends, and those for other instances.
 // Returns false if no server has a free connection.
 bool Engine::Private::trySend(
     const ActiveCallPtr& active, const AttemptKey& key, const Send& send, const GroupName& group)
 {
+    if (refuseIfSuspect(active, key, send.purpose, group))
+        return true;
     auto now = Clock::now();
     auto known = serversOf(group);
     const std::vector<Roster::EligibleServer>& usable = *known;
@@ -191,6 +212,9 @@
     if (result) {
         SubAnswer answer = backendCodec.decode(*active->call, result.value());
         recordNotice(*inFlight, answer, now);
+        // A server that ran the request and answered has survived it.
+        if (answer.outcome == SubAnswer::Outcome::Success || answer.outcome == SubAnswer::Outcome::Failure)
+            suspects->recordCompletion(active->call->content, inFlight->group, inFlight->sentAt, now);
         pool.release(inFlight->server, inFlight->connection, inFlight->sentAt, { kindOf(answer.outcome), took }, now);
         if (answer.outcome == SubAnswer::Outcome::Success) {
             latencies.withValue(
@@ -217,6 +241,8 @@
                 { "purpose", purposeName(inFlight->purpose) }, { "why", error.message }, { "took_ms", toText(took) },
                 { "content", Common::toHex(active->call->content) } });
     }
+    if (error.reason == Reason::ConnectionLost)
+        recordStrike(*active->call, *inFlight, now);
     serveWaiters(inFlight->group);
     if (inFlight->isAbandoned)
         return;
@@ -224,6 +250,24 @@
     step(active, key.query, [&](Query& query) { return sendFailed(query, key.attempt, failure, error, now); });
 }
 
+void Engine::Private::recordStrike(const Relay::Call& call, const InFlightRequest& request, TimePoint now)
+{
+    auto before = suspects->verdictOn(call.content, now).standing;
+    suspects->addStrike(call.content, request.group,
+        { request.server, request.incarnation, Suspects::runOf(call.id, request.purpose == Purpose::Retry), now, false,
+            std::nullopt });
+    auto verdict = suspects->verdictOn(call.content, now);
+    if (verdict.standing == before)
+        return;
+    if (verdict.standing == Suspects::Standing::Quarantined)
+        metrics.count(Counter::Quarantines);
+    Observe::logEvent(Observe::Part::Relay, Observe::Event::RequestSuspected,
+        { { "request", call.id.value() }, { "group", request.group.value() }, { "server", request.server.value() },
+            { "standing", Suspects::standingName(verdict.standing) },
+            { "scope", verdict.group ? verdict.group->value() : "all groups" },
+            { "content", Common::toHex(call.content) } });
+}
+
 void Engine::Private::recordNotice(const InFlightRequest& request, const SubAnswer& answer, TimePoint now)
 {
     if (answer.outcome == SubAnswer::Outcome::Unusable || answer.outcome == SubAnswer::Outcome::OtherServer)
@@ -266,7 +310,14 @@
         queries.ifPresent(waiter->query, [&](ActiveCallPtr& found) { active = found; });
         if (!active)
             continue;
-        Send send { waiter->attempt, 0, Purpose::First, false, waiter->avoidServers };
+        std::optional<Purpose> purpose;
+        {
+            std::lock_guard lock(active->mutex);
+            purpose = purposeOf(active->query, waiter->attempt);
+        }
+        if (!purpose)
+            continue;
+        Send send { waiter->attempt, 0, *purpose, false, waiter->avoidServers };
         if (trySend(active, { waiter->query, waiter->attempt }, send, group))
             continue;
         if (refuseIfClosed(active, *waiter, group))
--- a/Source/Core/Relay/EngineView.cpp
+++ b/Source/Core/Relay/EngineView.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 
 namespace Relay {
 
@@ -109,8 +110,16 @@
 }
 
 // Splits each bundle by the gatherer of its groups.
-std::vector<RequestedBundle> Engine::Private::requestedBundlesOf(const Routes::FanOut& fanOut, TimePoint now)
+std::vector<RequestedBundle> Engine::Private::requestedBundlesOf(
+    const Relay::Call& call, const Routes::FanOut& fanOut, TimePoint now)
 {
+    auto verdict = suspects->verdictOn(call.content, now);
+    if (verdict.standing != Suspects::Standing::Clear && !verdict.group) {
+        // One bundle, so that one trial decides for all groups.
+        std::vector<size_t> places(fanOut.groups.size());
+        std::iota(places.begin(), places.end(), size_t { 0 });
+        return { { { options.incarnation, nextBundle++ }, std::move(places), std::nullopt } };
+    }
     size_t count = 1;
     {
         std::lock_guard lock(viewMutex);
--- a/Source/Core/Relay/Query.cpp
+++ b/Source/Core/Relay/Query.cpp
@@ -99,7 +99,7 @@
         effects.emplace_back(Finish { std::move(answer) });
     }
 
-    void addAttempt(Query& query, size_t index, Purpose purpose, bool needsRetryBudget, Effects& effects)
+    AttemptId addAttempt(Query& query, size_t index, Purpose purpose, bool needsRetryBudget, Effects& effects)
     {
         Part& part = query.parts[index];
         ++part.sends;
@@ -108,12 +108,70 @@
         attempt.purpose = purpose;
         part.attempts.push_back(attempt);
         effects.emplace_back(Send { attempt.id, index, purpose, needsRetryBudget, part.usedServers });
+        return attempt.id;
+    }
+
+    // A first send needs the budget only if another instance may have sent before.
+    AttemptId sendPart(Query& query, size_t index, Purpose purpose, Effects& effects)
+    {
+        const Part& part = query.parts[index];
+        bool needsRetryBudget = purpose == Purpose::First ? part.mayHaveRun > 0 : part.mayHaveArrived > 0;
+        return addAttempt(query, index, purpose, needsRetryBudget, effects);
+    }
+
+    void fail(Query& query, Part& part)
+    {
+        part.state = Part::State::Failed;
+        --query.openParts;
+    }
+
+    void hold(Query& query, Part& part, Purpose purpose)
+    {
+        part.held = purpose;
+        ++query.heldParts;
+    }
+
+    // Sends the held parts if the trial was answered, drops them if its server was lost, and otherwise makes the next
+    // one the trial.
+    void settleHeld(Query& query, Effects& effects)
+    {
+        for (size_t i = 0; i < query.parts.size() && query.heldParts && !query.trial; ++i) {
+            Part& part = query.parts[i];
+            if (!part.held)
+                continue;
+            Purpose purpose = *std::exchange(part.held, std::nullopt);
+            --query.heldParts;
+            if (query.hasCrashed) {
+                fail(query, part);
+                continue;
+            }
+            AttemptId id = sendPart(query, i, purpose, effects);
+            if (!query.isHarmless)
+                query.trial = id;
+        }
+    }
+
+    enum class Ending {
+        Answered, // By a server that ran the request.
+        Lost,
+        Other,
+    };
+
+    void endTrial(Query& query, AttemptId id, Ending ending)
+    {
+        if (query.trial != id)
+            return;
+        query.trial.reset();
+        query.isHarmless = query.isHarmless || ending == Ending::Answered;
+        query.hasCrashed = query.hasCrashed || ending == Ending::Lost;
     }
 
     bool canRetry(const Query& query, const Part& part, TimePoint now)
     {
         if (now >= query.times.deadline || part.sends >= query.route->maximumAttempts + maximumExtraSends)
             return false;
+        if (query.hasCrashed)
+            return false;
         return part.mayHaveRun == 0 || (isIdempotent(query) && part.mayHaveRun < query.route->maximumAttempts);
     }
 
@@ -190,17 +248,19 @@
     }
 
     // Retries a part whose last attempt ended without a usable answer, or marks it as failed.
-    void retryOrFail(Query& query, Part& part, TimePoint now, Effects& effects)
+    void retryOrFail(Query& query, Part& part, Ending ending, TimePoint now, Effects& effects)
     {
         if (!part.attempts.empty() || part.state != Part::State::Open)
             return;
         size_t index = static_cast<size_t>(&part - query.parts.data());
-        if (canRetry(query, part, now)) {
-            addAttempt(query, index, Purpose::Retry, part.mayHaveArrived > 0, effects);
+        if (!canRetry(query, part, now)) {
+            fail(query, part);
             return;
         }
-        part.state = Part::State::Failed;
-        --query.openParts;
+        if (ending != Ending::Lost || query.isHarmless)
+            sendPart(query, index, Purpose::Retry, effects);
+        else
+            hold(query, part, Purpose::Retry);
     }
 
     Effects concludeAndSetWake(Query& query, TimePoint now, Effects effects)
@@ -254,13 +314,16 @@
     return query;
 }
 
-Effects start(Query& query, TimePoint now, bool mayHaveBeenSent)
+Effects start(Query& query, TimePoint now, const StartOptions& options)
 {
     Effects effects;
-    for (size_t i = 0; i < query.parts.size(); ++i) {
-        query.parts[i].mayHaveRun = mayHaveBeenSent ? 1 : 0;
-        addAttempt(query, i, Purpose::First, mayHaveBeenSent, effects);
+    query.isHarmless = !options.isSuspect;
+    for (Part& part : query.parts) {
+        part.mayHaveRun = options.mayHaveBeenSent ? 1 : 0;
+        hold(query, part, Purpose::First);
     }
+    settleHeld(query, effects);
+    query.isHarmless = false;
     setWake(query, now, effects);
     return effects;
 }
@@ -300,10 +363,10 @@
     if (retryAfter)
         query.retryAfter = std::max(query.retryAfter, *retryAfter);
     part->attempts.erase(part->attempts.begin() + static_cast<std::ptrdiff_t>(index));
-    if (part->attempts.empty()) {
-        part->state = Part::State::Failed;
-        --query.openParts;
-    }
+    endTrial(query, id, Ending::Other);
+    if (part->attempts.empty())
+        fail(query, *part);
+    settleHeld(query, effects);
     return concludeAndSetWake(query, now, std::move(effects));
 }
 
@@ -317,10 +380,13 @@
     Common::BackendServerId server = part->attempts[index].server;
     part->attempts.erase(part->attempts.begin() + static_cast<std::ptrdiff_t>(index));
     ++part->mayHaveArrived;
+    bool hasRun = answer.outcome == SubAnswer::Outcome::Success || answer.outcome == SubAnswer::Outcome::Failure;
+    endTrial(query, id, hasRun ? Ending::Answered : Ending::Other);
     switch (answer.outcome) {
     case SubAnswer::Outcome::Success:
         ++part->mayHaveRun;
         acceptAnswer(query, *part, std::move(answer), effects);
+        settleHeld(query, effects);
         return concludeAndSetWake(query, now, std::move(effects));
     case SubAnswer::Outcome::NotRun:
     case SubAnswer::Outcome::OtherServer:
@@ -336,7 +402,8 @@
             part->answer = std::move(answer);
         break;
     }
-    retryOrFail(query, *part, now, effects);
+    retryOrFail(query, *part, Ending::Other, now, effects);
+    settleHeld(query, effects);
     return concludeAndSetWake(query, now, std::move(effects));
 }
 
@@ -351,7 +418,10 @@
     part->attempts.erase(part->attempts.begin() + static_cast<std::ptrdiff_t>(index));
     part->mayHaveArrived += failure == SendFailure::NoConnection ? 0 : 1;
     part->mayHaveRun += failure == SendFailure::Unknown ? 1 : 0;
-    retryOrFail(query, *part, now, effects);
+    Ending ending = failure == SendFailure::Unknown ? Ending::Lost : Ending::Other;
+    endTrial(query, id, ending);
+    retryOrFail(query, *part, ending, now, effects);
+    settleHeld(query, effects);
     return concludeAndSetWake(query, now, std::move(effects));
 }
 
@@ -369,6 +439,8 @@
         // An answer that a bundle receives after the objective is late anyway.
         if (query.isBundle && now >= query.times.objective)
             continue;
+        if (query.trial || part.held || query.hasCrashed)
+            continue;
         int mayRun = part.mayHaveRun + static_cast<int>(part.attempts.size());
         if (mayRun < query.route->maximumAttempts && part.sends < query.route->maximumAttempts + maximumExtraSends)
             addAttempt(query, i, Purpose::Hedge, true, effects);
@@ -376,6 +448,17 @@
     return concludeAndSetWake(query, now, std::move(effects));
 }
 
+std::optional<Purpose> purposeOf(const Query& query, AttemptId id)
+{
+    for (const Part& part : query.parts) {
+        for (const Attempt& attempt : part.attempts) {
+            if (attempt.id == id)
+                return attempt.purpose;
+        }
+    }
+    return std::nullopt;
+}
+
 Effects callerGone(Query& query, TimePoint)
 {
     if (query.finished)
--- a/Source/Core/Relay/Query.h
+++ b/Source/Core/Relay/Query.h
@@ -91,6 +91,7 @@
     std::optional<Common::TimePoint> hedgeAt; // When to hedge the send in progress.
     std::optional<SubAnswer> answer;
     bool isDelivered { false };
+    std::optional<Purpose> held; // A send that waits for the outcome of the query's trial.
 };
 
 struct Times {
@@ -115,6 +116,12 @@
     Common::Error lastError;
     Common::Milliseconds retryAfter { refusedRetryAfter }; // For a refusal.
     Common::TimePoint wakeAt;
+    // A call under which servers were lost may crash each server that runs it. So one send goes first: if it is
+    // answered, the held ones follow; if its server is lost too, nothing more is sent.
+    std::optional<Common::AttemptId> trial;
+    size_t heldParts { 0 };
+    bool isHarmless { false }; // The trial was answered.
+    bool hasCrashed { false }; // The trial's server was lost.
 };
 
 // Creates a query with one part per group: groups of the route's fan-out, or the one group chosen by weight. Success
@@ -127,9 +134,13 @@
 // The number of groups that may be missing.
 size_t allowedMissing(const Routes::FanOut&, size_t groups);
 
-// mayHaveBeenSent: another instance has sent, or may have sent, to these groups for the same call, so each may have run
-// once.
-Effects start(Query&, Common::TimePoint now, bool mayHaveBeenSent = false);
+struct StartOptions {
+    // Another instance has sent, or may have sent, to these groups for the same call, so each may have run once.
+    bool mayHaveBeenSent { false };
+    bool isSuspect { false }; // The first part is sent as a trial.
+};
+
+Effects start(Query&, Common::TimePoint now, const StartOptions& = {});
 // After Deliver: finishes as soon as this many further parts have answered.
 Effects resume(Query&, size_t needed, Common::TimePoint now);
 // A server with a free connection was found. Returns false if the attempt is no longer wanted and must not be sent.
@@ -142,5 +153,7 @@
 Effects sendFailed(Query&, Common::AttemptId, SendFailure, const Common::Error&, Common::TimePoint now);
 Effects wake(Query&, Common::TimePoint now);
 Effects callerGone(Query&, Common::TimePoint now);
+// The purpose of an attempt in progress; empty if it has ended.
+std::optional<Purpose> purposeOf(const Query&, Common::AttemptId);
 
 } // namespace Relay
--- a/Source/Core/Roster/Messages.h
+++ b/Source/Core/Roster/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Roster/Records.h"
+#include "Suspects/Board.h"
 
 #include <string>
 #include <variant>
@@ -28,6 +29,12 @@
     uint64_t peersVersion { 0 };
 };
 
+// How much of a control instance's evidence on suspected requests the follower already has.
+struct SuspectsVersion {
+    Epoch epoch;
+    std::vector<Common::Revision> revisions;
+};
+
 struct WatchRequest {
     Common::InstanceId follower;
     Peer peer; // The follower.
@@ -36,6 +43,7 @@
     std::vector<SourceVersion> known;
     // The latest route table that the follower has or, for a control instance, that it knows the receiver to have.
     Common::TableNumber table;
+    SuspectsVersion suspects; // Of the receiver.
 };
 
 // The part of a control instance's state that a follower lacks.
@@ -56,6 +64,13 @@
     // Since the replying instance last held all that was committed; infinite if it has not since its start.
     Common::Milliseconds logBehind;
     std::vector<Common::Address> members; // The control instances.
+    Epoch epoch; // Of the replying instance; 0 from instances that send no evidence.
+    Suspects::Changes suspects; // The replying instance's evidence that the follower lacks.
+};
+
+// Evidence that the sender has and the receiver may lack.
+struct SuspectsReport {
+    std::vector<Suspects::Record> records;
 };
 
 // Requests the committed route table.
@@ -66,6 +81,6 @@
     std::string document;
 };
 
-using Request = std::variant<WatchRequest, TableRequest>;
+using Request = std::variant<WatchRequest, TableRequest, SuspectsReport>;
 
 } // namespace Roster
--- a/Source/Core/Wire/Roster.capnp
+++ b/Source/Core/Wire/Roster.capnp
@@ -36,6 +36,29 @@
   peersVersion @3 :UInt64;
 }
 
+struct Strike {
+  server @0 :Text;
+  incarnation @1 :UInt64;
+  run @2 :UInt64;
+  ageMs @3 :Float64;
+  isRefuted @4 :Bool;
+}
+
+# The evidence on one content in one backend group.
+struct SuspectRecord {
+  contentHigh @0 :UInt64;
+  contentLow @1 :UInt64;
+  group @2 :Text;
+  round @3 :UInt64;
+  strikes @4 :List(Strike);
+}
+
+struct Suspects {
+  epoch @0 :UInt64; # Of the replying instance.
+  revisions @1 :List(UInt64); # One per shard of the evidence.
+  records @2 :List(SuspectRecord);
+}
+
 struct WatchRequest {
   follower @0 :Text;
   address @1 :Text; # Of the follower; given to its peers.
@@ -44,6 +67,8 @@
   isControl @4 :Bool;
   known @5 :List(Known);
   tableNumber @6 :UInt64;
+  suspectsEpoch @7 :UInt64; # The version of the receiver's evidence that the follower has.
+  suspectsRevisions @8 :List(UInt64);
 }
 
 struct SourceState {
@@ -63,6 +88,7 @@
   tableNumber @2 :UInt64;
   members @3 :List(Text); # Addresses of the control instances.
   logBehindMs @4 :Float64; # Since the replying instance last held all committed changes; infinite if it has not yet.
+  suspects @5 :Suspects;
 }
 
 struct TableRequest {
@@ -80,5 +106,6 @@
   union {
     watch @0 :WatchRequest;
     table @1 :TableRequest;
+    suspects @3 :Suspects; # A report; the reply is empty.
   }
 }
--- a/Source/Core/Wire/Roster.capnp.h
+++ b/Source/Core/Wire/Roster.capnp.h
@@ -20,6 +20,9 @@
 CAPNP_DECLARE_SCHEMA(b08259aabd559d16);
 CAPNP_DECLARE_SCHEMA(87b97d3d8d5b5d80);
 CAPNP_DECLARE_SCHEMA(fd29aa68eef16609);
+CAPNP_DECLARE_SCHEMA(a1aef4540e4da61e);
+CAPNP_DECLARE_SCHEMA(c24a215f91ca3622);
+CAPNP_DECLARE_SCHEMA(f603ac3ad6e15dbb);
 CAPNP_DECLARE_SCHEMA(f6be001587868b45);
 CAPNP_DECLARE_SCHEMA(d00942c004785fb8);
 CAPNP_DECLARE_SCHEMA(ecd69fe695f9209a);
@@ -93,6 +96,51 @@
   };
 };
 
+struct Strike {
+  Strike() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a1aef4540e4da61e, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectRecord {
+  SuspectRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c24a215f91ca3622, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Suspects {
+  Suspects() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f603ac3ad6e15dbb, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct WatchRequest {
   WatchRequest() = delete;
 
@@ -101,7 +149,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f6be001587868b45, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f6be001587868b45, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -131,7 +179,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -177,6 +225,7 @@
   enum Which: uint16_t {
     WATCH,
     TABLE,
+    SUSPECTS,
   };
 
   struct _capnpPrivate {
@@ -609,9 +658,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WatchRequest::Reader {
+class Strike::Reader {
 public:
-  typedef WatchRequest Reads;
+  typedef Strike Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -626,23 +675,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFollower() const;
-  inline  ::capnp::Text::Reader getFollower() const;
-
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
-
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
 
-  inline bool getIsLeaving() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline bool getIsControl() const;
+  inline  ::uint64_t getRun() const;
 
-  inline bool hasKnown() const;
-  inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
+  inline double getAgeMs() const;
 
-  inline  ::uint64_t getTableNumber() const;
+  inline bool getIsRefuted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -656,9 +698,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WatchRequest::Builder {
+class Strike::Builder {
 public:
-  typedef WatchRequest Builds;
+  typedef Strike Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -672,42 +714,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFollower();
-  inline  ::capnp::Text::Builder getFollower();
-  inline void setFollower( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFollower(unsigned int size);
-  inline void adoptFollower(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFollower();
-
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-  inline bool getIsLeaving();
-  inline void setIsLeaving(bool value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline bool getIsControl();
-  inline void setIsControl(bool value);
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
 
-  inline bool hasKnown();
-  inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Builder getKnown();
-  inline void setKnown( ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
-  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>> disownKnown();
+  inline double getAgeMs();
+  inline void setAgeMs(double value);
 
-  inline  ::uint64_t getTableNumber();
-  inline void setTableNumber( ::uint64_t value);
+  inline bool getIsRefuted();
+  inline void setIsRefuted(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -719,9 +743,9 @@
 };
 
 #if !CAPNP_LITE
-class WatchRequest::Pipeline {
+class Strike::Pipeline {
 public:
-  typedef WatchRequest Pipelines;
+  typedef Strike Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -735,9 +759,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SourceState::Reader {
+class SuspectRecord::Reader {
 public:
-  typedef SourceState Reads;
+  typedef SuspectRecord Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -752,25 +776,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSource() const;
-  inline  ::capnp::Text::Reader getSource() const;
-
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
-
-  inline  ::uint64_t getEpoch() const;
-
-  inline double getSilentMs() const;
+  inline  ::uint64_t getContentHigh() const;
 
-  inline bool hasShards() const;
-  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader getShards() const;
+  inline  ::uint64_t getContentLow() const;
 
-  inline bool hasPeers() const;
-  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint64_t getPeersVersion() const;
+  inline  ::uint64_t getRound() const;
 
-  inline  ::uint64_t getTableNumber() const;
+  inline bool hasStrikes() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>::Reader getStrikes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -784,9 +800,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SourceState::Builder {
+class SuspectRecord::Builder {
 public:
-  typedef SourceState Builds;
+  typedef SuspectRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -800,45 +816,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSource();
-  inline  ::capnp::Text::Builder getSource();
-  inline void setSource( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSource(unsigned int size);
-  inline void adoptSource(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSource();
-
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
-
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
-
-  inline double getSilentMs();
-  inline void setSilentMs(double value);
+  inline  ::uint64_t getContentHigh();
+  inline void setContentHigh( ::uint64_t value);
 
-  inline bool hasShards();
-  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder getShards();
-  inline void setShards( ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder initShards(unsigned int size);
-  inline void adoptShards(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>> disownShards();
+  inline  ::uint64_t getContentLow();
+  inline void setContentLow( ::uint64_t value);
 
-  inline bool hasPeers();
-  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder getPeers();
-  inline void setPeers( ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
-  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>> disownPeers();
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint64_t getPeersVersion();
-  inline void setPeersVersion( ::uint64_t value);
+  inline  ::uint64_t getRound();
+  inline void setRound( ::uint64_t value);
 
-  inline  ::uint64_t getTableNumber();
-  inline void setTableNumber( ::uint64_t value);
+  inline bool hasStrikes();
+  inline  ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>::Builder getStrikes();
+  inline void setStrikes( ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>::Builder initStrikes(unsigned int size);
+  inline void adoptStrikes(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>> disownStrikes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -850,9 +849,9 @@
 };
 
 #if !CAPNP_LITE
-class SourceState::Pipeline {
+class SuspectRecord::Pipeline {
 public:
-  typedef SourceState Pipelines;
+  typedef SuspectRecord Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -866,9 +865,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WatchReply::Reader {
+class Suspects::Reader {
 public:
-  typedef WatchReply Reads;
+  typedef Suspects Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -883,17 +882,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getFormatVersion() const;
-
-  inline bool hasSources() const;
-  inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Reader getSources() const;
-
-  inline  ::uint64_t getTableNumber() const;
+  inline  ::uint64_t getEpoch() const;
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+  inline bool hasRevisions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevisions() const;
 
-  inline double getLogBehindMs() const;
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -907,9 +902,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WatchReply::Builder {
+class Suspects::Builder {
 public:
-  typedef WatchReply Builds;
+  typedef Suspects Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -923,29 +918,23 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getFormatVersion();
-  inline void setFormatVersion( ::uint32_t value);
-
-  inline bool hasSources();
-  inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Builder getSources();
-  inline void setSources( ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Builder initSources(unsigned int size);
-  inline void adoptSources(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>> disownSources();
-
-  inline  ::uint64_t getTableNumber();
-  inline void setTableNumber( ::uint64_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
-  inline bool hasMembers();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+  inline bool hasRevisions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevisions();
+  inline void setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevisions(unsigned int size);
+  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevisions();
 
-  inline double getLogBehindMs();
-  inline void setLogBehindMs(double value);
+  inline bool hasRecords();
+  inline  ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -957,9 +946,9 @@
 };
 
 #if !CAPNP_LITE
-class WatchReply::Pipeline {
+class Suspects::Pipeline {
 public:
-  typedef WatchReply Pipelines;
+  typedef Suspects Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -973,9 +962,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TableRequest::Reader {
+class WatchRequest::Reader {
 public:
-  typedef TableRequest Reads;
+  typedef WatchRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -990,7 +979,28 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+  inline bool hasFollower() const;
+  inline  ::capnp::Text::Reader getFollower() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool getIsLeaving() const;
+
+  inline bool getIsControl() const;
+
+  inline bool hasKnown() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
+
+  inline  ::uint64_t getTableNumber() const;
+
+  inline  ::uint64_t getSuspectsEpoch() const;
+
+  inline bool hasSuspectsRevisions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSuspectsRevisions() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1004,9 +1014,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TableRequest::Builder {
+class WatchRequest::Builder {
 public:
-  typedef TableRequest Builds;
+  typedef WatchRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1020,22 +1030,67 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline bool hasFollower();
+  inline  ::capnp::Text::Builder getFollower();
+  inline void setFollower( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFollower(unsigned int size);
+  inline void adoptFollower(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFollower();
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-#if !CAPNP_LITE
-class TableRequest::Pipeline {
-public:
-  typedef TableRequest Pipelines;
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+  inline bool getIsControl();
+  inline void setIsControl(bool value);
+
+  inline bool hasKnown();
+  inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Builder getKnown();
+  inline void setKnown( ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
+  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Known,  ::capnp::Kind::STRUCT>> disownKnown();
+
+  inline  ::uint64_t getTableNumber();
+  inline void setTableNumber( ::uint64_t value);
+
+  inline  ::uint64_t getSuspectsEpoch();
+  inline void setSuspectsEpoch( ::uint64_t value);
+
+  inline bool hasSuspectsRevisions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSuspectsRevisions();
+  inline void setSuspectsRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSuspectsRevisions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSuspectsRevisions(unsigned int size);
+  inline void adoptSuspectsRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSuspectsRevisions();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WatchRequest::Pipeline {
+public:
+  typedef WatchRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1049,9 +1104,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TableReply::Reader {
+class SourceState::Reader {
 public:
-  typedef TableReply Reads;
+  typedef SourceState Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1066,12 +1121,25 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+  inline bool hasSource() const;
+  inline  ::capnp::Text::Reader getSource() const;
 
-  inline bool hasDocument() const;
-  inline  ::capnp::Text::Reader getDocument() const;
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
-  inline  ::uint32_t getFormatVersion() const;
+  inline  ::uint64_t getEpoch() const;
+
+  inline double getSilentMs() const;
+
+  inline bool hasShards() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader getShards() const;
+
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+
+  inline  ::uint64_t getPeersVersion() const;
+
+  inline  ::uint64_t getTableNumber() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1085,9 +1153,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TableReply::Builder {
+class SourceState::Builder {
 public:
-  typedef TableReply Builds;
+  typedef SourceState Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1101,18 +1169,45 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline bool hasSource();
+  inline  ::capnp::Text::Builder getSource();
+  inline void setSource( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSource(unsigned int size);
+  inline void adoptSource(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSource();
 
-  inline bool hasDocument();
-  inline  ::capnp::Text::Builder getDocument();
-  inline void setDocument( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
-  inline  ::uint32_t getFormatVersion();
-  inline void setFormatVersion( ::uint32_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline double getSilentMs();
+  inline void setSilentMs(double value);
+
+  inline bool hasShards();
+  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder getShards();
+  inline void setShards( ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>::Builder initShards(unsigned int size);
+  inline void adoptShards(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Changes,  ::capnp::Kind::STRUCT>> disownShards();
+
+  inline bool hasPeers();
+  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Peer,  ::capnp::Kind::STRUCT>> disownPeers();
+
+  inline  ::uint64_t getPeersVersion();
+  inline void setPeersVersion( ::uint64_t value);
+
+  inline  ::uint64_t getTableNumber();
+  inline void setTableNumber( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1124,9 +1219,9 @@
 };
 
 #if !CAPNP_LITE
-class TableReply::Pipeline {
+class SourceState::Pipeline {
 public:
-  typedef TableReply Pipelines;
+  typedef SourceState Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1140,9 +1235,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Request::Reader {
+class WatchReply::Reader {
 public:
-  typedef Request Reads;
+  typedef WatchReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1157,16 +1252,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isWatch() const;
-  inline bool hasWatch() const;
-  inline  ::Wire::RosterSchema::WatchRequest::Reader getWatch() const;
+  inline  ::uint32_t getFormatVersion() const;
 
-  inline bool isTable() const;
-  inline bool hasTable() const;
-  inline  ::Wire::RosterSchema::TableRequest::Reader getTable() const;
+  inline bool hasSources() const;
+  inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Reader getSources() const;
 
-  inline  ::uint32_t getFormatVersion() const;
+  inline  ::uint64_t getTableNumber() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+
+  inline double getLogBehindMs() const;
+
+  inline bool hasSuspects() const;
+  inline  ::Wire::RosterSchema::Suspects::Reader getSuspects() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1180,9 +1279,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Request::Builder {
+class WatchReply::Builder {
 public:
-  typedef Request Builds;
+  typedef WatchReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1196,26 +1295,37 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isWatch();
-  inline bool hasWatch();
-  inline  ::Wire::RosterSchema::WatchRequest::Builder getWatch();
-  inline void setWatch( ::Wire::RosterSchema::WatchRequest::Reader value);
-  inline  ::Wire::RosterSchema::WatchRequest::Builder initWatch();
-  inline void adoptWatch(::capnp::Orphan< ::Wire::RosterSchema::WatchRequest>&& value);
-  inline ::capnp::Orphan< ::Wire::RosterSchema::WatchRequest> disownWatch();
-
-  inline bool isTable();
-  inline bool hasTable();
-  inline  ::Wire::RosterSchema::TableRequest::Builder getTable();
-  inline void setTable( ::Wire::RosterSchema::TableRequest::Reader value);
-  inline  ::Wire::RosterSchema::TableRequest::Builder initTable();
-  inline void adoptTable(::capnp::Orphan< ::Wire::RosterSchema::TableRequest>&& value);
-  inline ::capnp::Orphan< ::Wire::RosterSchema::TableRequest> disownTable();
-
   inline  ::uint32_t getFormatVersion();
   inline void setFormatVersion( ::uint32_t value);
 
+  inline bool hasSources();
+  inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Builder getSources();
+  inline void setSources( ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>::Builder initSources(unsigned int size);
+  inline void adoptSources(::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SourceState,  ::capnp::Kind::STRUCT>> disownSources();
+
+  inline  ::uint64_t getTableNumber();
+  inline void setTableNumber( ::uint64_t value);
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+
+  inline double getLogBehindMs();
+  inline void setLogBehindMs(double value);
+
+  inline bool hasSuspects();
+  inline  ::Wire::RosterSchema::Suspects::Builder getSuspects();
+  inline void setSuspects( ::Wire::RosterSchema::Suspects::Reader value);
+  inline  ::Wire::RosterSchema::Suspects::Builder initSuspects();
+  inline void adoptSuspects(::capnp::Orphan< ::Wire::RosterSchema::Suspects>&& value);
+  inline ::capnp::Orphan< ::Wire::RosterSchema::Suspects> disownSuspects();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1226,14 +1336,15 @@
 };
 
 #if !CAPNP_LITE
-class Request::Pipeline {
+class WatchReply::Pipeline {
 public:
-  typedef Request Pipelines;
+  typedef WatchReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Wire::RosterSchema::Suspects::Pipeline getSuspects();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1242,444 +1353,1011 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class TableRequest::Reader {
+public:
+  typedef TableRequest Reads;
 
-inline bool Server::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Server::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Server::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Server::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Server::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Server::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Server::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool Server::Reader::hasGroup() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Server::Builder::hasGroup() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Server::Reader::getGroup() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Server::Builder::getGroup() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Server::Builder::setGroup( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Server::Builder::initGroup(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Server::Builder::adoptGroup(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownGroup() {
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TableRequest::Builder {
+public:
+  typedef TableRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TableRequest::Pipeline {
+public:
+  typedef TableRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TableReply::Reader {
+public:
+  typedef TableReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Text::Reader getDocument() const;
+
+  inline  ::uint32_t getFormatVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TableReply::Builder {
+public:
+  typedef TableReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Text::Builder getDocument();
+  inline void setDocument( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+
+  inline  ::uint32_t getFormatVersion();
+  inline void setFormatVersion( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TableReply::Pipeline {
+public:
+  typedef TableReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Request::Reader {
+public:
+  typedef Request Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isWatch() const;
+  inline bool hasWatch() const;
+  inline  ::Wire::RosterSchema::WatchRequest::Reader getWatch() const;
+
+  inline bool isTable() const;
+  inline bool hasTable() const;
+  inline  ::Wire::RosterSchema::TableRequest::Reader getTable() const;
+
+  inline  ::uint32_t getFormatVersion() const;
+
+  inline bool isSuspects() const;
+  inline bool hasSuspects() const;
+  inline  ::Wire::RosterSchema::Suspects::Reader getSuspects() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Request::Builder {
+public:
+  typedef Request Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isWatch();
+  inline bool hasWatch();
+  inline  ::Wire::RosterSchema::WatchRequest::Builder getWatch();
+  inline void setWatch( ::Wire::RosterSchema::WatchRequest::Reader value);
+  inline  ::Wire::RosterSchema::WatchRequest::Builder initWatch();
+  inline void adoptWatch(::capnp::Orphan< ::Wire::RosterSchema::WatchRequest>&& value);
+  inline ::capnp::Orphan< ::Wire::RosterSchema::WatchRequest> disownWatch();
+
+  inline bool isTable();
+  inline bool hasTable();
+  inline  ::Wire::RosterSchema::TableRequest::Builder getTable();
+  inline void setTable( ::Wire::RosterSchema::TableRequest::Reader value);
+  inline  ::Wire::RosterSchema::TableRequest::Builder initTable();
+  inline void adoptTable(::capnp::Orphan< ::Wire::RosterSchema::TableRequest>&& value);
+  inline ::capnp::Orphan< ::Wire::RosterSchema::TableRequest> disownTable();
+
+  inline  ::uint32_t getFormatVersion();
+  inline void setFormatVersion( ::uint32_t value);
+
+  inline bool isSuspects();
+  inline bool hasSuspects();
+  inline  ::Wire::RosterSchema::Suspects::Builder getSuspects();
+  inline void setSuspects( ::Wire::RosterSchema::Suspects::Reader value);
+  inline  ::Wire::RosterSchema::Suspects::Builder initSuspects();
+  inline void adoptSuspects(::capnp::Orphan< ::Wire::RosterSchema::Suspects>&& value);
+  inline ::capnp::Orphan< ::Wire::RosterSchema::Suspects> disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Request::Pipeline {
+public:
+  typedef Request Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Server::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Server::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Server::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Server::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Server::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Server::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Server::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Server::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Server::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Server::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Server::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Server::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Server::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Server::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Server::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Server::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Server::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Server::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Server::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Server::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Server::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Server::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Server::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Server::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Server::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Server::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Server::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Server::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Server::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Server::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Server::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Server::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Server::Reader::getSlots() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Server::Builder::getSlots() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setSlots( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Server::Reader::getWarmupLeftMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double Server::Builder::getWarmupLeftMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setWarmupLeftMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Server::Reader::getStanding() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Server::Builder::getStanding() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setStanding( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Changes::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Changes::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Changes::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Changes::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Changes::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Changes::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>::Reader Changes::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>::Builder Changes::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Changes::Builder::setServers( ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>::Builder Changes::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Changes::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>> Changes::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Server::Reader::hasAddress() const {
+inline bool Peer::Reader::hasDomain() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Server::Builder::hasAddress() {
+inline bool Peer::Builder::hasDomain() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Server::Reader::getAddress() const {
+inline  ::capnp::Text::Reader Peer::Reader::getDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Server::Builder::getAddress() {
+inline  ::capnp::Text::Builder Peer::Builder::getDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Server::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void Peer::Builder::setDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Server::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::Builder::initDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Server::Builder::adoptAddress(
+inline void Peer::Builder::adoptDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::Builder::disownDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Server::Reader::hasDomain() const {
+inline bool Known::Reader::hasSource() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Server::Builder::hasDomain() {
+inline bool Known::Builder::hasSource() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Server::Reader::getDomain() const {
+inline  ::capnp::Text::Reader Known::Reader::getSource() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Server::Builder::getDomain() {
+inline  ::capnp::Text::Builder Known::Builder::getSource() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Server::Builder::setDomain( ::capnp::Text::Reader value) {
+inline void Known::Builder::setSource( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Server::Builder::initDomain(unsigned int size) {
+inline  ::capnp::Text::Builder Known::Builder::initSource(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Server::Builder::adoptDomain(
+inline void Known::Builder::adoptSource(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownDomain() {
+inline ::capnp::Orphan< ::capnp::Text> Known::Builder::disownSource() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Server::Reader::getIncarnation() const {
+inline  ::uint64_t Known::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Server::Builder::getIncarnation() {
+inline  ::uint64_t Known::Builder::getEpoch() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Server::Builder::setIncarnation( ::uint64_t value) {
+inline void Known::Builder::setEpoch( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Server::Reader::getSequence() const {
+inline bool Known::Reader::hasRevisions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Known::Builder::hasRevisions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Known::Reader::getRevisions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Known::Builder::getRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Known::Builder::setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Known::Builder::setRevisions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Known::Builder::initRevisions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Known::Builder::adoptRevisions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Known::Builder::disownRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Known::Reader::getPeersVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Server::Builder::getSequence() {
+inline  ::uint64_t Known::Builder::getPeersVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Server::Builder::setSequence( ::uint64_t value) {
+inline void Known::Builder::setPeersVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Server::Reader::getSlots() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Strike::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Strike::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Strike::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Strike::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Strike::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Strike::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Strike::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Strike::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Server::Builder::getSlots() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Strike::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Server::Builder::setSlots( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint64_t Strike::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Strike::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline double Server::Reader::getWarmupLeftMs() const {
+inline  ::uint64_t Strike::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Strike::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Strike::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Strike::Reader::getAgeMs() const {
   return _reader.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline double Server::Builder::getWarmupLeftMs() {
+inline double Strike::Builder::getAgeMs() {
   return _builder.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Server::Builder::setWarmupLeftMs(double value) {
+inline void Strike::Builder::setAgeMs(double value) {
   _builder.setDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Server::Reader::getStanding() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool Strike::Reader::getIsRefuted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Server::Builder::getStanding() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool Strike::Builder::getIsRefuted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
-inline void Server::Builder::setStanding( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void Strike::Builder::setIsRefuted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Changes::Reader::getWhole() const {
-  return _reader.getDataField<bool>(
+inline  ::uint64_t SuspectRecord::Reader::getContentHigh() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Changes::Builder::getWhole() {
-  return _builder.getDataField<bool>(
+inline  ::uint64_t SuspectRecord::Builder::getContentHigh() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Changes::Builder::setWhole(bool value) {
-  _builder.setDataField<bool>(
+inline void SuspectRecord::Builder::setContentHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Changes::Reader::getRevision() const {
+inline  ::uint64_t SuspectRecord::Reader::getContentLow() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Changes::Builder::getRevision() {
+inline  ::uint64_t SuspectRecord::Builder::getContentLow() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Changes::Builder::setRevision( ::uint64_t value) {
+inline void SuspectRecord::Builder::setContentLow( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Changes::Reader::hasServers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Changes::Builder::hasServers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>::Reader Changes::Reader::getServers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>::Builder Changes::Builder::getServers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Changes::Builder::setServers( ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>::Builder Changes::Builder::initServers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Changes::Builder::adoptServers(
-    ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>> Changes::Builder::disownServers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Server,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::Reader::hasAddress() const {
+inline bool SuspectRecord::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::Builder::hasAddress() {
+inline bool SuspectRecord::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::Reader::getAddress() const {
+inline  ::capnp::Text::Reader SuspectRecord::Reader::getGroup() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::Builder::getAddress() {
+inline  ::capnp::Text::Builder SuspectRecord::Builder::getGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void SuspectRecord::Builder::setGroup( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder SuspectRecord::Builder::initGroup(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::Builder::adoptAddress(
+inline void SuspectRecord::Builder::adoptGroup(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> SuspectRecord::Builder::disownGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::Reader::hasDomain() const {
+inline  ::uint64_t SuspectRecord::Reader::getRound() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SuspectRecord::Builder::getRound() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SuspectRecord::Builder::setRound( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectRecord::Reader::hasStrikes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::Builder::hasDomain() {
+inline bool SuspectRecord::Builder::hasStrikes() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>::Reader SuspectRecord::Reader::getStrikes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>::Builder SuspectRecord::Builder::getStrikes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::Builder::setDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void SuspectRecord::Builder::setStrikes( ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::Builder::initDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>::Builder SuspectRecord::Builder::initStrikes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::Builder::adoptDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void SuspectRecord::Builder::adoptStrikes(
+    ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>> SuspectRecord::Builder::disownStrikes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::Strike,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Known::Reader::hasSource() const {
+inline  ::uint64_t Suspects::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Suspects::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Suspects::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Suspects::Reader::hasRevisions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Known::Builder::hasSource() {
+inline bool Suspects::Builder::hasRevisions() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Known::Reader::getSource() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Suspects::Reader::getRevisions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Known::Builder::getSource() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Suspects::Builder::getRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Known::Builder::setSource( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Suspects::Builder::setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Known::Builder::initSource(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void Suspects::Builder::setRevisions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Suspects::Builder::initRevisions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Known::Builder::adoptSource(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Suspects::Builder::adoptRevisions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Known::Builder::disownSource() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Suspects::Builder::disownRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Known::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Known::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Known::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Known::Reader::hasRevisions() const {
+inline bool Suspects::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Known::Builder::hasRevisions() {
+inline bool Suspects::Builder::hasRecords() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Known::Reader::getRevisions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>::Reader Suspects::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Known::Builder::getRevisions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>::Builder Suspects::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Known::Builder::setRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Known::Builder::setRevisions(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void Suspects::Builder::setRecords( ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Known::Builder::initRevisions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>::Builder Suspects::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Known::Builder::adoptRevisions(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void Suspects::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Known::Builder::disownRevisions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>> Suspects::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::RosterSchema::SuspectRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Known::Reader::getPeersVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Known::Builder::getPeersVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Known::Builder::setPeersVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool WatchRequest::Reader::hasFollower() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1858,6 +2536,58 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t WatchRequest::Reader::getSuspectsEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WatchRequest::Builder::getSuspectsEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void WatchRequest::Builder::setSuspectsEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WatchRequest::Reader::hasSuspectsRevisions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool WatchRequest::Builder::hasSuspectsRevisions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader WatchRequest::Reader::getSuspectsRevisions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder WatchRequest::Builder::getSuspectsRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void WatchRequest::Builder::setSuspectsRevisions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void WatchRequest::Builder::setSuspectsRevisions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder WatchRequest::Builder::initSuspectsRevisions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void WatchRequest::Builder::adoptSuspectsRevisions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> WatchRequest::Builder::disownSuspectsRevisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool SourceState::Reader::hasSource() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2164,6 +2894,45 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WatchReply::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool WatchReply::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::RosterSchema::Suspects::Reader WatchReply::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::Wire::RosterSchema::Suspects::Builder WatchReply::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Wire::RosterSchema::Suspects::Pipeline WatchReply::Pipeline::getSuspects() {
+  return  ::Wire::RosterSchema::Suspects::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void WatchReply::Builder::setSuspects( ::Wire::RosterSchema::Suspects::Reader value) {
+  ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::RosterSchema::Suspects::Builder WatchReply::Builder::initSuspects() {
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void WatchReply::Builder::adoptSuspects(
+    ::capnp::Orphan< ::Wire::RosterSchema::Suspects>&& value) {
+  ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::RosterSchema::Suspects> WatchReply::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t TableRequest::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2371,6 +3140,60 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Request::Reader::isSuspects() const {
+  return which() == Request::SUSPECTS;
+}
+inline bool Request::Builder::isSuspects() {
+  return which() == Request::SUSPECTS;
+}
+inline bool Request::Reader::hasSuspects() const {
+  if (which() != Request::SUSPECTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasSuspects() {
+  if (which() != Request::SUSPECTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::RosterSchema::Suspects::Reader Request::Reader::getSuspects() const {
+  KJ_IREQUIRE((which() == Request::SUSPECTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Wire::RosterSchema::Suspects::Builder Request::Builder::getSuspects() {
+  KJ_IREQUIRE((which() == Request::SUSPECTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setSuspects( ::Wire::RosterSchema::Suspects::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::SUSPECTS);
+  ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::RosterSchema::Suspects::Builder Request::Builder::initSuspects() {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::SUSPECTS);
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::adoptSuspects(
+    ::capnp::Orphan< ::Wire::RosterSchema::Suspects>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::SUSPECTS);
+  ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::RosterSchema::Suspects> Request::Builder::disownSuspects() {
+  KJ_IREQUIRE((which() == Request::SUSPECTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Suspects>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Source/Core/Wire/RosterCodec.cpp
+++ b/Source/Core/Wire/RosterCodec.cpp
@@ -114,6 +114,65 @@
         return state;
     }
 
+    void write(Schema::SuspectRecord::Builder out, const Suspects::Record& record)
+    {
+        out.setContentHigh(record.content.high);
+        out.setContentLow(record.content.low);
+        out.setGroup(toText(record.group));
+        out.setRound(record.round);
+        auto strikes = out.initStrikes(static_cast<unsigned>(record.strikes.size()));
+        for (unsigned i = 0; i < strikes.size(); ++i) {
+            strikes[i].setServer(toText(record.strikes[i].server));
+            strikes[i].setIncarnation(record.strikes[i].incarnation.value());
+            strikes[i].setRun(record.strikes[i].run.value());
+            strikes[i].setAgeMs(record.strikes[i].age.value());
+            strikes[i].setIsRefuted(record.strikes[i].isRefuted);
+        }
+    }
+
+    Suspects::Record read(Schema::SuspectRecord::Reader in)
+    {
+        Suspects::Record record { { in.getContentHigh(), in.getContentLow() },
+            fromText<Common::GroupName>(in.getGroup()), in.getRound(), {} };
+        for (auto strike : in.getStrikes()) {
+            record.strikes.push_back(
+                { fromText<Common::BackendServerId>(strike.getServer()), Common::Incarnation(strike.getIncarnation()),
+                    Suspects::RunId(strike.getRun()), Common::Milliseconds(strike.getAgeMs()), strike.getIsRefuted() });
+        }
+        return record;
+    }
+
+    void write(capnp::List<uint64_t>::Builder out, const std::vector<Common::Revision>& revisions)
+    {
+        for (unsigned i = 0; i < out.size(); ++i)
+            out.set(i, revisions[i].value());
+    }
+
+    std::vector<Common::Revision> read(capnp::List<uint64_t>::Reader in)
+    {
+        std::vector<Common::Revision> revisions;
+        for (auto revision : in)
+            revisions.emplace_back(revision);
+        return revisions;
+    }
+
+    void write(Schema::Suspects::Builder out, Roster::Epoch epoch, const Suspects::Changes& changes)
+    {
+        out.setEpoch(epoch.value());
+        write(out.initRevisions(static_cast<unsigned>(changes.revisions.size())), changes.revisions);
+        auto records = out.initRecords(static_cast<unsigned>(changes.records.size()));
+        for (unsigned i = 0; i < records.size(); ++i)
+            write(records[i], changes.records[i]);
+    }
+
+    Suspects::Changes read(Schema::Suspects::Reader in)
+    {
+        Suspects::Changes changes { read(in.getRevisions()), {} };
+        for (auto record : in.getRecords())
+            changes.records.push_back(read(record));
+        return changes;
+    }
+
     void write(Schema::WatchRequest::Builder out, const Roster::WatchRequest& request)
     {
         out.setFollower(toText(request.follower));
@@ -122,6 +181,9 @@
         out.setDomain(toText(request.peer.domain));
         out.setIsLeaving(request.isLeaving);
         out.setIsControl(request.isControl);
+        out.setSuspectsEpoch(request.suspects.epoch.value());
+        write(out.initSuspectsRevisions(static_cast<unsigned>(request.suspects.revisions.size())),
+            request.suspects.revisions);
         auto known = out.initKnown(static_cast<unsigned>(request.known.size()));
         for (unsigned i = 0; i < known.size(); ++i)
             write(known[i], request.known[i]);
@@ -135,6 +197,7 @@
         request.peer = { fromText<Common::Address>(in.getAddress()), fromText<Common::FailureDomain>(in.getDomain()) };
         request.isLeaving = in.getIsLeaving();
         request.isControl = in.getIsControl();
+        request.suspects = { Roster::Epoch(in.getSuspectsEpoch()), read(in.getSuspectsRevisions()) };
         for (auto known : in.getKnown())
             request.known.push_back(read(known));
         return request;
@@ -149,6 +212,8 @@
     out.setFormatVersion(formatVersion);
     if (auto watch = std::get_if<Roster::WatchRequest>(&request))
         write(out.initWatch(), *watch);
+    else if (auto report = std::get_if<Roster::SuspectsReport>(&request))
+        write(out.initSuspects(), Roster::Epoch(), { {}, report->records });
     else
         out.initTable();
     return serializeFlat(message);
@@ -159,6 +224,8 @@
     return readFlatMessage<Schema::Request>(bytes, [](Schema::Request::Reader in) -> Roster::Request {
         if (in.which() == Schema::Request::WATCH)
             return read(in.getWatch());
+        if (in.which() == Schema::Request::SUSPECTS)
+            return Roster::SuspectsReport { read(in.getSuspects()).records };
         return Roster::TableRequest {};
     });
 }
@@ -170,6 +237,7 @@
     out.setFormatVersion(formatVersion);
     out.setTableNumber(reply.table.value());
     out.setLogBehindMs(reply.logBehind.value());
+    write(out.initSuspects(), reply.epoch, reply.suspects);
     auto sources = out.initSources(static_cast<unsigned>(reply.sources.size()));
     for (unsigned i = 0; i < sources.size(); ++i)
         write(sources[i], reply.sources[i]);
@@ -185,6 +253,8 @@
         Roster::WatchReply reply;
         reply.table = Common::TableNumber(in.getTableNumber());
         reply.logBehind = Common::Milliseconds(in.getLogBehindMs());
+        reply.epoch = Roster::Epoch(in.getSuspects().getEpoch());
+        reply.suspects = read(in.getSuspects());
         for (auto source : in.getSources())
             reply.sources.push_back(read(source));
         for (auto member : in.getMembers())
--- a/Source/UnitTests/Common/ContentDigestTest.cpp
+++ b/Source/UnitTests/Common/ContentDigestTest.cpp
@@ -14,5 +14,5 @@
 
 TEST(ContentDigest, IsWrittenAsHexadecimalDigits)
 {
-    EXPECT_EQ(toHex({ 0x1f, 0xa0 }), "000000000000001f00000000000000a0");
+    EXPECT_EQ(Common::toHex({ 0x1f, 0xa0 }), "000000000000001f00000000000000a0");
 }
--- a/Source/UnitTests/Relay/QueryTest.cpp
+++ b/Source/UnitTests/Relay/QueryTest.cpp
@@ -182,7 +182,7 @@
 TEST(Query, CountsARunByAnEarlierRequest)
 {
     Case c(1, 0);
-    start(c.query, at(0), true);
+    start(c.query, at(0), { true, false });
     auto id = c.query.parts[0].attempts[0].id;
     sent(c.query, id, BackendServerId("s"), at(0), Milliseconds(40));
     EXPECT_TRUE(all<Send>(wake(c.query, at(50))).empty()) << "a hedge would be the third";
@@ -295,3 +295,67 @@
     EXPECT_EQ(greatestRecords({ &first }, 9), high + low);
     EXPECT_EQ(greatestRecords({}, 3), "");
 }
+
+TEST(Query, LostPartsAreRetriedOneAtATimeUntilOneIsAnswered)
+{
+    Case c(4);
+    auto ids = begin(c.query);
+    auto first = all<Send>(sendFailed(c.query, ids[0], SendFailure::Unknown, broken, at(5)));
+    ASSERT_EQ(first.size(), 1u);
+    EXPECT_EQ(first[0].purpose, Purpose::Retry);
+    EXPECT_TRUE(all<Send>(sendFailed(c.query, ids[1], SendFailure::Unknown, broken, at(5))).empty());
+    EXPECT_TRUE(all<Send>(sendFailed(c.query, ids[2], SendFailure::Unknown, broken, at(5))).empty());
+    sent(c.query, first[0].attempt, BackendServerId("other"), at(6), {});
+    auto rest = all<Send>(answered(c.query, first[0].attempt, success("a"), at(9)));
+    ASSERT_EQ(rest.size(), 2u);
+    EXPECT_EQ(rest[0].part, 1u);
+    EXPECT_EQ(rest[1].part, 2u);
+}
+
+TEST(Query, NoFurtherPartIsSentAfterTheServerOfARetryWasLostToo)
+{
+    Case c(4);
+    auto ids = begin(c.query);
+    auto retry = all<Send>(sendFailed(c.query, ids[0], SendFailure::Unknown, broken, at(5)));
+    sendFailed(c.query, ids[1], SendFailure::Unknown, broken, at(5));
+    ASSERT_EQ(retry.size(), 1u);
+    sent(c.query, retry[0].attempt, BackendServerId("other"), at(6), {});
+    auto effects = sendFailed(c.query, retry[0].attempt, SendFailure::Unknown, broken, at(9));
+    EXPECT_TRUE(all<Send>(effects).empty());
+    EXPECT_TRUE(all<Send>(sendFailed(c.query, ids[2], SendFailure::Unknown, broken, at(10))).empty());
+    EXPECT_TRUE(all<Send>(wake(c.query, at(60))).empty()) << "nor as a hedge";
+}
+
+TEST(Query, ARetryThatReachedNoServerHandsTheTrialOn)
+{
+    Case c(4);
+    auto ids = begin(c.query);
+    auto retry = all<Send>(sendFailed(c.query, ids[0], SendFailure::Unknown, broken, at(5)));
+    sendFailed(c.query, ids[1], SendFailure::Unknown, broken, at(5));
+    auto next = all<Send>(notSent(c.query, retry[0].attempt, broken, at(6)));
+    ASSERT_EQ(next.size(), 1u);
+    EXPECT_EQ(next[0].part, 1u);
+}
+
+TEST(Query, ASuspectedCallIsSentToOneGroupFirst)
+{
+    Case c(4);
+    auto trial = all<Send>(start(c.query, at(0), { false, true }));
+    ASSERT_EQ(trial.size(), 1u);
+    sent(c.query, trial[0].attempt, BackendServerId("s"), at(0), Milliseconds(40));
+    EXPECT_TRUE(all<Send>(wake(c.query, at(50))).empty()) << "not hedged";
+    EXPECT_EQ(all<Send>(answered(c.query, trial[0].attempt, success("a"), at(60))).size(), 3u);
+}
+
+TEST(Query, ASuspectedCallThatLosesAServerIsNotSentOn)
+{
+    Case c(4);
+    auto trial = all<Send>(start(c.query, at(0), { false, true }));
+    ASSERT_EQ(trial.size(), 1u);
+    sent(c.query, trial[0].attempt, BackendServerId("s"), at(0), Milliseconds(40));
+    auto effects = sendFailed(c.query, trial[0].attempt, SendFailure::Unknown, broken, at(5));
+    EXPECT_TRUE(all<Send>(effects).empty());
+    auto refusal = answerIn<Refusal>(effects);
+    ASSERT_TRUE(refusal);
+    EXPECT_FALSE(refusal->hasNotRun);
+}
--- a/Source/UnitTests/Wire/RosterCodecTest.cpp
+++ b/Source/UnitTests/Wire/RosterCodecTest.cpp
@@ -35,9 +35,16 @@
     request.known = { { Address("10.0.0.3:1"), Epoch(7), { Revision(1), Revision(2) }, 4 },
         { Address("10.0.0.4:1"), Epoch(8), {}, 0 } };
     request.table = Common::TableNumber(9);
+    request.suspects = { Epoch(3), { Revision(4), Revision(5) } };
     return request;
 }
 
+std::vector<Suspects::Record> makeRecords()
+{
+    return { { { 1, 2 }, Common::GroupName("g"), 3,
+        { { Common::BackendServerId("s"), Common::Incarnation(4), Suspects::RunId(5), Milliseconds(6), true } } } };
+}
+
 WatchReply makeReply()
 {
     WatchReply reply;
@@ -47,6 +54,8 @@
     reply.logBehind = Milliseconds(1'300);
     reply.table = Common::TableNumber(10);
     reply.members = { Address("10.0.0.3:1"), Address("10.0.0.4:1") };
+    reply.epoch = Epoch(8);
+    reply.suspects = { { Revision(6), Revision(7) }, makeRecords() };
     return reply;
 }
 
@@ -67,6 +76,8 @@
     EXPECT_EQ(back.known[0].revisions, makeRequest().known[0].revisions);
     EXPECT_EQ(back.known[0].peersVersion, 4u);
     EXPECT_EQ(back.table, Common::TableNumber(9));
+    EXPECT_EQ(back.suspects.epoch, Epoch(3));
+    EXPECT_EQ(back.suspects.revisions, makeRequest().suspects.revisions);
     EXPECT_EQ(Wire::encode(Request(back)), bytes);
     EXPECT_TRUE(std::holds_alternative<TableRequest>(
         Wire::decodeRosterRequest(Wire::encode(Request(TableRequest {}))).value()));
@@ -89,9 +100,19 @@
     EXPECT_EQ(decoded.value().table, Common::TableNumber(10));
     EXPECT_EQ(decoded.value().logBehind, Milliseconds(1'300));
     EXPECT_EQ(decoded.value().members, makeReply().members);
+    EXPECT_EQ(decoded.value().epoch, Epoch(8));
+    EXPECT_EQ(decoded.value().suspects.revisions, makeReply().suspects.revisions);
+    EXPECT_EQ(decoded.value().suspects.records, makeRecords());
     EXPECT_EQ(Wire::encode(decoded.value()), bytes);
 }
 
+TEST(RosterCodec, ReportsOfSuspectsRoundTrip)
+{
+    auto decoded = Wire::decodeRosterRequest(Wire::encode(Request(SuspectsReport { makeRecords() })));
+    ASSERT_TRUE(decoded) << decoded.error();
+    EXPECT_EQ(std::get<SuspectsReport>(decoded.value()).records, makeRecords());
+}
+
 TEST(RosterCodec, TruncatedBytesAreErrors)
 {
     std::string bytes = Wire::encode(makeReply());
