Quarantine bookings that crash the servers that run them

Cause: the quarantine of entry instances covered lookups only; a booking is known by its request id, and a new id was a new booking. The same class as in relays: a property of the work, tracked by the id of one send. Change: bookings have a fingerprint of route and body. Lost servers are reported under it, completions clear it, and a quarantined booking is not dispatched. The check comes after the claim, so that a resend of a booking that has run is still answered with its outcome; a first send is refused at once.

--- a/Source/Core/Daemon/EntryRole.cpp
+++ b/Source/Core/Daemon/EntryRole.cpp
@@ -59,8 +59,8 @@
         , queries({ dependencies.settings.instance, dependencies.settings.entry, configuration, servers, membership,
               *lossDetector, backend, dependencies.timers, dependencies.metrics, dependencies.timeline })
         , bookings({ dependencies.settings.instance, static_cast<uint32_t>(dependencies.settings.control.claimShards),
-              configuration, servers, lease, dependencies.control, backend, dependencies.timers, dependencies.metrics,
-              dependencies.timeline })
+              configuration, servers, membership, *lossDetector, lease, dependencies.control, backend,
+              dependencies.timers, dependencies.metrics, dependencies.timeline })
     {
     }
 
--- a/Source/Core/Entry/BookingEngine.cpp
+++ b/Source/Core/Entry/BookingEngine.cpp
@@ -1,5 +1,6 @@
 #include "Entry/BookingEngine.h"
 
+#include "Common/ContentDigest.h"
 #include "Common/Hash.h"
 #include "Common/ShardedMap.h"
 #include "Once/Claims.h"
@@ -28,8 +29,20 @@
         ResolvedRoute route;
         BookingEngine::Done done;
         TimePoint admitted;
+        Common::Fingerprint content; // Equal for all bookings with this route and body, whatever their id.
     };
 
+    Common::Fingerprint contentOf(const BookingRequest& request)
+    {
+        return Common::Fingerprint(Common::digestOf({ "booking", request.route.value(), request.body }).low);
+    }
+
+    Common::Error quarantineError()
+    {
+        return Common::makeError(
+            Reason::Quarantined, "dispatch", "servers were lost each time that a booking with this content ran");
+    }
+
     Limits::Completion completionOf(const Common::Result<Backend::RunAnswer>& answer)
     {
         if (answer)
@@ -62,7 +75,8 @@
     void propose(
         const Common::RequestId&, Control::Command, std::function<void(Common::Result<Control::CommandOutcome>)>);
     void dispatch(BookingId);
-    void dispatchTo(BookingId, const Membership::Candidate&, Backend::RunRequest, const Common::GroupName&);
+    void dispatchTo(BookingId, const Membership::Candidate&, Backend::RunRequest, const Common::GroupName&,
+        Common::Fingerprint content);
 };
 
 template <typename Function> void BookingEngine::Private::decideAndPerform(BookingId id, Function&& decide)
@@ -193,20 +207,27 @@
 {
     std::optional<Backend::RunRequest> request;
     ResolvedRoute route;
+    Common::Fingerprint content;
     bookings.ifPresent(id, [&](std::unique_ptr<RunningBooking>& running) {
         request = Backend::RunRequest { running->request.id, running->request.body, running->request.contentType,
             running->booking.deadline - Clock::now() };
         route = running->route;
+        content = running->content;
     });
     if (!request)
         return;
+    // Checked after the claim: a resend of a booking that has run is answered with its outcome.
+    if (dependencies.membership.isQuarantined(content)) {
+        step(id, Once::DispatchFailed { quarantineError() });
+        return;
+    }
     const auto& group = route.group.name;
     auto set = dependencies.servers.candidates(group, Common::IndexVersion());
     std::optional<size_t> server;
     if (!set->all.empty() && request->timeLeft > Milliseconds(0) && dependencies.lease.mayTakeWork())
         server = dependencies.servers.acquire(*set, set->all, {}, Clock::now());
     if (server) {
-        dispatchTo(id, set->servers[*server], *std::move(request), group);
+        dispatchTo(id, set->servers[*server], *std::move(request), group, content);
         return;
     }
     if (request->timeLeft > slotRetryInterval && dependencies.lease.mayTakeWork() && !set->all.empty()) {
@@ -218,20 +239,29 @@
     step(id, Once::DispatchFailed { Common::makeError(Reason::ConnectionFailed, "dispatch", detail, group.value()) });
 }
 
-void BookingEngine::Private::dispatchTo(
-    BookingId id, const Membership::Candidate& server, Backend::RunRequest request, const Common::GroupName& group)
+void BookingEngine::Private::dispatchTo(BookingId id, const Membership::Candidate& server, Backend::RunRequest request,
+    const Common::GroupName& group, Common::Fingerprint content)
 {
     dependencies.timeline.record(EventKind::RequestDispatched, request.id.value(), "to " + server.server.value());
     auto self = shared_from_this();
     auto sentAt = Clock::now();
-    dependencies.backend.run({ server.server, server.address, group }, std::move(request),
-        [self, id, sentAt, name = server.server](const Common::Result<Backend::RunAnswer>& result) {
+    Backend::Target target { server.server, server.address, group };
+    dependencies.backend.run(target, std::move(request),
+        [self, id, sentAt, target, incarnation = server.incarnation, content](
+            const Common::Result<Backend::RunAnswer>& result) {
             auto now = Clock::now();
-            self->dependencies.servers.release(name, completionOf(result), now - sentAt, now);
-            if (result)
-                self->step(
-                    id, Once::classifyResponse(result.value().status, result.value().contentType, result.value().body));
-            else if (result.error().reason == Reason::Overloaded)
+            self->dependencies.servers.release(target.server, completionOf(result), now - sentAt, now);
+            if (result) {
+                auto answered
+                    = Once::classifyResponse(result.value().status, result.value().contentType, result.value().body);
+                if (std::holds_alternative<Once::Completed>(answered.outcome))
+                    self->dependencies.membership.reportCompletion(content);
+                self->step(id, answered);
+                return;
+            }
+            if (result.error().reason == Reason::ConnectionLost)
+                self->dependencies.losses.onConnectionLost(target, incarnation, content, [](bool) {});
+            if (result.error().reason == Reason::Overloaded)
                 self->runAfter(slotRetryInterval, [id](Private& p) { p.dispatch(id); });
             else
                 self->step(id, Once::DispatchFailed { result.error() });
@@ -260,6 +290,10 @@
             done(Once::NotRunRefusal { error });
         return;
     }
+    if (!request.mayBeResend && self->dependencies.membership.isQuarantined(contentOf(request))) {
+        done(Once::NotRunRefusal { quarantineError() });
+        return;
+    }
     auto now = Clock::now();
     BookingId id(self->nextId++);
     auto running = std::make_unique<RunningBooking>();
@@ -268,6 +302,7 @@
     running->done = std::move(done);
     running->booking.claim = { request.id, request.route, Common::Fingerprint(Common::hash64(request.body)),
         { self->dependencies.self, self->dependencies.lease.incarnation(), id } };
+    running->content = contentOf(request);
     running->booking.mayBeResend = request.mayBeResend;
     running->booking.deadline = now + running->route.route.deadline;
     running->request = std::move(request);
--- a/Source/Core/Entry/BookingEngine.h
+++ b/Source/Core/Entry/BookingEngine.h
@@ -5,6 +5,8 @@
 #include "Entry/ConfigurationView.h"
 #include "Entry/ControlClient.h"
 #include "Entry/LeaseClient.h"
+#include "Entry/LossDetector.h"
+#include "Entry/MembershipService.h"
 #include "Entry/ServerTable.h"
 #include "Observe/Metrics.h"
 #include "Observe/Timeline.h"
@@ -28,6 +30,8 @@
     uint32_t claimShards { 1 };
     const ConfigurationView& configuration;
     ServerTable& servers;
+    MembershipService& membership;
+    LossDetector& losses;
     LeaseClient& lease;
     ControlClient& control;
     Backend::Client& backend;
--- a/Source/Core/Once/Booking.cpp
+++ b/Source/Core/Once/Booking.cpp
@@ -208,7 +208,8 @@
             if (!provesNotRun(event.error.reason))
                 return record(booking, Unknown {});
             booking.mayHaveRun = false;
-            if (booking.dispatches < maximumDispatches && context.hasLease && !isLate(booking, context))
+            bool mayHelp = event.error.reason != Reason::Quarantined;
+            if (mayHelp && booking.dispatches < maximumDispatches && context.hasLease && !isLate(booking, context))
                 return dispatch(booking);
             return record(booking, NotRun {});
         }
@@ -275,6 +276,7 @@
     case Reason::Refused:
     case Reason::Overloaded:
     case Reason::Unavailable:
+    case Reason::Quarantined:
         return true;
     default:
         return false;
