Use a cryptographic hash for the fingerprints of lookups

Cause: the fingerprint that quarantines a lookup was an unseeded XXH64 of its text. Texts with the same hash are easy to construct, so a caller whose lookups crash servers could have closed another caller's lookup.

--- a/Source/Core/Entry/QueryEngine.cpp
+++ b/Source/Core/Entry/QueryEngine.cpp
@@ -1,6 +1,6 @@
 #include "Entry/QueryEngine.h"
 
-#include "Common/Hash.h"
+#include "Common/ContentDigest.h"
 #include "Entry/QueryEnginePrivate.h"
 #include "Limits/WaitQueue.h"
 
@@ -20,8 +20,8 @@
     // Includes the index version, since the same text may crash a server with one version and not with another.
     Common::Fingerprint fingerprintOf(const QueryRequest& request, Common::IndexVersion version)
     {
-        return Common::Fingerprint(
-            Common::hash64(request.text, Common::hash64(request.route.value(), version.value())));
+        std::string number = std::to_string(version.value());
+        return Common::Fingerprint(Common::digestOf({ "lookup", request.route.value(), number, request.text }).low);
     }
 
     Common::Error trialError(const Gather::MissingPart& part)
