Read the limit that servers name, and count the requests to such servers

Cause: nothing read Server-Limit, so logs and metrics could not show how much servers that name a limit get, nor by which purpose. Change: the notice holds the limit, of several the lowest; a limit that can't be read is counted and changes nothing. A counter of requests to limited servers by purpose. Nothing obeys the limit yet.

--- a/Source/Core/Limits/ServerNotice.h
+++ b/Source/Core/Limits/ServerNotice.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 #include "Common/Ids.h"
+#include "Common/Units.h"
 
 #include <optional>
 
@@ -13,6 +14,8 @@
 struct ServerNotice {
     bool isLeaving { false };
     std::optional<Common::Milliseconds> closedFor; // With a refusal: it takes no requests for this long.
+    std::optional<Common::RequestRate> limit; // That it takes from all instances together.
+    bool hasUnusableLimit { false }; // It names a limit that can't be read.
 };
 
 // The notices of one server. Plain data: the caller keeps it under a lock.
--- a/Source/Core/Observe/MetricNames.cpp
+++ b/Source/Core/Observe/MetricNames.cpp
@@ -17,6 +17,8 @@
         { "corianderlock_refusals_total", "Requests refused as not run, by reason.", "reason" },
         { "corianderlock_connections_replaced_total", "Connections replaced because one went silent.", "server" },
         { "corianderlock_quarantines_total", "Fingerprints placed in quarantine.", "" },
+        { "corianderlock_limited_sends_total", "Requests to servers that name a limit.", "purpose" },
+        { "corianderlock_unusable_limits_total", "Answers with a limit that can't be read.", "group" },
         { "corianderlock_gossip_sent_bytes_total", "Bytes of gossip sent.", "" },
         { "corianderlock_gossip_received_bytes_total", "Bytes of gossip received.", "" },
         { "corianderlock_gossip_messages_total", "Gossip messages, sent and received.", "direction" },
--- a/Source/Core/Observe/MetricNames.h
+++ b/Source/Core/Observe/MetricNames.h
@@ -17,6 +17,8 @@
     Refusals, // reason
     ConnectionsReplaced, // server
     Quarantines,
+    LimitedSends, // purpose
+    UnusableLimits, // group
     GossipBytesSent,
     GossipBytesReceived,
     GossipMessages, // direction
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -274,6 +274,10 @@
         return;
     bool isServed = answer.outcome == SubAnswer::Outcome::Success;
     pool.record(request.server, request.incarnation, answer.notice, isServed, now);
+    if (answer.notice.hasUnusableLimit)
+        metrics.count(Counter::UnusableLimits, request.group.value());
+    if (answer.notice.limit)
+        metrics.count(Counter::LimitedSends, purposeName(request.purpose));
     if (!answer.notice.closedFor && !answer.notice.isLeaving)
         return;
     Observe::logEvent(Observe::Part::Relay, Observe::Event::ServerNotice,
--- a/Source/UnitTests/Platform/CodecTest.cpp
+++ b/Source/UnitTests/Platform/CodecTest.cpp
@@ -217,3 +217,20 @@
     EXPECT_EQ(refuse(Reason::NotFound, false).status, 502) << "something was sent, so a route matched";
     EXPECT_TRUE(Platform::encodeAnswer(Relay::CallerGone {}, RequestId("id")).drop);
 }
+
+TEST(ServerAnswer, NamesALimitAsADecimalNumber)
+{
+    auto limitOf = [](Http::Fields fields) {
+        fields.emplace_back("X-Server-Stamp", "s");
+        return decode(200, fields).notice;
+    };
+    EXPECT_FALSE(limitOf({}).limit);
+    EXPECT_EQ(limitOf({ { "Server-Limit", "21.8" } }).limit, Common::RequestRate(21.8));
+    EXPECT_EQ(limitOf({ { "server-limit", "0" } }).limit, Common::RequestRate(0));
+    EXPECT_EQ(limitOf({ { "Server-Limit", "9" }, { "Server-Limit", "4" } }).limit, Common::RequestRate(4));
+    for (const char* text : { "", "-1", "-0", "nan", "inf", "1e999", "5 per second", "5,6", " 5", "0x10" }) {
+        auto notice = limitOf({ { "Server-Limit", text } });
+        EXPECT_FALSE(notice.limit) << text;
+        EXPECT_TRUE(notice.hasUnusableLimit) << text;
+    }
+}
