--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -83,6 +83,12 @@
         client.call(to, Peer::Service::Relay, std::string(), timeout,
             [done = std::move(done)](const Result<std::string>& result) { done(bool(result)); });
     };
+    peers.claimRate = [&client](const Address& to, const Limits::RateClaim& claim, Milliseconds timeout, auto done) {
+        client.call(to, Peer::Service::Relay, Wire::encode(claim), timeout,
+            [done = std::move(done)](const Result<std::string>& result) {
+                done(result ? Wire::decodeRateGrant(result.value()) : Result<Limits::RateGrant>(result.error()));
+            });
+    };
     return peers;
 }
 
@@ -98,6 +104,10 @@
         if (auto self = weak.lock())
             self->engine.setInstances(std::move(instances));
     };
+    hooks.viewConfirmed = [weak] {
+        if (auto self = weak.lock())
+            self->engine.confirmView();
+    };
     hooks.newerTablesReported = [weak](const std::vector<Roster::TableReport>& reports) {
         if (auto self = weak.lock())
             self->newerTablesReported(reports);
@@ -197,17 +207,22 @@
         reply(std::string()); // An empty message is a probe.
         return;
     }
-    auto call = Wire::decodeBundleRequest(bytes);
-    if (!call) {
-        reply(call.error());
+    auto request = Wire::decodeRelayRequest(bytes);
+    if (!request) {
+        reply(request.error());
         return;
     }
-    m_private->engine.gather(call.value(), [reply](const Result<Relay::BundleAnswer>& answer) {
-        if (answer)
-            reply(Wire::encode(answer.value()));
-        else
-            reply(answer.error());
-    });
+    if (auto claim = std::get_if<Limits::RateClaim>(&request.value())) {
+        reply(Wire::encode(m_private->engine.grant(*claim)));
+        return;
+    }
+    m_private->engine.gather(
+        std::get<Relay::BundleRequest>(request.value()), [reply](const Result<Relay::BundleAnswer>& answer) {
+            if (answer)
+                reply(Wire::encode(answer.value()));
+            else
+                reply(answer.error());
+        });
 }
 
 bool RelayRole::isReady() const { return !m_private->draining && m_private->engine.table(); }
--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -248,6 +248,7 @@
                 { "standing", Roster::statusName(change.status) }, { "from", address.value() } });
     if (newInstances)
         hooks.instances(std::move(*newInstances));
+    hooks.viewConfirmed();
     if (!statusChanges.empty() || isNewlyReachable)
         publish();
 }
--- /dev/null
+++ b/Source/Core/Limits/ServerRate.cpp
@@ -0,0 +1,166 @@
+#include "Limits/ServerRate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Limits {
+
+using Common::Incarnation;
+using Common::Milliseconds;
+using Common::RequestRate;
+using Common::TimePoint;
+
+namespace {
+
+    // Below the minimum a server would get no request whose answer could end the limit.
+    constexpr RequestRate minimumRate { 0.2 };
+    constexpr RequestRate maximumRate { 1'000'000 };
+    constexpr double keeperShare = 0.9;
+    // Of all instances that reach no keeper together.
+    constexpr double aloneShare = 0.25;
+    // The bucket holds what is given out in this time, for requests that come unevenly.
+    constexpr Milliseconds burst { 250 };
+    constexpr Milliseconds tokenLifetime { 500 };
+    constexpr Milliseconds keeperPause { 1'000 };
+    constexpr Milliseconds shortestDenial { 20 };
+    constexpr Milliseconds longestDenial { 5'000 };
+    constexpr size_t maximumWanted { 8 };
+    constexpr double millisecondsPerSecond = 1'000;
+
+    RequestRate bounded(RequestRate rate) { return std::clamp(rate, minimumRate, maximumRate); }
+
+    RequestRate ownRate(RequestRate named, RateRole role, size_t instances)
+    {
+        if (role == RateRole::Keeper)
+            return named * keeperShare;
+        return named * aloneShare / static_cast<double>(std::max<size_t>(instances, 1));
+    }
+
+    // Tokens accrue from the answer that named the rate, or from the last request.
+    double tokensAt(const ServerRate& server, RequestRate rate, TimePoint now)
+    {
+        const RateBucket& bucket = server.bucket;
+        TimePoint since = bucket.filledAt == TimePoint() ? server.named.at : bucket.filledAt;
+        double depth = std::max(1.0, rate.value() * burst.value() / millisecondsPerSecond);
+        double added = rate.value() * (now - since).value() / millisecondsPerSecond;
+        return std::min(depth, bucket.tokens + std::max(0.0, added));
+    }
+
+    size_t take(ServerRate& server, RequestRate rate, size_t wanted, TimePoint now)
+    {
+        double tokens = tokensAt(server, rate, now);
+        auto taken = std::min(wanted, static_cast<size_t>(tokens));
+        server.bucket = { tokens - static_cast<double>(taken), now };
+        return taken;
+    }
+
+    Milliseconds untilToken(const ServerRate& server, RequestRate rate, TimePoint now)
+    {
+        double missing = 1 - tokensAt(server, rate, now);
+        return Milliseconds(std::max(0.0, missing) * millisecondsPerSecond / rate.value());
+    }
+
+} // namespace
+
+bool recordRate(NamedRate& named, Incarnation incarnation, const ServerNotice& notice, bool hasRun, TimePoint now)
+{
+    if (incarnation < named.incarnation)
+        return false;
+    auto before = rateOf(named, incarnation);
+    if (incarnation > named.incarnation)
+        named = { incarnation, std::nullopt, now };
+    if (notice.limit)
+        named.rate = bounded(*notice.limit);
+    else if (hasRun && !notice.hasUnusableLimit)
+        named.rate.reset();
+    named.at = now;
+    return named.rate != before;
+}
+
+void mergeRate(NamedRate& named, Incarnation incarnation, RequestRate rate, TimePoint at)
+{
+    bool isNewer = incarnation > named.incarnation || (incarnation == named.incarnation && at > named.at);
+    if (isNewer)
+        named = { incarnation, bounded(rate), at };
+}
+
+std::optional<RequestRate> rateOf(const NamedRate& named, Incarnation incarnation)
+{
+    return incarnation == named.incarnation ? named.rate : std::nullopt;
+}
+
+RateRole roleOf(const ServerRate& rate, RateRole intended, TimePoint now)
+{
+    return intended == RateRole::Asker && now < rate.keeperSilentUntil ? RateRole::Alone : intended;
+}
+
+bool tryTakeToken(ServerRate& rate, Incarnation incarnation, RateRole role, size_t instances, TimePoint now)
+{
+    auto named = rateOf(rate.named, incarnation);
+    if (!named)
+        return true;
+    if (role != RateRole::Asker)
+        return take(rate, ownRate(*named, role, instances), 1, now) == 1;
+    if (!rate.granted || now >= rate.grantedUntil)
+        return false;
+    --rate.granted;
+    return true;
+}
+
+bool isWithinRate(const ServerRate& rate, Incarnation incarnation, RateRole role, size_t instances, TimePoint now)
+{
+    return !rateReopensIn(rate, incarnation, role, instances, now);
+}
+
+std::optional<Milliseconds> rateReopensIn(
+    const ServerRate& rate, Incarnation incarnation, RateRole role, size_t instances, TimePoint now)
+{
+    auto named = rateOf(rate.named, incarnation);
+    if (!named)
+        return std::nullopt;
+    Milliseconds wait = rate.deniedUntil - now;
+    if (role != RateRole::Asker)
+        wait = untilToken(rate, ownRate(*named, role, instances), now);
+    else if (rate.granted && now < rate.grantedUntil)
+        return std::nullopt;
+    return wait > Milliseconds(0) ? std::optional(wait) : std::nullopt;
+}
+
+std::optional<RateClaim> ask(
+    ServerRate& rate, const Common::BackendServerId& server, Incarnation incarnation, size_t wanted, TimePoint now)
+{
+    auto named = rateOf(rate.named, incarnation);
+    if (!named || rate.isAsking || now < rate.deniedUntil)
+        return std::nullopt;
+    rate.isAsking = true;
+    return RateClaim { server, incarnation, *named, now - rate.named.at, std::clamp<size_t>(wanted, 1, maximumWanted) };
+}
+
+void answerAsk(ServerRate& rate, const std::optional<RateGrant>& answer, TimePoint now)
+{
+    rate.isAsking = false;
+    if (!answer) {
+        rate.keeperSilentUntil = now + keeperPause;
+        return;
+    }
+    if (answer->tokens) {
+        rate.granted = std::min(answer->tokens, maximumWanted);
+        rate.grantedUntil = now + tokenLifetime;
+        return;
+    }
+    rate.deniedUntil = now + std::clamp(answer->retryIn, shortestDenial, longestDenial);
+}
+
+RateGrant grant(ServerRate& rate, const RateClaim& claim, RateRole role, TimePoint now)
+{
+    mergeRate(rate.named, claim.incarnation, claim.rate, now - std::max(claim.age, Milliseconds(0)));
+    auto named = rateOf(rate.named, claim.incarnation);
+    if (role != RateRole::Keeper || claim.incarnation < rate.named.incarnation)
+        return { 0, shortestDenial };
+    // The keeper may know that the limit has ended; the asker learns it from the answer to its next request.
+    RequestRate own = ownRate(named.value_or(bounded(claim.rate)), role, 1);
+    size_t tokens = take(rate, own, std::min(claim.wanted, maximumWanted), now);
+    return { tokens, tokens ? Milliseconds(0) : untilToken(rate, own, now) };
+}
+
+} // namespace Limits
--- /dev/null
+++ b/Source/Core/Limits/ServerRate.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Ids.h"
+#include "Common/Units.h"
+#include "Limits/ServerNotice.h"
+
+#include <cstddef>
+#include <optional>
+
+// Keeps the requests to a server within the rate that it names for all instances together. One instance, the keeper of
+// the server, has a token bucket; the others ask it for a token before each request. So the rate is used by whoever has
+// the callers, however unevenly they are spread, and an instance that does not know the others sends less.
+//
+// Answers the load of servers that name less than they get. What holds when instances disagree on the keeper: a keeper
+// gives out nine tenths of the rate, so two of them, for as long as 2.5 s of any 4 s, stay within one and a half times
+// the rate. Instances that reach no keeper send a quarter of the rate together.
+namespace Limits {
+
+// What one instance knows of the rate that a server names. Plain data: the caller keeps it under a lock.
+struct NamedRate {
+    Common::Incarnation incarnation; // Of the server.
+    std::optional<Common::RequestRate> rate; // Bounded: never so low that the server could not report its end.
+    Common::TimePoint at; // Of the answer that named it, or that named none any more.
+};
+
+// Applies the notice of an answer. hasRun: the server ran the request, so an answer without a limit ends it. Returns
+// whether the rate has changed.
+bool recordRate(NamedRate&, Common::Incarnation, const ServerNotice&, bool hasRun, Common::TimePoint now);
+// Applies what another instance knows.
+void mergeRate(NamedRate&, Common::Incarnation, Common::RequestRate, Common::TimePoint at);
+// Empty if this incarnation has named no rate.
+std::optional<Common::RequestRate> rateOf(const NamedRate&, Common::Incarnation);
+
+// How this instance gets the right to send a request to the server.
+enum class RateRole {
+    Keeper, // It gives out the tokens.
+    Asker, // It asks the keeper.
+    Alone, // It reaches no keeper, or does not know the other instances.
+};
+
+// Tokens of this instance, one for each request.
+struct RateBucket {
+    double tokens { 0 };
+    Common::TimePoint filledAt; // Empty before its first use.
+};
+
+// What this instance may send to one server. Plain data: the caller keeps it under a lock.
+struct ServerRate {
+    NamedRate named;
+    RateBucket bucket; // As the keeper, or alone.
+    size_t granted { 0 }; // Tokens from the keeper.
+    Common::TimePoint grantedUntil; // Later they are void: the keeper counts a token when it gives it out.
+    bool isAsking { false };
+    Common::TimePoint deniedUntil; // By the keeper.
+    Common::TimePoint keeperSilentUntil;
+};
+
+// The role, given who keeps the server's tokens: a keeper that did not answer is left alone for a while.
+RateRole roleOf(const ServerRate&, RateRole intended, Common::TimePoint now);
+
+// Takes a token. True for a server that names no rate.
+bool tryTakeToken(ServerRate&, Common::Incarnation, RateRole, size_t instances, Common::TimePoint now);
+// Whether a request could be sent now or after asking the keeper.
+bool isWithinRate(const ServerRate&, Common::Incarnation, RateRole, size_t instances, Common::TimePoint now);
+// How long until isWithinRate() may become true; empty if it is true.
+std::optional<Common::Milliseconds> rateReopensIn(
+    const ServerRate&, Common::Incarnation, RateRole, size_t instances, Common::TimePoint now);
+
+// A question to the keeper, and its answer.
+struct RateClaim {
+    Common::BackendServerId server;
+    Common::Incarnation incarnation;
+    Common::RequestRate rate; // As the asker knows it.
+    Common::Milliseconds age; // Of that knowledge.
+    size_t wanted { 1 };
+};
+
+struct RateGrant {
+    size_t tokens { 0 };
+    Common::Milliseconds retryIn; // If there are none.
+};
+
+// Starts a question; empty if no rate is named, if one is under way, or if the keeper has just denied.
+std::optional<RateClaim> ask(
+    ServerRate&, const Common::BackendServerId&, Common::Incarnation, size_t wanted, Common::TimePoint now);
+// The keeper's answer; empty if it gave none.
+void answerAsk(ServerRate&, const std::optional<RateGrant>&, Common::TimePoint now);
+// At the keeper. An instance that does not consider itself the keeper gives nothing.
+RateGrant grant(ServerRate&, const RateClaim&, RateRole, Common::TimePoint now);
+
+} // namespace Limits
--- a/Source/Core/Observe/EventLog.cpp
+++ b/Source/Core/Observe/EventLog.cpp
@@ -54,6 +54,10 @@
         return "request-suspected";
     case Event::ServerNotice:
         return "server-notice";
+    case Event::RateChanged:
+        return "rate-changed";
+    case Event::KeeperSilent:
+        return "keeper-silent";
     case Event::GathererPassedBy:
         return "gatherer-passed-by";
     case Event::ServerChanged:
--- a/Source/Core/Observe/EventLog.h
+++ b/Source/Core/Observe/EventLog.h
@@ -20,6 +20,8 @@
     RequestSuspected,
     GathererPassedBy,
     ServerNotice,
+    RateChanged,
+    KeeperSilent,
     ServerChanged,
     ServerLearned,
     ControlFound,
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -225,6 +225,12 @@
     m_private->updateGatherers();
 }
 
+void Engine::confirmView()
+{
+    std::lock_guard lock(m_private->viewMutex);
+    m_private->viewConfirmedAt = Clock::now();
+}
+
 void Engine::relay(const CallPtr& call, Done done) { m_private->relay(call, std::move(done)); }
 
 size_t Engine::inFlight() const { return static_cast<size_t>(std::max<int64_t>(m_private->pendingOperations, 0)); }
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Timers.h"
+#include "Limits/ServerRate.h"
 #include "Limits/WindowRetryBudget.h"
 #include "Observe/Metrics.h"
 #include "Relay/Call.h"
@@ -54,6 +55,10 @@
         gather;
     // Reports whether the instance responds within the timeout.
     std::function<void(const Common::Address&, Common::Milliseconds timeout, std::function<void(bool)> done)> probe;
+    // Asks the keeper of a server for tokens.
+    std::function<void(const Common::Address&, const Limits::RateClaim&, Common::Milliseconds timeout,
+        std::function<void(Common::Result<Limits::RateGrant>)> done)>
+        claimRate;
 };
 
 struct EngineOptions {
@@ -82,6 +87,8 @@
     void setServers(std::shared_ptr<const ServersByGroup>);
     // All relay instances, including this one.
     void setInstances(std::vector<Roster::Peer>);
+    // A control instance has just confirmed the view of instances and servers.
+    void confirmView();
 
     // done is called exactly once, on any thread. NotFound: no route matches. Unavailable: no route table has been
     // received yet.
@@ -89,6 +96,8 @@
     void relay(const CallPtr&, Done);
     // Gathers a bundle for another instance. Unavailable if the call was admitted under another route table.
     void gather(const BundleRequest&, const std::function<void(Common::Result<BundleAnswer>)>& done);
+    // Answers another instance that asks for tokens of a server.
+    Limits::RateGrant grant(const Limits::RateClaim&);
     size_t inFlight() const;
 
 private:
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -107,6 +107,8 @@
     Limits::WindowRetryBudget budget;
 };
 
+// Assumed until the control instances have reported the number of instances.
+inline constexpr size_t assumedInstances = 16;
 inline constexpr const char* quarantineText = "servers were lost each time that this request ran";
 
 Common::Random& localRandom();
@@ -151,6 +153,8 @@
     std::set<GroupName> fanOutGroups; // Groups of all fan-out routes, served through gatherers.
     std::set<GroupName> ownedGroups; // The subset in partitions that this instance owns.
     std::map<GroupName, Limits::SenderHistory> retrySenders; // Of the groups in the table.
+    std::map<GroupName, size_t> partitionOfGroup; // Of the groups of all fan-out routes.
+    TimePoint viewConfirmedAt;
     std::optional<TimePoint> viewSince; // When the table and the instances were first known.
     GathererHealth health;
 
@@ -211,6 +215,9 @@
     void recordEnd(const ActiveCall&, const Answer&);
 
     std::shared_ptr<const std::vector<Roster::EligibleServer>> serversOf(const GroupName&) const;
+    Targets targetsOf(const GroupName&, TimePoint now) const;
+    RateAccess rateAccess(const GroupName&, const Roster::EligibleServer&, TimePoint now) const;
+    void askKeeper(const Targets&, size_t index, const GroupName&);
     Connections connectionsOf(const Routes::Table&, const GroupName&) const;
     size_t sendersOf(const GroupName&) const;
     std::optional<size_t> retrySendersOf(const GroupName&, TimePoint now) const;
--- /dev/null
+++ b/Source/Core/Relay/EngineRates.cpp
@@ -0,0 +1,82 @@
+#include "Relay/EnginePrivate.h"
+
+#include "Observe/EventLog.h"
+
+namespace Relay {
+
+namespace {
+
+    // An instance that has heard of no control instance for this long does not know who keeps a server's tokens. Longer
+    // than it takes to follow another control instance.
+    constexpr Milliseconds viewLifetime { 3'000 };
+    constexpr Milliseconds claimTimeout { 60 };
+
+} // namespace
+
+Targets Engine::Private::targetsOf(const GroupName& group, TimePoint now) const
+{
+    Targets targets { serversOf(group), {} };
+    if (!pool.hasNamedRates())
+        return targets;
+    targets.access.reserve(targets.servers->size());
+    for (const Roster::EligibleServer& server : *targets.servers)
+        targets.access.push_back(rateAccess(group, server, now));
+    return targets;
+}
+
+RateAccess Engine::Private::rateAccess(
+    const GroupName& group, const Roster::EligibleServer& server, TimePoint now) const
+{
+    std::lock_guard lock(viewMutex);
+    RateAccess access { Limits::RateRole::Alone, {}, std::max(instances.size(), assumedInstances) };
+    if (now - viewConfirmedAt > viewLifetime)
+        return access;
+    auto it = partitionOfGroup.find(group);
+    auto partition = it == partitionOfGroup.end() ? std::nullopt : std::optional(it->second);
+    auto keeper = keeperOf(gatherers, instances, partition, server.server, server.domain);
+    if (!keeper)
+        return access;
+    access.keeper = *keeper;
+    access.role = *keeper == options.self.address ? Limits::RateRole::Keeper : Limits::RateRole::Asker;
+    return access;
+}
+
+// Asks for as many tokens as requests wait. The answer wakes them.
+void Engine::Private::askKeeper(const Targets& targets, size_t index, const GroupName& group)
+{
+    size_t wanted = 1 + groups.withValue(group, [](GroupState& state) { return Limits::size(state.waiting); });
+    auto claim = pool.ask(targets, index, wanted, Clock::now());
+    if (!claim)
+        return;
+    ++pendingOperations;
+    peers.claimRate(targets.access[index].keeper, *claim, claimTimeout,
+        [self = shared_from_this(), server = claim->server, group](const Common::Result<Limits::RateGrant>& result) {
+            --self->pendingOperations;
+            if (!result) {
+                Observe::logEvent(Observe::Part::Relay, Observe::Event::KeeperSilent,
+                    { { "server", server.value() }, { "why", Common::describe(result.error()) } });
+            }
+            self->pool.answerAsk(server, result ? std::optional(result.value()) : std::nullopt, Clock::now());
+            self->serveWaiters(group);
+        });
+}
+
+Limits::RateGrant Engine::grant(const Limits::RateClaim& claim)
+{
+    auto now = Clock::now();
+    auto role = Limits::RateRole::Alone;
+    std::shared_ptr<const ServersByGroup> servers;
+    {
+        std::lock_guard lock(m_private->viewMutex);
+        servers = m_private->servers;
+    }
+    for (auto& [group, list] : *servers) {
+        auto it = std::lower_bound(list.begin(), list.end(), claim.server,
+            [](const Roster::EligibleServer& server, const Common::BackendServerId& id) { return server.server < id; });
+        if (it != list.end() && it->server == claim.server)
+            role = m_private->rateAccess(group, *it, now).role;
+    }
+    return m_private->pool.grant(claim, role, now);
+}
+
+} // namespace Relay
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -99,14 +99,14 @@
         fail(Reason::Overloaded, "the retry budget is exhausted");
         return;
     }
-    auto usable = serversOf(group);
-    if (!pool.hasOpenServer(*usable, send.avoid, now)) {
-        if (auto reopens = pool.reopensIn(*usable, now))
+    auto targets = targetsOf(group, now);
+    if (!pool.hasOpenServer(targets, send.avoid, now)) {
+        if (auto reopens = pool.reopensIn(targets, now))
             retryAfter = Limits::spreadReturn(*reopens, localRandom().unit());
         fail(Reason::Unavailable,
-            usable->empty()  ? "no server of the group is known"
-                : retryAfter ? "the servers take no requests for now"
-                             : "no other server is left");
+            targets.servers->empty() ? "no server of the group is known"
+                : retryAfter         ? "the servers take no requests for now"
+                                     : "no other server is left");
         return;
     }
     if (trySend(active, key, send, group))
@@ -152,14 +152,18 @@
     if (refuseIfSuspect(active, key, send.purpose, group))
         return true;
     auto now = Clock::now();
-    auto known = serversOf(group);
-    const std::vector<Roster::EligibleServer>& usable = *known;
+    auto targets = targetsOf(group, now);
+    const std::vector<Roster::EligibleServer>& usable = *targets.servers;
     Connections limit = connectionsOf(*active->query.table, group);
     auto candidates = pool.candidates(usable, limit, options.self.domain, now);
     for (size_t i : Routing::rank(candidates, { send.avoid, {} }, localRandom())) {
-        auto lease = pool.acquire(usable[i], limit, now);
-        if (!lease)
+        auto lease = pool.acquire(targets, i, limit, now);
+        if (!lease) {
+            // A hedge comes too late for a token, and a token for it would be lost.
+            if (!targets.access.empty() && send.purpose != Purpose::Hedge)
+                askKeeper(targets, i, group);
             continue;
+        }
         bool isWanted = false;
         {
             std::lock_guard lock(active->mutex);
@@ -273,7 +277,13 @@
     if (answer.outcome == SubAnswer::Outcome::Unusable || answer.outcome == SubAnswer::Outcome::OtherServer)
         return;
     bool isServed = answer.outcome == SubAnswer::Outcome::Success;
-    pool.record(request.server, request.incarnation, answer.notice, isServed, now);
+    bool hasRun = isServed || answer.outcome == SubAnswer::Outcome::Failure;
+    if (pool.record(request.server, request.incarnation, answer.notice, isServed, hasRun, now)) {
+        auto rate = pool.namedRate(request.server, request.incarnation);
+        Observe::logEvent(Observe::Part::Relay, Observe::Event::RateChanged,
+            { { "server", request.server.value() }, { "group", request.group.value() },
+                { "per_second", rate ? std::to_string(rate->value()) : "none" } });
+    }
     if (answer.notice.hasUnusableLimit)
         metrics.count(Counter::UnusableLimits, request.group.value());
     if (answer.notice.limit)
@@ -290,9 +300,9 @@
 bool Engine::Private::refuseIfClosed(const ActiveCallPtr& active, const Limits::Waiter& waiter, const GroupName& group)
 {
     auto now = Clock::now();
-    auto usable = serversOf(group);
-    auto reopens = pool.reopensIn(*usable, now);
-    if (!reopens || pool.hasOpenServer(*usable, waiter.avoidServers, now))
+    auto targets = targetsOf(group, now);
+    auto reopens = pool.reopensIn(targets, now);
+    if (!reopens || pool.hasOpenServer(targets, waiter.avoidServers, now))
         return false;
     auto retryAfter = Limits::spreadReturn(*reopens, localRandom().unit());
     step(active, waiter.query, [&](Query& query) {
--- a/Source/Core/Relay/EngineView.cpp
+++ b/Source/Core/Relay/EngineView.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    // Assumed until the control instances have reported the number of instances.
-    constexpr size_t assumedInstances = 16;
     // Per server, from this instance, whatever the server's own limit is.
     constexpr int64_t maximumConnections = 8;
     // Share of a server's connection limit that is used. A server with a long queue accepts fewer connections, and
@@ -98,6 +96,7 @@
 {
     fanOutGroups.clear();
     ownedGroups.clear();
+    partitionOfGroup.clear();
     std::set<Common::FailureDomain> domains;
     size_t most = 0;
     partitions = table ? partitionCounts(*table, options.processorShare) : std::map<GroupName, size_t>();
@@ -121,6 +120,7 @@
     forEachFanOut([&](const Routes::FanOut& fanOut) {
         size_t count = partitionsOf(fanOut);
         for (size_t i = 0; i < fanOut.groups.size(); ++i) {
+            partitionOfGroup[fanOut.groups[i]] = partitionOf(i, count);
             if (ownsPartition(gatherers, options.self, partitionOf(i, count)))
                 ownedGroups.insert(fanOut.groups[i]);
         }
--- a/Source/Core/Relay/Gatherers.cpp
+++ b/Source/Core/Relay/Gatherers.cpp
@@ -131,6 +131,27 @@
     return it != gatherers.owners.end() && it->second[partition % it->second.size()].address == peer.address;
 }
 
+std::optional<Address> keeperOf(const Gatherers& gatherers, const std::vector<Roster::Peer>& instances,
+    std::optional<size_t> partition, const Common::BackendServerId& server, const Common::FailureDomain& domain)
+{
+    auto owners = gatherers.owners.find(domain);
+    if (partition && owners != gatherers.owners.end() && !owners->second.empty())
+        return owners->second[*partition % owners->second.size()].address;
+    bool hasOwn = std::any_of(
+        instances.begin(), instances.end(), [&](const Roster::Peer& peer) { return peer.domain == domain; });
+    uint64_t seed = Common::hash64(server.value());
+    std::optional<Address> best;
+    uint64_t most = 0;
+    for (const Roster::Peer& peer : instances) {
+        uint64_t hash = Common::hash64(peer.address.value(), seed);
+        if ((hasOwn && peer.domain != domain) || (best && hash <= most))
+            continue;
+        best = peer.address;
+        most = hash;
+    }
+    return best;
+}
+
 std::vector<Bundle> planBundles(const std::vector<std::vector<Common::FailureDomain>>& domainsOfGroups,
     const Common::FailureDomain& own, uint64_t turn)
 {
--- a/Source/Core/Relay/Gatherers.h
+++ b/Source/Core/Relay/Gatherers.h
@@ -70,6 +70,12 @@
 bool isGatherer(const Gatherers&, const Roster::Peer&);
 bool ownsPartition(const Gatherers&, const Roster::Peer&, size_t partition);
 
+// The instance that gives out the tokens of a server that names a rate: the owner of its partition, which sends most of
+// the requests to it, or for groups that are not gathered the one that rendezvous hashing chooses in the server's
+// domain. Empty if no instance is known.
+std::optional<Common::Address> keeperOf(const Gatherers&, const std::vector<Roster::Peer>& instances,
+    std::optional<size_t> partition, const Common::BackendServerId&, const Common::FailureDomain& domain);
+
 // Groups that are gathered in one domain, as indexes in the route's FanOut::groups.
 struct Bundle {
     Common::FailureDomain domain;
--- a/Source/Core/Relay/ServerPool.cpp
+++ b/Source/Core/Relay/ServerPool.cpp
@@ -20,6 +20,11 @@
     // Timeout of one request on a connection. Queries end earlier.
     constexpr Milliseconds requestBound { 70'000 };
 
+    RateAccess accessOf(const Targets& targets, size_t index)
+    {
+        return targets.access.empty() ? RateAccess {} : targets.access[index];
+    }
+
 } // namespace
 
 std::vector<Routing::Candidate> ServerPool::candidates(const std::vector<Roster::EligibleServer>& servers,
@@ -46,13 +51,18 @@
 }
 
 std::optional<ServerPool::Lease> ServerPool::acquire(
-    const Roster::EligibleServer& usable, Connections limit, TimePoint now)
+    const Targets& targets, size_t index, Connections limit, TimePoint now)
 {
+    const Roster::EligibleServer& usable = (*targets.servers)[index];
+    RateAccess access = accessOf(targets, index);
     return m_servers.withValue(usable.server, [&](Server& server) -> std::optional<Lease> {
         size_t inFlight = server.load.inFlight.size();
         if (static_cast<int64_t>(inFlight) >= limit.value()
             || !Limits::mayReceive(server.notices, usable.incarnation, inFlight, now))
             return std::nullopt;
+        auto role = Limits::roleOf(server.rate, access.role, now);
+        if (!Limits::tryTakeToken(server.rate, usable.incarnation, role, access.instances, now))
+            return std::nullopt;
         begin(server.load, now);
         while (!server.idle.empty()) {
             ConnectionPtr connection = std::move(server.idle.back());
@@ -75,34 +85,85 @@
     });
 }
 
-void ServerPool::record(const Common::BackendServerId& id, Common::Incarnation incarnation,
-    const Limits::ServerNotice& notice, bool isServed, TimePoint now)
+bool ServerPool::record(const Common::BackendServerId& id, Common::Incarnation incarnation,
+    const Limits::ServerNotice& notice, bool isServed, bool hasRun, TimePoint now)
 {
-    m_servers.ifPresent(
-        id, [&](Server& server) { Limits::recordNotice(server.notices, incarnation, notice, isServed, now); });
+    bool hasRateChanged = false;
+    m_servers.ifPresent(id, [&](Server& server) {
+        Limits::recordNotice(server.notices, incarnation, notice, isServed, now);
+        hasRateChanged = Limits::recordRate(server.rate.named, incarnation, notice, hasRun, now);
+    });
+    if (notice.limit)
+        m_hasNamedRates = true;
+    return hasRateChanged;
 }
 
-bool ServerPool::hasOpenServer(const std::vector<Roster::EligibleServer>& servers,
-    const std::vector<Common::BackendServerId>& avoid, TimePoint now)
+std::optional<Common::RequestRate> ServerPool::namedRate(
+    const Common::BackendServerId& id, Common::Incarnation incarnation)
 {
-    return std::any_of(servers.begin(), servers.end(), [&](const Roster::EligibleServer& usable) {
-        bool isOpen = std::find(avoid.begin(), avoid.end(), usable.server) == avoid.end();
-        if (isOpen) {
-            m_servers.ifPresent(usable.server,
-                [&](Server& server) { isOpen = Limits::mayReceive(server.notices, usable.incarnation, 0, now); });
-        }
-        return isOpen;
+    std::optional<Common::RequestRate> rate;
+    m_servers.ifPresent(id, [&](Server& server) { rate = Limits::rateOf(server.rate.named, incarnation); });
+    return rate;
+}
+
+std::optional<Limits::RateClaim> ServerPool::ask(const Targets& targets, size_t index, size_t wanted, TimePoint now)
+{
+    const Roster::EligibleServer& usable = (*targets.servers)[index];
+    RateAccess access = accessOf(targets, index);
+    std::optional<Limits::RateClaim> claim;
+    m_servers.ifPresent(usable.server, [&](Server& server) {
+        if (Limits::roleOf(server.rate, access.role, now) == Limits::RateRole::Asker)
+            claim = Limits::ask(server.rate, usable.server, usable.incarnation, wanted, now);
     });
+    return claim;
+}
+
+void ServerPool::answerAsk(
+    const Common::BackendServerId& id, const std::optional<Limits::RateGrant>& answer, TimePoint now)
+{
+    m_servers.ifPresent(id, [&](Server& server) { Limits::answerAsk(server.rate, answer, now); });
+}
+
+Limits::RateGrant ServerPool::grant(const Limits::RateClaim& claim, Limits::RateRole role, TimePoint now)
+{
+    m_hasNamedRates = true;
+    return m_servers.withValue(
+        claim.server, [&](Server& server) { return Limits::grant(server.rate, claim, role, now); });
 }
 
-std::optional<Milliseconds> ServerPool::reopensIn(const std::vector<Roster::EligibleServer>& servers, TimePoint now)
+bool ServerPool::hasOpenServer(const Targets& targets, const std::vector<Common::BackendServerId>& avoid, TimePoint now)
+{
+    for (size_t i = 0; i < targets.servers->size(); ++i) {
+        const Roster::EligibleServer& usable = (*targets.servers)[i];
+        if (std::find(avoid.begin(), avoid.end(), usable.server) != avoid.end())
+            continue;
+        bool isOpen = true;
+        RateAccess access = accessOf(targets, i);
+        m_servers.ifPresent(usable.server, [&](Server& server) {
+            auto role = Limits::roleOf(server.rate, access.role, now);
+            isOpen = Limits::mayReceive(server.notices, usable.incarnation, 0, now)
+                && Limits::isWithinRate(server.rate, usable.incarnation, role, access.instances, now);
+        });
+        if (isOpen)
+            return true;
+    }
+    return false;
+}
+
+std::optional<Milliseconds> ServerPool::reopensIn(const Targets& targets, TimePoint now)
 {
     std::optional<Milliseconds> first;
-    for (const Roster::EligibleServer& usable : servers) {
+    for (size_t i = 0; i < targets.servers->size(); ++i) {
+        const Roster::EligibleServer& usable = (*targets.servers)[i];
+        RateAccess access = accessOf(targets, i);
         m_servers.ifPresent(usable.server, [&](Server& server) {
-            auto time = Limits::reopensIn(server.notices, usable.incarnation, now);
-            if (time)
-                first = std::min(first.value_or(*time), *time);
+            auto role = Limits::roleOf(server.rate, access.role, now);
+            auto closed = Limits::reopensIn(server.notices, usable.incarnation, now);
+            auto limited = Limits::rateReopensIn(server.rate, usable.incarnation, role, access.instances, now);
+            if (closed || limited) {
+                Milliseconds time = std::max(closed.value_or(Milliseconds(0)), limited.value_or(Milliseconds(0)));
+                first = std::min(first.value_or(time), time);
+            }
         });
     }
     return first;
@@ -115,7 +176,7 @@
     m_servers.eraseIf([&](const Common::BackendServerId& id, const Server& server) {
         if (!server.load.inFlight.empty() || kept.count(id))
             return false;
-        bool isClosed = server.notices.isLeaving || server.notices.isReopening;
+        bool isClosed = server.notices.isLeaving || server.notices.isReopening || server.rate.named.rate;
         return !isClosed || ++remembered > maximumRemembered;
     });
 }
--- a/Source/Core/Wire/Relay.capnp
+++ b/Source/Core/Wire/Relay.capnp
@@ -33,10 +33,26 @@
   union {
     call @1 :Call;
     resume @2 :Resume;
+    rate @4 :RateClaim;
   }
   asker @3 :Text; # Address of the requesting instance.
 }
 
+# Asks the keeper of a server that names a limit for the right to send it requests.
+struct RateClaim {
+  server @0 :Text;
+  incarnation @1 :UInt64;
+  perSecond @2 :Float64; # The limit as the asker knows it.
+  ageMs @3 :Float64; # Of that knowledge.
+  wanted @4 :UInt16;
+}
+
+struct RateGrant {
+  formatVersion @0 :UInt32;
+  tokens @1 :UInt16;
+  retryInMs @2 :Float64;
+}
+
 struct Missing {
   place @0 :UInt16; # Index in the requested groups.
   isPending @1 :Bool; # An answer may still arrive.
--- a/Source/Core/Wire/Relay.capnp.h
+++ b/Source/Core/Wire/Relay.capnp.h
@@ -19,6 +19,8 @@
 CAPNP_DECLARE_SCHEMA(8c14749470e6181c);
 CAPNP_DECLARE_SCHEMA(c4adb7993b1f947b);
 CAPNP_DECLARE_SCHEMA(c7e1a0f5544608d9);
+CAPNP_DECLARE_SCHEMA(a140d21f07837ef4);
+CAPNP_DECLARE_SCHEMA(bccddc73db0761eb);
 CAPNP_DECLARE_SCHEMA(db6ff64f4bdb5857);
 CAPNP_DECLARE_SCHEMA(87db365c9858a7eb);
 CAPNP_DECLARE_SCHEMA(be707d023052fb5d);
@@ -70,6 +72,7 @@
   enum Which: uint16_t {
     CALL,
     RESUME,
+    RATE,
   };
 
   struct _capnpPrivate {
@@ -80,6 +83,36 @@
   };
 };
 
+struct RateClaim {
+  RateClaim() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a140d21f07837ef4, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateGrant {
+  RateGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bccddc73db0761eb, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Missing {
   Missing() = delete;
 
@@ -465,6 +498,10 @@
   inline bool hasAsker() const;
   inline  ::capnp::Text::Reader getAsker() const;
 
+  inline bool isRate() const;
+  inline bool hasRate() const;
+  inline  ::Wire::RelaySchema::RateClaim::Reader getRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -520,6 +557,14 @@
   inline void adoptAsker(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAsker();
 
+  inline bool isRate();
+  inline bool hasRate();
+  inline  ::Wire::RelaySchema::RateClaim::Builder getRate();
+  inline void setRate( ::Wire::RelaySchema::RateClaim::Reader value);
+  inline  ::Wire::RelaySchema::RateClaim::Builder initRate();
+  inline void adoptRate(::capnp::Orphan< ::Wire::RelaySchema::RateClaim>&& value);
+  inline ::capnp::Orphan< ::Wire::RelaySchema::RateClaim> disownRate();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -546,6 +591,193 @@
 };
 #endif  // !CAPNP_LITE
 
+class RateClaim::Reader {
+public:
+  typedef RateClaim Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline double getPerSecond() const;
+
+  inline double getAgeMs() const;
+
+  inline  ::uint16_t getWanted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateClaim::Builder {
+public:
+  typedef RateClaim Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline double getAgeMs();
+  inline void setAgeMs(double value);
+
+  inline  ::uint16_t getWanted();
+  inline void setWanted( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateClaim::Pipeline {
+public:
+  typedef RateClaim Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RateGrant::Reader {
+public:
+  typedef RateGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getFormatVersion() const;
+
+  inline  ::uint16_t getTokens() const;
+
+  inline double getRetryInMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateGrant::Builder {
+public:
+  typedef RateGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getFormatVersion();
+  inline void setFormatVersion( ::uint32_t value);
+
+  inline  ::uint16_t getTokens();
+  inline void setTokens( ::uint16_t value);
+
+  inline double getRetryInMs();
+  inline void setRetryInMs(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateGrant::Pipeline {
+public:
+  typedef RateGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Missing::Reader {
 public:
   typedef Missing Reads;
@@ -1647,6 +1879,192 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Request::Reader::isRate() const {
+  return which() == Request::RATE;
+}
+inline bool Request::Builder::isRate() {
+  return which() == Request::RATE;
+}
+inline bool Request::Reader::hasRate() const {
+  if (which() != Request::RATE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasRate() {
+  if (which() != Request::RATE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::RelaySchema::RateClaim::Reader Request::Reader::getRate() const {
+  KJ_IREQUIRE((which() == Request::RATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::RateClaim>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Wire::RelaySchema::RateClaim::Builder Request::Builder::getRate() {
+  KJ_IREQUIRE((which() == Request::RATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::RateClaim>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setRate( ::Wire::RelaySchema::RateClaim::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::RATE);
+  ::capnp::_::PointerHelpers< ::Wire::RelaySchema::RateClaim>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::RelaySchema::RateClaim::Builder Request::Builder::initRate() {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::RATE);
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::RateClaim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::adoptRate(
+    ::capnp::Orphan< ::Wire::RelaySchema::RateClaim>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::RATE);
+  ::capnp::_::PointerHelpers< ::Wire::RelaySchema::RateClaim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::RelaySchema::RateClaim> Request::Builder::disownRate() {
+  KJ_IREQUIRE((which() == Request::RATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::RateClaim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RateClaim::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateClaim::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RateClaim::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RateClaim::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateClaim::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RateClaim::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RateClaim::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RateClaim::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RateClaim::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateClaim::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateClaim::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateClaim::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double RateClaim::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateClaim::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateClaim::Reader::getAgeMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double RateClaim::Builder::getAgeMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RateClaim::Builder::setAgeMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t RateClaim::Reader::getWanted() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t RateClaim::Builder::getWanted() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void RateClaim::Builder::setWanted( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RateGrant::Reader::getFormatVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RateGrant::Builder::getFormatVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateGrant::Builder::setFormatVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t RateGrant::Reader::getTokens() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t RateGrant::Builder::getTokens() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RateGrant::Builder::setTokens( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateGrant::Reader::getRetryInMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double RateGrant::Builder::getRetryInMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateGrant::Builder::setRetryInMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t Missing::Reader::getPlace() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/RelayCodec.cpp
+++ b/Source/Core/Wire/RelayCodec.cpp
@@ -96,6 +96,21 @@
             refusal.getHasNotRun(), Milliseconds(refusal.getRetryAfterMs()) };
     }
 
+    Relay::BundleRequest readBundleRequest(Schema::Request::Reader in)
+    {
+        Relay::BundleRequest request;
+        request.requester = fromText<Common::Address>(in.getAsker());
+        if (in.isCall()) {
+            request.body = read(in.getCall());
+            return request;
+        }
+        require(in.isResume(), "the request is for no bundle");
+        auto resume = in.getResume();
+        request.body = Relay::ResumeBundle { { Common::Incarnation(resume.getIncarnation()), resume.getBundle() },
+            fromText<Common::RequestId>(resume.getCall()), resume.getNeeded() };
+        return request;
+    }
+
 } // namespace
 
 std::string encode(const Relay::BundleRequest& request)
@@ -119,17 +134,49 @@
 
 Common::Result<Relay::BundleRequest> decodeBundleRequest(std::string_view bytes)
 {
-    return readFlatMessage<Schema::Request>(bytes, [](Schema::Request::Reader in) {
-        Relay::BundleRequest request;
-        request.requester = fromText<Common::Address>(in.getAsker());
-        if (in.isCall())
-            request.body = read(in.getCall());
-        else {
-            auto resume = in.getResume();
-            request.body = Relay::ResumeBundle { { Common::Incarnation(resume.getIncarnation()), resume.getBundle() },
-                fromText<Common::RequestId>(resume.getCall()), resume.getNeeded() };
-        }
-        return request;
+    return readFlatMessage<Schema::Request>(bytes, readBundleRequest);
+}
+
+Common::Result<RelayRequest> decodeRelayRequest(std::string_view bytes)
+{
+    return readFlatMessage<Schema::Request>(bytes, [](Schema::Request::Reader in) -> RelayRequest {
+        if (!in.isRate())
+            return readBundleRequest(in);
+        auto claim = in.getRate();
+        return Limits::RateClaim { fromText<Common::BackendServerId>(claim.getServer()),
+            Common::Incarnation(claim.getIncarnation()), Common::RequestRate(claim.getPerSecond()),
+            Milliseconds(claim.getAgeMs()), claim.getWanted() };
+    });
+}
+
+std::string encode(const Limits::RateClaim& claim)
+{
+    capnp::MallocMessageBuilder message;
+    auto request = message.initRoot<Schema::Request>();
+    request.setFormatVersion(formatVersion);
+    auto out = request.initRate();
+    out.setServer(toText(claim.server));
+    out.setIncarnation(claim.incarnation.value());
+    out.setPerSecond(claim.rate.value());
+    out.setAgeMs(claim.age.value());
+    out.setWanted(static_cast<uint16_t>(claim.wanted));
+    return serializeFlat(message);
+}
+
+std::string encode(const Limits::RateGrant& grant)
+{
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<Schema::RateGrant>();
+    out.setFormatVersion(formatVersion);
+    out.setTokens(static_cast<uint16_t>(grant.tokens));
+    out.setRetryInMs(grant.retryIn.value());
+    return serializeFlat(message);
+}
+
+Common::Result<Limits::RateGrant> decodeRateGrant(std::string_view bytes)
+{
+    return readFlatMessage<Schema::RateGrant>(bytes, [](Schema::RateGrant::Reader in) {
+        return Limits::RateGrant { in.getTokens(), Milliseconds(in.getRetryInMs()) };
     });
 }
 
--- a/Source/Core/Wire/RelayCodec.h
+++ b/Source/Core/Wire/RelayCodec.h
@@ -5,11 +5,21 @@
 
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace Wire {
 
 std::string encode(const Relay::BundleRequest&);
 Common::Result<Relay::BundleRequest> decodeBundleRequest(std::string_view);
+
+// Any request of another instance.
+using RelayRequest = std::variant<Relay::BundleRequest, Limits::RateClaim>;
+Common::Result<RelayRequest> decodeRelayRequest(std::string_view);
+
+std::string encode(const Limits::RateClaim&);
+std::string encode(const Limits::RateGrant&);
+Common::Result<Limits::RateGrant> decodeRateGrant(std::string_view);
+
 // Answers to another instance are Merged or Refusal; any other kind is encoded as an internal error.
 std::string encode(const Relay::BundleAnswer&);
 Common::Result<Relay::BundleAnswer> decodeBundleAnswer(std::string_view);
--- a/Source/UnitTests/Relay/ServerPoolTest.cpp
+++ b/Source/UnitTests/Relay/ServerPoolTest.cpp
@@ -21,12 +21,17 @@
     return it;
 }
 
+Relay::Targets targetsOf(const Roster::EligibleServer& server)
+{
+    return { std::make_shared<const std::vector<Roster::EligibleServer>>(1, server), {} };
+}
+
 // A request after which the server says that it leaves.
 void leave(Relay::ServerPool& pool, const Roster::EligibleServer& leaving)
 {
-    auto lease = pool.acquire(leaving, Connections(1), now);
+    auto lease = pool.acquire(targetsOf(leaving), 0, Connections(1), now);
     ASSERT_TRUE(lease);
-    pool.record(leaving.server, leaving.incarnation, { true, {} }, true, now);
+    pool.record(leaving.server, leaving.incarnation, { true, {} }, true, true, now);
     pool.release(leaving.server, lease->connection, now, { Relay::Outcome::Kind::Answered, Milliseconds(1) }, now);
 }
 
@@ -36,13 +41,13 @@
 {
     Relay::ServerPool pool;
     leave(pool, server(1));
-    EXPECT_FALSE(pool.acquire(server(1), Connections(1), now));
+    EXPECT_FALSE(pool.acquire(targetsOf(server(1)), 0, Connections(1), now));
     pool.keepOnly({});
-    EXPECT_FALSE(pool.acquire(server(1), Connections(1), now));
-    EXPECT_FALSE(pool.hasOpenServer({ server(1) }, {}, now));
+    EXPECT_FALSE(pool.acquire(targetsOf(server(1)), 0, Connections(1), now));
+    EXPECT_FALSE(pool.hasOpenServer(targetsOf(server(1)), {}, now));
     Roster::EligibleServer restarted = server(1);
     restarted.incarnation = Incarnation(2);
-    EXPECT_TRUE(pool.acquire(restarted, Connections(1), now));
+    EXPECT_TRUE(pool.acquire(targetsOf(restarted), 0, Connections(1), now));
 }
 
 // Each release of a service leaves such servers behind, so what is remembered of them must not grow.
@@ -55,6 +60,59 @@
     pool.keepOnly({});
     int remembered = 0;
     for (int i = 0; i < servers; ++i)
-        remembered += pool.hasOpenServer({ server(i) }, {}, now) ? 0 : 1;
+        remembered += pool.hasOpenServer(targetsOf(server(i)), {}, now) ? 0 : 1;
     EXPECT_EQ(remembered, 1'000);
 }
+
+TEST(ServerPool, AServerThatNamesARateNeedsATokenUntilItNamesNone)
+{
+    Relay::ServerPool pool;
+    auto targets = targetsOf(server(1));
+    targets.access = { { Limits::RateRole::Keeper, {}, 1 } };
+    Limits::ServerNotice notice;
+    notice.limit = Common::RequestRate(10);
+    auto lease = pool.acquire(targets, 0, Connections(9), now);
+    ASSERT_TRUE(lease);
+    EXPECT_FALSE(pool.hasNamedRates());
+    EXPECT_TRUE(pool.record(server(1).server, Incarnation(1), notice, true, true, now));
+    EXPECT_TRUE(pool.hasNamedRates());
+    EXPECT_FALSE(pool.acquire(targets, 0, Connections(9), now));
+    EXPECT_FALSE(pool.hasOpenServer(targets, {}, now));
+    auto reopens = pool.reopensIn(targets, now);
+    ASSERT_TRUE(reopens);
+    EXPECT_NEAR(reopens->value(), 1'000 / 9.0, 1);
+    auto later = now + Milliseconds(120);
+    EXPECT_TRUE(pool.hasOpenServer(targets, {}, later));
+    EXPECT_TRUE(pool.acquire(targets, 0, Connections(9), later));
+    EXPECT_FALSE(pool.acquire(targets, 0, Connections(9), later));
+    EXPECT_TRUE(pool.record(server(1).server, Incarnation(1), {}, true, true, later));
+    EXPECT_TRUE(pool.acquire(targets, 0, Connections(9), later));
+}
+
+TEST(ServerPool, AnAskerSendsWithTokensOfTheKeeperOnly)
+{
+    Relay::ServerPool pool;
+    Relay::ServerPool keeper;
+    auto targets = targetsOf(server(1));
+    targets.access = { { Limits::RateRole::Asker, Common::Address("k:1"), 3 } };
+    Limits::ServerNotice notice;
+    notice.limit = Common::RequestRate(10);
+    ASSERT_TRUE(pool.acquire(targets, 0, Connections(9), now));
+    pool.record(server(1).server, Incarnation(1), notice, true, true, now);
+    EXPECT_FALSE(pool.acquire(targets, 0, Connections(9), now));
+    EXPECT_TRUE(pool.hasOpenServer(targets, {}, now)) << "the keeper can be asked";
+    auto later = now + Milliseconds(500);
+    auto claim = pool.ask(targets, 0, 1, later);
+    ASSERT_TRUE(claim);
+    EXPECT_FALSE(pool.ask(targets, 0, 1, later)) << "one question at a time";
+    EXPECT_EQ(keeper.grant(*claim, Limits::RateRole::Asker, later).tokens, 0u) << "not the keeper in its own view";
+    auto grant = keeper.grant(*claim, Limits::RateRole::Keeper, later);
+    EXPECT_EQ(grant.tokens, 1u);
+    pool.answerAsk(server(1).server, grant, later);
+    EXPECT_TRUE(pool.acquire(targets, 0, Connections(9), later));
+    EXPECT_FALSE(pool.acquire(targets, 0, Connections(9), later));
+    pool.ask(targets, 0, 1, later);
+    pool.answerAsk(server(1).server, Limits::RateGrant { 0, Milliseconds(80) }, later);
+    EXPECT_FALSE(pool.hasOpenServer(targets, {}, later));
+    EXPECT_TRUE(pool.hasOpenServer(targets, {}, later + Milliseconds(80)));
+}
--- a/Source/UnitTests/Wire/RelayCodecTest.cpp
+++ b/Source/UnitTests/Wire/RelayCodecTest.cpp
@@ -43,3 +43,22 @@
     EXPECT_EQ(std::get<Relay::Merged>(decoded.value().answer).signatures, merged.signatures);
     EXPECT_FALSE(Wire::decodeBundleAnswer("not a message"));
 }
+
+TEST(RelayCodec, QuestionsForTokensRoundTrip)
+{
+    Limits::RateClaim claim { Common::BackendServerId("s"), Incarnation(4), Common::RequestRate(21.8), Milliseconds(30),
+        3 };
+    auto decoded = Wire::decodeRelayRequest(Wire::encode(claim));
+    ASSERT_TRUE(decoded);
+    auto& read = std::get<Limits::RateClaim>(decoded.value());
+    EXPECT_EQ(read.server, claim.server);
+    EXPECT_EQ(read.incarnation, claim.incarnation);
+    EXPECT_EQ(read.rate, claim.rate);
+    EXPECT_EQ(read.age, claim.age);
+    EXPECT_EQ(read.wanted, claim.wanted);
+    EXPECT_FALSE(Wire::decodeBundleRequest(Wire::encode(claim)));
+    auto grant = Wire::decodeRateGrant(Wire::encode(Limits::RateGrant { 2, Milliseconds(45) }));
+    ASSERT_TRUE(grant);
+    EXPECT_EQ(grant.value().tokens, 2u);
+    EXPECT_EQ(grant.value().retryIn, Milliseconds(45));
+}
