Refuse a gathered call as not run if none of its groups was sent

What callers saw: 136 of 306 calls that found all servers at their limit got 504, which leaves open whether they ran, without a time to return (trial with 60 calls a second). They are retried at once. Cause: a bundle that ends without answers reported its groups as missing, whether they had been sent or not. Change: it is refused as not run if that is known, with the time until the servers take requests.

--- a/Source/Core/Relay/Query.cpp
+++ b/Source/Core/Relay/Query.cpp
@@ -197,7 +197,8 @@
         }
         bool isDue = query.isResumed && undeliveredAnswers(query) >= query.needed;
         if (!query.openParts || isPastDeadline || isDue) {
-            finish(query, takeMerged(query), effects);
+            bool isRefused = !query.isDelivered && isKnownNotRun(query);
+            finish(query, isRefused ? takeFailure(query) : takeMerged(query), effects);
             return;
         }
         if (!query.isResumed && now >= query.times.objective) {
--- a/Source/UnitTests/Relay/QueryTest.cpp
+++ b/Source/UnitTests/Relay/QueryTest.cpp
@@ -359,3 +359,27 @@
     ASSERT_TRUE(refusal);
     EXPECT_FALSE(refusal->hasNotRun);
 }
+
+TEST(Query, ABundleOfWhichNothingWasSentIsRefusedAsNotRun)
+{
+    Case c(2);
+    c.query.isBundle = true;
+    auto sends = all<Send>(start(c.query, at(0)));
+    ASSERT_EQ(sends.size(), 2u);
+    auto closed = Common::makeError(Reason::Unavailable, "send", "closed");
+    EXPECT_TRUE(all<Finish>(notSent(c.query, sends[0].attempt, closed, at(1), Milliseconds(80))).empty());
+    auto refusal = answerIn<Refusal>(notSent(c.query, sends[1].attempt, closed, at(1), Milliseconds(70)));
+    ASSERT_TRUE(refusal);
+    EXPECT_TRUE(refusal->hasNotRun);
+    EXPECT_EQ(refusal->retryAfter, Milliseconds(80));
+}
+
+TEST(Query, ABundleOfWhichOneGroupMayHaveRunIsNotRefusedAsNotRun)
+{
+    Case c(2);
+    c.query.isBundle = true;
+    auto ids = begin(c.query);
+    sendFailed(c.query, ids[0], SendFailure::NoConnection, broken, at(1));
+    auto effects = answered(c.query, ids[1], answerOf(SubAnswer::Outcome::Failure, 500), at(2));
+    EXPECT_FALSE(answerIn<Refusal>(effects));
+}
