Let a lost server no longer keep its address from the next one there

What callers may have seen: after a backend server restarted with its clock set back, under a new id at the same address, it got no requests for up to three minutes. Cause: an address belonged to the latest incarnation ever seen there, also after that one was lost. Change: only an eligible server holds its address. A send to the wrong one is refused by the server itself, since each names the expected server. Evidence: the new case of ServerViewTest fails without the change.

--- a/Source/Core/Roster/ServerView.cpp
+++ b/Source/Core/Roster/ServerView.cpp
@@ -88,6 +88,9 @@
 {
     std::unordered_map<Common::Address, Common::Incarnation> latest;
     for (auto& [id, server] : view.servers) {
+        // Only a server in use holds its address: the next one there may have an earlier clock.
+        if (!isEligible(server))
+            continue;
         auto& incarnation = latest[server.report.address];
         incarnation = std::max(incarnation, server.report.incarnation);
     }
--- a/Source/Core/Roster/ServerView.h
+++ b/Source/Core/Roster/ServerView.h
@@ -51,7 +51,7 @@
 void renameSource(ServerView&, const Common::InstanceId& from, const Common::InstanceId& to);
 
 // The eligible servers of each group, sorted by id. A server is left out if no control instance reports it as serving,
-// or if a later incarnation has taken over its address.
+// or if a later incarnation that is in use has its address.
 std::map<Common::GroupName, std::vector<EligibleServer>> eligibleServers(const ServerView&);
 
 // Removes servers that left or were lost before this time.
--- a/Source/UnitTests/Roster/RosterTest.cpp
+++ b/Source/UnitTests/Roster/RosterTest.cpp
@@ -143,3 +143,15 @@
     Roster::merge(view, InstanceId("c1"), changes({}, true), at(1));
     EXPECT_EQ(eligibleCount(view), 0u);
 }
+
+TEST(ServerView, ALostServerWithALaterClockDoesNotKeepItsAddressFromTheNext)
+{
+    Roster::ServerView view;
+    const InstanceId control("control");
+    Roster::merge(view, control, changes({ report("early", 900, 1) }), at(0));
+    Roster::merge(view, control, changes({ report("next", 500, 1) }), at(1));
+    EXPECT_EQ(Roster::eligibleServers(view).at(GroupName("g")).front().server, BackendServerId("early"));
+    Roster::merge(view, control, changes({ report("early", 900, 2, ServerStatus::Lost) }), at(2));
+    ASSERT_EQ(eligibleCount(view), 1u);
+    EXPECT_EQ(Roster::eligibleServers(view).at(GroupName("g")).front().server, BackendServerId("next"));
+}
