Refuse heartbeats that no backend server can have sent

No process ended, but an entry or a leave with the highest incarnation or sequence, under the id of a real server, kept that server out until it was forgotten. Change: Roster::isValid, a function without I/O, checks each report at the control instance that receives it, and what does not need a clock again at each relay.

--- a/Source/Core/Daemon/RosterServer.cpp
+++ b/Source/Core/Daemon/RosterServer.cpp
@@ -3,6 +3,7 @@
 #include "Observe/EventLog.h"
 #include "Roster/Mirror.h"
 #include "Roster/TableReports.h"
+#include "Roster/Validation.h"
 #include "Wire/RosterCodec.h"
 
 #include <algorithm>
@@ -383,6 +384,8 @@
 
 Roster::ReportResult RosterServer::renew(const Roster::Report& report)
 {
+    if (!Roster::isValid(report, Roster::latestIncarnation(Clock::wallClock())))
+        return Roster::ReportResult::Invalid;
     Shard& shard = m_private->shardOf(report.server);
     auto result = Roster::ReportResult::Stale;
     bool isChanged = false;
@@ -399,8 +402,14 @@
     return result;
 }
 
-void RosterServer::leave(const Common::BackendServerId& server, Common::Incarnation incarnation)
+bool RosterServer::leave(const Common::BackendServerId& server, Common::Incarnation incarnation)
 {
+    Roster::Report report;
+    report.server = server;
+    report.incarnation = incarnation;
+    report.status = Roster::ServerStatus::Leaving;
+    if (!Roster::isValid(report, Roster::latestIncarnation(Clock::wallClock())))
+        return false;
     Shard& shard = m_private->shardOf(server);
     bool isChanged = false;
     {
@@ -409,12 +418,9 @@
         Roster::leave(shard.registry, server, incarnation, Clock::now());
         isChanged = shard.registry.revision != before;
     }
-    Roster::Report report;
-    report.server = server;
-    report.incarnation = incarnation;
-    report.status = Roster::ServerStatus::Leaving;
     if (isChanged)
         m_private->reportChange(report);
+    return true;
 }
 
 void RosterServer::handle(std::string_view bytes, const Peer::Reply& reply)
--- a/Source/Core/Daemon/RosterServer.h
+++ b/Source/Core/Daemon/RosterServer.h
@@ -30,7 +30,8 @@
     ~RosterServer();
 
     Roster::ReportResult renew(const Roster::Report&);
-    void leave(const Common::BackendServerId&, Common::Incarnation);
+    // Returns whether the report is valid.
+    bool leave(const Common::BackendServerId&, Common::Incarnation);
     // Handles a message of the service Roster.
     void handle(std::string_view bytes, const Peer::Reply&);
     // Replaces the seeds after the settings were reloaded.
--- a/Source/Core/Roster/ServerView.cpp
+++ b/Source/Core/Roster/ServerView.cpp
@@ -1,5 +1,7 @@
 #include "Roster/ServerView.h"
 
+#include "Roster/Validation.h"
+
 #include <algorithm>
 
 namespace Roster {
@@ -31,6 +33,9 @@
     std::optional<StatusChange> applyReport(
         ServerView& view, const Common::InstanceId& source, const Report& report, TimePoint now)
     {
+        // Control instances check reports as well, but one of an earlier version does not.
+        if (!isValid(report))
+            return std::nullopt;
         auto [it, isNew] = view.servers.try_emplace(report.server);
         ServerView::Server& server = it->second;
         // A leave without an incarnation applies to the current incarnation.
--- a/Source/UnitTests/Processes/platform_test.py
+++ b/Source/UnitTests/Processes/platform_test.py
@@ -246,6 +246,37 @@
         leaf.born, leaf.seq, leaf.state = leaf.born + 60_000, 0, "ready"
         expect(wait_for(3, lambda: self.send("/moved/a") and leaf.count() > before), "a new incarnation serves")
 
+    def check_odd_heartbeats(self):
+        """Entries that no server can have sent are refused, and the servers that they name stay in use."""
+        leaf = self.leafs_of("one")[0]
+        good = dict(service="one", address=leaf.address, zone="a", version="v1", slots=2, state="ready",
+                    warmup_left_ms=0, seq=1, born=leaf.born)
+        host = leaf.address.split(":")[0]
+        odd = [{"address": f"{host}:{port}"} for port in ("0", "65536", "99999999999999999999")]
+        odd += [{"born": 2 ** 64 - 1}, {"seq": 2 ** 64 - 1}, {"warmup_left_ms": -1}, {"zone": "z" * 200000},
+                {"service": "on\0e"}]
+        bodies = [json.dumps(dict(good, **change)) for change in odd]
+        bodies.append(json.dumps(good).replace('"warmup_left_ms": 0', '"warmup_left_ms": 1e400'))
+        bodies.append('{"service":' + "[" * 100000 + "]" * 100000 + "}")
+        accepted = []
+        for i, body in enumerate(bodies):
+            for control in range(len(self.cluster.controls)):
+                for name in (f"odd-{i}", leaf.id):
+                    status = call(self.cluster.control_address(control), "PUT", f"/-/instances/{name}", body)[0]
+                    if status != 400:
+                        accepted.append((status, body[:120]))
+        for control in range(len(self.cluster.controls)):
+            status = call(self.cluster.control_address(control), "DELETE", f"/-/instances/{leaf.id}",
+                          json.dumps({"born": 2 ** 64 - 1}))[0]
+            if status != 400:
+                accepted.append((status, "DELETE"))
+        expect(not accepted, f"odd heartbeats are refused: {accepted[:3]}")
+        time.sleep(1)
+        before = leaf.count()
+        served = sum(1 for _ in range(40) if self.send("/moved/a")[1] == 200)
+        expect(served == 40 and leaf.count() > before, f"their server stays in use, {served} of 40 are served")
+        expect(all(process.poll() is None for process in self.cluster.processes.values()), "no process has ended")
+
     def check_server_notices(self):
         """What a server says in its answers counts, although its heartbeats say ready. All requests go to one relay."""
         relay = list(self.cluster.relays)[0]
@@ -406,6 +437,7 @@
         self.check_caller_disconnect()
         self.check_draining()
         self.check_server_notices()
+        self.check_odd_heartbeats()
         self.check_control_losses()
         self.check_final_loss()
         self.check_unresponsive_gatherer()
--- a/Source/UnitTests/Roster/RosterTest.cpp
+++ b/Source/UnitTests/Roster/RosterTest.cpp
@@ -1,8 +1,12 @@
 #include "Roster/Registry.h"
 #include "Roster/ServerView.h"
+#include "Roster/Validation.h"
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <functional>
+
 using Common::Address;
 using Common::BackendServerId;
 using Common::GroupName;
@@ -144,6 +148,51 @@
     EXPECT_EQ(eligibleCount(view), 0u);
 }
 
+TEST(Report, IsValidOnlyIfAServerCanHaveSentIt)
+{
+    const auto latest = Roster::latestIncarnation(Milliseconds(1'785'269'657'120.0));
+    const Report valid = report("s", 1'785'269'657'120, 1);
+    EXPECT_TRUE(Roster::isValid(valid, latest));
+    auto isValidWith = [&](const std::function<void(Report&)>& change) {
+        Report changed = valid;
+        change(changed);
+        return Roster::isValid(changed, latest);
+    };
+    EXPECT_TRUE(isValidWith([](Report& r) { r.address = Address("[::1]:65535"); }));
+    for (const char* address : { "", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", ":80",
+             "10.0.0.1:99999999999999999999", "10.0.0.1:80x", "a host:80" })
+        EXPECT_FALSE(isValidWith([&](Report& r) { r.address = Address(address); })) << address;
+    EXPECT_FALSE(isValidWith([](Report& r) { r.incarnation = Incarnation(UINT64_MAX); }));
+    EXPECT_FALSE(isValidWith([](Report& r) { r.sequence = UINT64_MAX; }));
+    EXPECT_FALSE(isValidWith([](Report& r) { r.warmupLeft = Milliseconds(-1); }));
+    EXPECT_FALSE(isValidWith([](Report& r) { r.warmupLeft = Milliseconds(INFINITY); }));
+    EXPECT_FALSE(isValidWith([](Report& r) { r.warmupLeft = Milliseconds(NAN); }));
+    EXPECT_FALSE(isValidWith([](Report& r) { r.slots = Common::Slots(0); }));
+    EXPECT_FALSE(isValidWith([](Report& r) { r.domain = Common::FailureDomain(std::string(200'000, 'z')); }));
+    EXPECT_FALSE(isValidWith([](Report& r) { r.group = GroupName(std::string("a\0b", 3)); }));
+    EXPECT_FALSE(isValidWith([](Report& r) { r.server = BackendServerId(std::string(256, 's')); }));
+}
+
+TEST(Report, OfALeavingServerNeedsNoMoreThanItsId)
+{
+    Report leaving;
+    leaving.server = BackendServerId("s");
+    leaving.status = ServerStatus::Leaving;
+    EXPECT_TRUE(Roster::isValid(leaving));
+    leaving.incarnation = Incarnation(UINT64_MAX);
+    EXPECT_FALSE(Roster::isValid(leaving, Roster::latestIncarnation(Milliseconds(1e12))));
+}
+
+TEST(ServerView, AnInvalidReportIsNotMerged)
+{
+    Roster::ServerView view;
+    Report odd = report("s", 1, 1);
+    odd.address = Address("10.0.0.1:99999");
+    EXPECT_TRUE(Roster::merge(view, InstanceId("control"), changes({ odd }), at(0)).empty());
+    EXPECT_EQ(eligibleCount(view), 0u);
+    EXPECT_TRUE(view.servers.empty());
+}
+
 TEST(ServerView, ALostServerWithALaterClockDoesNotKeepItsAddressFromTheNext)
 {
     Roster::ServerView view;
