Look for the keepers of limited servers only, and ask for no token while one is left

Read again: every send looked for the keepers of all servers of its group once any server had named a limit, 295 hashes for each, and an asker whose connections were all in use asked for tokens that expired.

--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -37,11 +37,7 @@
     // A few heartbeats of the leader, which tell the others what is committed.
     constexpr Milliseconds logBehindThreshold { 1'200 };
 
-} // namespace
-
-namespace {
-
-    // The versions of the evidence that one control instance has received from here, and sent here.
+    // Which evidence on suspected requests a control instance has sent here, and which it has received from here.
     struct SuspectsExchange {
         Roster::SuspectsVersion received;
         std::vector<Common::Revision> reported;
--- a/Source/Core/Limits/ServerRate.cpp
+++ b/Source/Core/Limits/ServerRate.cpp
@@ -130,7 +130,8 @@
     ServerRate& rate, const Common::BackendServerId& server, Incarnation incarnation, size_t wanted, TimePoint now)
 {
     auto named = rateOf(rate.named, incarnation);
-    if (!named || rate.isAsking || now < rate.deniedUntil)
+    bool hasToken = rate.granted && now < rate.grantedUntil;
+    if (!named || rate.isAsking || hasToken || now < rate.deniedUntil)
         return std::nullopt;
     rate.isAsking = true;
     return RateClaim { server, incarnation, *named, now - rate.named.at, std::clamp<size_t>(wanted, 1, maximumWanted) };
--- a/Source/Core/Limits/ServerRate.h
+++ b/Source/Core/Limits/ServerRate.h
@@ -81,7 +81,8 @@
     Common::Milliseconds retryIn; // If there are none.
 };
 
-// Starts a question; empty if no rate is named, if one is under way, or if the keeper has just denied.
+// Starts a question; empty if no rate is named, a token is left, a question is under way, or the keeper has just
+// denied.
 std::optional<RateClaim> ask(
     ServerRate&, const Common::BackendServerId&, Common::Incarnation, size_t wanted, Common::TimePoint now);
 // The keeper's answer; empty if it gave none.
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -215,7 +215,7 @@
     void recordEnd(const ActiveCall&, const Answer&);
 
     std::shared_ptr<const std::vector<Roster::EligibleServer>> serversOf(const GroupName&) const;
-    Targets targetsOf(const GroupName&, TimePoint now) const;
+    Targets targetsOf(const GroupName&, TimePoint now);
     RateAccess rateAccess(const GroupName&, const Roster::EligibleServer&, TimePoint now) const;
     void askKeeper(const Targets&, size_t index, const GroupName&);
     Connections connectionsOf(const Routes::Table&, const GroupName&) const;
--- a/Source/Core/Relay/EngineRates.cpp
+++ b/Source/Core/Relay/EngineRates.cpp
@@ -13,14 +13,17 @@
 
 } // namespace
 
-Targets Engine::Private::targetsOf(const GroupName& group, TimePoint now) const
+Targets Engine::Private::targetsOf(const GroupName& group, TimePoint now)
 {
     Targets targets { serversOf(group), {} };
     if (!pool.hasNamedRates())
         return targets;
-    targets.access.reserve(targets.servers->size());
-    for (const Roster::EligibleServer& server : *targets.servers)
-        targets.access.push_back(rateAccess(group, server, now));
+    targets.access.resize(targets.servers->size());
+    for (size_t i = 0; i < targets.access.size(); ++i) {
+        const Roster::EligibleServer& server = (*targets.servers)[i];
+        if (pool.namedRate(server.server, server.incarnation))
+            targets.access[i] = rateAccess(group, server, now);
+    }
     return targets;
 }
 
--- a/Source/Core/Relay/ServerPool.h
+++ b/Source/Core/Relay/ServerPool.h
@@ -24,7 +24,8 @@
     size_t instances { 1 };
 };
 
-// Servers of a group, each with this instance's access to its rate. There are no accesses while no server names a rate.
+// Servers of a group, each with this instance's access to its rate. There are no accesses if no server has named a
+// rate.
 struct Targets {
     std::shared_ptr<const std::vector<Roster::EligibleServer>> servers;
     std::vector<RateAccess> access;
--- a/Source/UnitTests/Limits/ServerRateTest.cpp
+++ b/Source/UnitTests/Limits/ServerRateTest.cpp
@@ -103,6 +103,7 @@
     recordRate(rate.named, first, naming(20), true, at(0));
     ask(rate, BackendServerId("s"), first, 3, at(0));
     answerAsk(rate, RateGrant { 3, {} }, at(0));
+    EXPECT_FALSE(ask(rate, BackendServerId("s"), first, 1, at(1))) << "tokens are left";
     EXPECT_TRUE(tryTakeToken(rate, first, RateRole::Asker, 9, at(499)));
     EXPECT_FALSE(tryTakeToken(rate, first, RateRole::Asker, 9, at(500)));
 }
