Count an incarnation of a server once in the evidence against a request

What callers would have seen: a server that resets connections and lives on gives three strikes in three runs, so the contents that it happened to get would be closed until two heartbeats refuted that, 2.4 s where they come every 1.2 s. Cause: strikes were told apart by run, also on one incarnation, which can be lost only once. Evidence: the new case of EvidenceTest fails without the change; CrashingRequestTest passes as before (one run).

--- a/Source/Core/Suspects/Evidence.cpp
+++ b/Source/Core/Suspects/Evidence.cpp
@@ -13,15 +13,13 @@
 
 namespace {
 
-    bool isSame(const Strike& a, const Strike& b)
-    {
-        return a.server == b.server && a.incarnation == b.incarnation && a.run == b.run;
-    }
+    // An incarnation can be lost once: one that breaks connections and lives on is no evidence of its own.
+    bool isSameLoss(const Strike& a, const Strike& b) { return a.server == b.server && a.incarnation == b.incarnation; }
 
     bool mergeStrike(GroupEvidence& evidence, const Strike& strike, const Rule& rule)
     {
         auto it = std::find_if(evidence.strikes.begin(), evidence.strikes.end(),
-            [&](const Strike& known) { return isSame(known, strike); });
+            [&](const Strike& known) { return isSameLoss(known, strike); });
         if (it != evidence.strikes.end()) {
             bool isNews = strike.isRefuted && !it->isRefuted;
             it->isRefuted = it->isRefuted || strike.isRefuted;
--- a/Source/UnitTests/Suspects/EvidenceTest.cpp
+++ b/Source/UnitTests/Suspects/EvidenceTest.cpp
@@ -48,6 +48,18 @@
     EXPECT_LE(evidence.groups.size(), rule.maximumGroups);
 }
 
+TEST(Evidence, AServerThatBreaksConnectionsAndLivesOnCountsOnce)
+{
+    Evidence evidence;
+    for (uint64_t run = 1; run <= 20; ++run)
+        addStrike(evidence, first, strikeOf(1, run, static_cast<double>(run)), rule);
+    EXPECT_EQ(standingAt(evidence, 20), Standing::Clear);
+    Strike nextStart = strikeOf(1, 21, 21);
+    nextStart.incarnation = Incarnation(2);
+    addStrike(evidence, first, nextStart, rule);
+    EXPECT_EQ(standingAt(evidence, 21), Standing::Suspect);
+}
+
 TEST(Evidence, AGroupThatIsLostAloneDoesNotCloseTheOthers)
 {
     Evidence evidence;
