Soak with servers that name limits and a request that crashes them

The stand-in server of the process tests can do both, so the tests of the two incidents share it with the soak. The soak also bounds how many servers end: three for each start of a relay and each of three requests.

--- a/Source/UnitTests/Processes/crashing_request_test.py
+++ b/Source/UnitTests/Processes/crashing_request_test.py
@@ -4,14 +4,14 @@
 Three relays, four servers a service. The request comes again under other ids, to the relays in turn. A relay and a
 control instance are restarted meanwhile: what is known must outlast them.
 """
+import os
 import signal
 import sys
 import threading
 import time
-import os
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from platform_cluster import HOST, Leaf, PlatformCluster, call, configuration  # noqa: E402
+from platform_cluster import HOST, PlatformCluster, call, configuration  # noqa: E402
 
 SHARDS = ["s0", "s1"]
 DOWN_SECONDS = 2.0
@@ -30,20 +30,6 @@
         PROBLEMS.append(text)
 
 
-class CrashableLeaf(Leaf):
-    def respond(self, handler):
-        if not handler.path.endswith(CRASHING):
-            return super().respond(handler)
-        handler.rfile.read(int(handler.headers.get("Content-Length") or 0))
-        if handler.headers.get("X-Expect-Instance") != self.id:
-            return self.reply(handler, 421, b"", {"X-Request-Id": handler.headers["X-Request-Id"]})
-        with self.lock:
-            self.arrived.append((time.monotonic(), handler.headers["X-Request-Id"], handler.command, handler.path, b"",
-                                 None))
-        handler.close_connection = True
-        return self.crash(DOWN_SECONDS)
-
-
 class Load:
     """Sends one request every `interval` to the relays in turn and keeps (time, status, id, time taken)."""
 
@@ -112,9 +98,9 @@
 def main():
     cluster = PlatformCluster()
     try:
-        for service in SHARDS + ["one", "book"]:
-            for zone in ["a", "b", "a", "b"]:
-                cluster.leafs.append(CrashableLeaf(cluster, len(cluster.leafs) + 1, service, zone))
+        cluster.add_leafs(SHARDS + ["one", "book"], ["a", "b", "a", "b"])
+        for leaf in cluster.leafs:
+            leaf.crashes_on, leaf.down_seconds = CRASHING, DOWN_SECONDS
         cluster.start_all()
         end = time.monotonic() + 10
         while time.monotonic() < end and call(cluster.control_address(1), "PUT", "/-/config",
--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -113,6 +113,8 @@
         self.id, self.born, self.seq = f"i-{number:04x}", int(time.time() * 1000) + number, 0
         self.state, self.delay, self.fault = "ready", 0.0, None
         self.says_leaving = False  # In its answers.
+        self.limit = None  # The requests a second that it names in its answers.
+        self.crashes_on, self.down_seconds = None, 2.0  # It ends when it gets a path with this end.
         self.arrived, self.runs, self.lock = [], set(), threading.Lock()
         self.endless_streams = 0  # Responses without end that are being sent.
         seed = hashlib.sha256(service.encode()).digest()
@@ -165,6 +167,9 @@
                                  handler.headers.get("X-Deadline-Ms")))
         if handler.headers.get("X-Expect-Instance") != self.id:
             return self.reply(handler, 421, b"", {"X-Request-Id": request})
+        if self.crashes_on and handler.path.endswith(self.crashes_on):
+            handler.close_connection = True
+            return self.crash(self.down_seconds)
         if self.fault == "closed":
             return self.reply(handler, 503, b"", {"X-Not-Executed": "1", "X-Request-Id": request, "Retry-After": "3"})
         if self.fault == "shed":
@@ -209,6 +214,8 @@
                 handler.send_header(name, value)
             if self.says_leaving:
                 handler.send_header("Server-Leaving", "1")
+            if self.limit is not None and status == 200:
+                handler.send_header("Server-Limit", self.limit)
             handler.send_header("Content-Length", str(len(body)))
             handler.end_headers()
             handler.wfile.write(body)
--- a/Source/UnitTests/Processes/platform_soak.py
+++ b/Source/UnitTests/Processes/platform_soak.py
@@ -2,7 +2,7 @@
 """Soak test: injects random faults into real processes behind the adapter and checks the guarantees meanwhile.
 
 The faults overlap as the seed determines: kills, pauses, restarts, stops and wiped disks of control instances and
-relays, faults and drains of backend servers, changes of the configuration. At most two control instances are down at a
+relays, faults, drains and limits of backend servers, a request that crashes them, changes of the configuration. At most two control instances are down at a
 time, as the settings tolerate. Prints the seed; --keep leaves the logs.
 """
 import argparse
@@ -23,6 +23,9 @@
 ACK_SECONDS = 5.0
 CATCH_UP_SECONDS = 4.0
 RECOVER_SECONDS = 12.0
+CRASHING = "crash"
+# A relay that reaches no other instance ends three servers at most, as often as it is started.
+CRASHES_OF_A_START = 3
 
 
 class Soak:
@@ -33,7 +36,7 @@
         self.lock = threading.Lock()
         self.problems, self.number, self.served, self.sent = [], 0, 0, 0
         self.version, self.acknowledged, self.down_until = 10, 10, {}
-        self.stop = threading.Event()
+        self.stop, self.relay_starts = threading.Event(), 0
 
     def problem(self, text):
         with self.lock:
@@ -44,13 +47,14 @@
         leafs = {leaf.service: leaf for leaf in self.cluster.leafs if leaf.service in SHARDS}
         return {name: leaf.records for name, leaf in leafs.items()}
 
-    def request(self, kind):
+    def request(self, kind, item="x"):
         with self.lock:
             self.number += 1
             request = f"q{self.number:06x}"
         relay = self.random.choice(list(self.cluster.relays))
-        path, method, body = {"all": ("/all/x", "GET", None), "one": ("/one/x", "GET", None),
-                              "book": ("/book/x", "POST", b"b")}[kind]
+        path, method, body = {"all": ("/all/", "GET", None), "one": ("/one/", "GET", None),
+                              "book": ("/book/", "POST", b"b")}[kind]
+        path += item
         headers = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "1500"}
         status, headers, body = call(self.cluster.relay_address(relay), method, path, body, headers, 3)
         with self.lock:
@@ -72,7 +76,9 @@
             return
         stamps = [s.strip() for s in headers.get("X-Part-Stamps", "").split(",")]
         missing = int(headers.get("X-Missing-Parts", "0"))
-        services = [leaf.service for stamp in stamps for leaf in self.cluster.leafs if stamp == f"{leaf.id}.{request}"]
+        # A server that has ended since has another id with the same beginning.
+        services = [leaf.service for stamp in stamps for leaf in self.cluster.leafs
+                    if stamp.split(".")[0] == leaf.id.split(".")[0] and stamp.endswith("." + request)]
         if len(services) != len(stamps) or len(set(services)) != len(services) or len(services) + missing != len(SHARDS):
             self.problem(f"{request}: parts {stamps}, {missing} missing")
             return
@@ -117,6 +123,7 @@
         ip = self.random.choice(list(self.cluster.relays))
         if ip not in self.down_instances():
             length = self.random.uniform(0.1, 1.5)
+            self.relay_starts += 1
             self.down_until[ip] = time.monotonic() + length + 4
             self.take_down(ip, self.random.choice(["kill", "pause", "stop"]), length)
 
@@ -139,8 +146,21 @@
 
     def set_leaf_fault(self):
         leaf = self.random.choice(self.cluster.leafs)
+        leaf.limit = self.random.choice([None, None, None, "3", "20", "-1", "many"])
         leaf.fault, leaf.delay = self.random.choice([(None, 0), (None, 0), ("fail", 0), ("shed", 0), ("cut", 0), (None, 0.6)])
 
+    def send_crashing_request(self):
+        kind = self.random.choice(["all", "one", "book"])
+        threading.Thread(target=self.request, args=(kind, CRASHING), daemon=True).start()
+
+    def check_crashes(self):
+        crashes = sum(len(leaf.crashed_at) for leaf in self.cluster.leafs)
+        kinds = 3
+        allowed = kinds * CRASHES_OF_A_START * (len(self.cluster.relays) + self.relay_starts)
+        print(f"{crashes} servers ended under {kinds} requests, {allowed} allowed", flush=True)
+        if crashes > allowed:
+            self.problem(f"{crashes} servers ended, {allowed} allowed")
+
     def drain_leaf(self):
         leaf = self.random.choice(self.cluster.leafs)
         others = [o for o in self.cluster.leafs if o.service == leaf.service and o is not leaf]
@@ -165,6 +185,8 @@
 
     def run(self):
         self.cluster.add_leafs(SHARDS + ["one", "book"], ["a", "b"])
+        for leaf in self.cluster.leafs:
+            leaf.crashes_on = CRASHING
         self.cluster.start_all()
         first = configuration(self.version, SHARDS, "one", "book")
         end = time.monotonic() + ACK_SECONDS
@@ -178,19 +200,21 @@
         for thread in threads:
             thread.start()
         steps = [self.change, self.change, self.read, self.read, self.take_down_control, self.take_down_relay,
-                 self.set_leaf_fault, self.set_leaf_fault, self.drain_leaf]
+                 self.set_leaf_fault, self.set_leaf_fault, self.drain_leaf,
+                 self.send_crashing_request, self.send_crashing_request]
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
             self.random.choice(steps)()
             time.sleep(self.random.uniform(0.05, 0.5))
         self.check_recovery()
+        self.check_crashes()
         self.stop.set()
         for thread in threads:
             thread.join()
 
     def check_recovery(self):
         for leaf in self.cluster.leafs:
-            leaf.fault, leaf.delay = None, 0
+            leaf.fault, leaf.delay, leaf.limit = None, 0, None
         end = time.monotonic() + RECOVER_SECONDS + 4
         versions = []
         while time.monotonic() < end:
@@ -204,6 +228,7 @@
         # Wait until all instances that were taken down are up again and have had time to catch up.
         while self.down_instances():
             time.sleep(0.1)
+        time.sleep(max(leaf.down_seconds for leaf in self.cluster.leafs))
         sent, served = self.sent, self.served
         time.sleep(2)
         if self.served - served < 0.9 * (self.sent - sent):
--- a/Source/UnitTests/Processes/server_limit_test.py
+++ b/Source/UnitTests/Processes/server_limit_test.py
@@ -10,7 +10,7 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from platform_cluster import HOST, Leaf, PlatformCluster, call, configuration  # noqa: E402
+from platform_cluster import HOST, PlatformCluster, call, configuration  # noqa: E402
 
 SHARDS = ["s0", "s1"]
 LIMIT = 12.0  # Requests a second that each server names.
@@ -29,15 +29,6 @@
         PROBLEMS.append(text)
 
 
-class LimitedLeaf(Leaf):
-    limit = None
-
-    def reply(self, handler, status, body, headers):
-        if self.limit is not None and status == 200:
-            headers["Server-Limit"] = self.limit
-        super().reply(handler, status, body, headers)
-
-
 def drive(cluster, relays, method, path, seconds):
     """Sends calls at a fixed rate to the relays in turn. Returns (time, status, time taken) of each."""
     answers, threads = [], []
@@ -110,9 +101,7 @@
 def main():
     cluster = PlatformCluster()
     try:
-        for service in SHARDS + ["one", "book"]:
-            for zone in ["a", "b"]:
-                cluster.leafs.append(LimitedLeaf(cluster, len(cluster.leafs) + 1, service, zone))
+        cluster.add_leafs(SHARDS + ["one", "book"], ["a", "b"])
         cluster.start_all()
         end = time.monotonic() + 10
         while time.monotonic() < end and call(cluster.control_address(1), "PUT", "/-/config",
