End a process without the destructors of static objects

Cause: a core shows apr_allocator_destroy, called by the destructors of log4cxx's static objects in exit(), while the thread that had flushed the log ended. Change: after the log is flushed the process ends at once.

--- a/Source/Core/CommandLine/Main.cpp
+++ b/Source/Core/CommandLine/Main.cpp
@@ -4,6 +4,10 @@
 
 #include <CLI/CLI.hpp>
 
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+
 using namespace CommandLine;
 
 namespace {
@@ -157,5 +161,9 @@
         int parsed = app.exit(e);
         return parsed ? static_cast<int>(ExitCode::InvalidInput) : parsed;
     }
-    return Observe::finishLog(static_cast<int>(code));
+    int exitCode = Observe::finishLog(static_cast<int>(code));
+    std::cout.flush();
+    std::fflush(nullptr);
+    // Skips the destructors of static objects: those of log4cxx can crash while a thread ends.
+    std::_Exit(exitCode);
 }
