Lock out a request that was completed before for seconds, not minutes

Servers of all its groups had crashed under another request or broke connections, three times before any of its groups completed again; closed on all relays, it could not be completed any more, and strikes on incarnations that are gone can't be refuted. Change: a content that has been completed since its first strike does not crash each server that runs it, so it is closed for 10 s and then tried once.

--- a/Source/Core/Suspects/Evidence.cpp
+++ b/Source/Core/Suspects/Evidence.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+    // For a request that was completed since its first strike, and so does not crash each server that runs it. Closed,
+    // it could not be completed again, so this must be short.
+    constexpr Milliseconds quarantineAfterCompletion { 10'000 };
+
     // An incarnation can be lost once: one that breaks connections and lives on is no evidence of its own.
     bool isSameLoss(const Strike& a, const Strike& b) { return a.server == b.server && a.incarnation == b.incarnation; }
 
@@ -121,12 +125,14 @@
     std::set<RunId> runs;
     std::set<GroupName> groups;
     TimePoint newest;
+    bool hasCompleted = false;
     for (auto& [name, group] : evidence.groups) {
         for (const Strike& strike : group.strikes) {
             if (strike.isRefuted || now - strike.at >= rule.quarantineFor + rule.suspectFor)
                 continue;
             runs.insert(strike.run);
             groups.insert(name);
+            hasCompleted = hasCompleted || group.round > 0;
             newest = std::max(newest, strike.at);
         }
     }
@@ -136,7 +142,8 @@
     verdict.standing = Standing::Suspect;
     if (groups.size() == 1)
         verdict.group = *groups.begin();
-    Milliseconds remaining = newest + rule.quarantineFor - now;
+    Milliseconds length = hasCompleted ? quarantineAfterCompletion : rule.quarantineFor;
+    Milliseconds remaining = newest + length - now;
     if (runs.size() >= rule.quarantineAfterRuns && remaining > Milliseconds(0)) {
         verdict.standing = Standing::Quarantined;
         verdict.remaining = remaining;
--- a/Source/UnitTests/Suspects/EvidenceTest.cpp
+++ b/Source/UnitTests/Suspects/EvidenceTest.cpp
@@ -125,6 +125,18 @@
     EXPECT_TRUE(isExpired(evidence, rule, at(end) + rule.quarantineFor + rule.suspectFor));
 }
 
+TEST(Evidence, ARequestThatWasCompletedBeforeIsNotLockedOutForLong)
+{
+    Evidence evidence;
+    addStrike(evidence, first, strikeOf(1, 1, 0), rule);
+    recordCompletion(evidence, first, at(1));
+    for (uint64_t run = 2; run <= 4; ++run)
+        addStrike(evidence, first, strikeOf(run, run, 2), rule);
+    EXPECT_EQ(standingAt(evidence, 2), Standing::Quarantined);
+    EXPECT_EQ(standingAt(evidence, 10'002), Standing::Suspect) << "a trial can clear it";
+    EXPECT_TRUE(maySend(judge(evidence, rule, at(10'002)), first, true));
+}
+
 TEST(Evidence, MergesInAnyOrderGiveTheSameVerdict)
 {
     Evidence one;
