--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,14 +8,14 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import harness  # noqa: E402
 
-LEAVING = 6
-OTHERS = 4
+SERVERS = 20
+LEAVING = 3  # 0.15 of them.
 RESTART_S = 0.3  # "A process that exits or is killed is restarted after a short delay".
 SERVE_ON_S = 8.0  # drain_ms and "a little longer (at times many seconds)".
 
 
 def case(deployment):
-    leafs = [deployment.add_leaf("ledger", zone="abc"[i % 3], work_s=0.2) for i in range(LEAVING + OTHERS)]
+    leafs = [deployment.add_leaf("ledger", zone="abc"[i % 3], work_s=0.2) for i in range(SERVERS)]
     deployment.start()
     for leaf in leafs:
         leaf.start()
