Review: a fault of a case itself counts as not run

Cause: an uncaught exception ended a script with 1, which means a broken rule. Done: it ends with 2.

--- a/review/harness.py
+++ b/review/harness.py
@@ -18,6 +18,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -444,6 +445,8 @@
         result = HELD if case(deployment) else BROKEN
     except CannotRun as problem:
         print("the case could not run:", problem)
+    except Exception:  # A fault of the case itself says nothing about the rule.
+        traceback.print_exc()
     finally:
         if deployment:
             deployment.close()
