--- a/Source/Core/Observe/EventLog.cpp
+++ b/Source/Core/Observe/EventLog.cpp
@@ -54,6 +54,10 @@
         return "send-failed";
     case Event::RequestSuspected:
         return "request-suspected";
+    case Event::StrikeDropped:
+        return "strike-dropped";
+    case Event::SuspicionCleared:
+        return "suspicion-cleared";
     case Event::ServerNotice:
         return "server-notice";
     case Event::RateChanged:
--- a/Source/Core/Observe/EventLog.h
+++ b/Source/Core/Observe/EventLog.h
@@ -19,6 +19,8 @@
     ServerFailed,
     SendFailed,
     RequestSuspected,
+    StrikeDropped,
+    SuspicionCleared,
     GathererPassedBy,
     ServerNotice,
     RateChanged,
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -226,7 +226,7 @@
         recordNotice(*inFlight, answer, now);
         // A server that ran the request and answered has survived it.
         if (answer.outcome == SubAnswer::Outcome::Success || answer.outcome == SubAnswer::Outcome::Failure)
-            suspects->recordCompletion(active->call->content, inFlight->group, inFlight->sentAt, now);
+            recordSurvivor(*active->call, *inFlight, answer.status, now);
         pool.release(inFlight->server, inFlight->connection, inFlight->sentAt, { kindOf(answer.outcome), took }, now);
         if (answer.outcome == SubAnswer::Outcome::Success) {
             latencies.withValue(
@@ -251,7 +251,7 @@
             { { "request", active->call->id.value() }, { "server", inFlight->server.value() },
                 { "incarnation", std::to_string(inFlight->incarnation.value()) }, { "group", inFlight->group.value() },
                 { "purpose", purposeName(inFlight->purpose) }, { "why", error.message }, { "took_ms", toText(took) },
-                { "content", Common::toHex(active->call->content) } });
+                { "path", active->call->path }, { "content", Common::toHex(active->call->content) } });
     }
     if (error.reason == Reason::ConnectionLost)
         recordStrike(*active->call, *inFlight, now);
@@ -262,12 +262,26 @@
     step(active, key.query, [&](Query& query) { return sendFailed(query, key.attempt, failure, error, now); });
 }
 
+void Engine::Private::recordSurvivor(const Relay::Call& call, const InFlightRequest& request, int status, TimePoint now)
+{
+    if (!suspects->recordCompletion(call.content, request.group, request.sentAt, now))
+        return;
+    Observe::logEvent(Observe::Part::Relay, Observe::Event::SuspicionCleared,
+        { { "request", call.id.value() }, { "group", request.group.value() }, { "server", request.server.value() },
+            { "status", std::to_string(status) }, { "content", Common::toHex(call.content) } });
+}
+
 void Engine::Private::recordStrike(const Relay::Call& call, const InFlightRequest& request, TimePoint now)
 {
     auto before = suspects->verdictOn(call.content, now).standing;
-    suspects->addStrike(call.content, request.group,
+    bool isKept = suspects->addStrike(call.content, request.group,
         { request.server, request.incarnation, Suspects::runOf(call.id, request.purpose == Purpose::Retry), now, false,
             std::nullopt });
+    if (!isKept) {
+        Observe::logEvent(Observe::Part::Relay, Observe::Event::StrikeDropped,
+            { { "request", call.id.value() }, { "group", request.group.value() }, { "server", request.server.value() },
+                { "standing", Suspects::standingName(before) }, { "content", Common::toHex(call.content) } });
+    }
     auto verdict = suspects->verdictOn(call.content, now);
     if (verdict.standing == before)
         return;
--- a/Source/Core/Suspects/Board.cpp
+++ b/Source/Core/Suspects/Board.cpp
@@ -162,22 +162,23 @@
     return it == shard.entries.end() ? Verdict {} : judge(it->second.evidence, m_private->rule, now);
 }
 
-void Board::addStrike(const ContentDigest& content, const GroupName& group, const Strike& strike)
+bool Board::addStrike(const ContentDigest& content, const GroupName& group, const Strike& strike)
 {
     Shard& shard = m_private->shardOf(content);
     {
         std::lock_guard lock(shard.mutex);
         Entry& entry = shard.entries[content];
         if (!Suspects::addStrike(entry.evidence, group, strike, m_private->rule))
-            return;
+            return false;
         noteChange(shard, entry, m_private->rule, strike.at);
         dropLeastImportant(shard);
         listStruckServers(shard);
     }
     m_private->notify();
+    return true;
 }
 
-void Board::recordCompletion(const ContentDigest& content, const GroupName& group, TimePoint sentAt, TimePoint now)
+bool Board::recordCompletion(const ContentDigest& content, const GroupName& group, TimePoint sentAt, TimePoint now)
 {
     Shard& shard = m_private->shardOf(content);
     {
@@ -185,11 +186,12 @@
         rememberCompletion(shard, completionKey(content, group), sentAt);
         auto it = shard.entries.find(content);
         if (it == shard.entries.end() || !Suspects::recordCompletion(it->second.evidence, group, now))
-            return;
+            return false;
         noteChange(shard, it->second, m_private->rule, now);
         listStruckServers(shard);
     }
     m_private->notify();
+    return true;
 }
 
 void Board::recordHeartbeat(const Common::BackendServerId& server, Common::Incarnation incarnation, uint64_t sequence)
--- a/Source/Core/Suspects/Board.h
+++ b/Source/Core/Suspects/Board.h
@@ -52,10 +52,11 @@
     void onChange(std::function<void()>);
 
     Verdict verdictOn(const Common::ContentDigest&, Common::TimePoint now) const;
-    void addStrike(const Common::ContentDigest&, const Common::GroupName&, const Strike&);
+    // Returns whether the strike was kept as news.
+    bool addStrike(const Common::ContentDigest&, const Common::GroupName&, const Strike&);
     // A request that was sent at this time has been answered. Remembered for a while: an answer given after a strike
-    // that becomes known only later refutes it.
-    void recordCompletion(
+    // that becomes known only later refutes it. Returns whether strikes were taken back.
+    bool recordCompletion(
         const Common::ContentDigest&, const Common::GroupName&, Common::TimePoint sentAt, Common::TimePoint now);
     void recordHeartbeat(const Common::BackendServerId&, Common::Incarnation, uint64_t sequence);
 
