--- a/Source/UnitTests/Processes/crashing_request_test.py
+++ b/Source/UnitTests/Processes/crashing_request_test.py
@@ -31,10 +31,14 @@
 
 
 class Load:
-    """Sends one request every `interval` to the relays in turn and keeps (time, status, id, time taken)."""
+    """Sends one request every `interval` to the relays in turn and keeps (time, status, id, time taken).
 
-    def __init__(self, cluster, prefix, method, path, interval):
-        self.cluster, self.prefix, self.method, self.path, self.interval = cluster, prefix, method, path, interval
+    `path` is a text, or a function from the number of the request.
+    """
+
+    def __init__(self, cluster, prefix, method, path, interval, source=None):
+        self.cluster, self.prefix, self.method, self.interval = cluster, prefix, method, interval
+        self.path, self.source = path if callable(path) else lambda _: path, source
         self.answers, self.threads, self.stopping = [], [], threading.Event()
         threading.Thread(target=self.run, daemon=True).start()
 
@@ -53,7 +57,8 @@
         headers = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "1500"}
         began = time.monotonic()
         body = b"x" if self.method == "POST" else None
-        status, _, _ = call(self.cluster.relay_address(relay), self.method, self.path, body, headers, 3)
+        status, _, _ = call(
+            self.cluster.relay_address(relay), self.method, self.path(n), body, headers, 3, self.source)
         self.answers.append((began, status, request, time.monotonic() - began))
 
     def stop(self):
--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -59,10 +59,10 @@
 }
 
 
-def call(address, method, path, body=None, headers=None, timeout=3):
+def call(address, method, path, body=None, headers=None, timeout=3, source=None):
     """Returns (status, headers, body bytes); the status is 0 without a complete response."""
     host, port = address
-    connection = http.client.HTTPConnection(host, port, timeout=timeout)
+    connection = http.client.HTTPConnection(host, port, timeout=timeout, source_address=(source, 0) if source else None)
     try:
         connection.request(method, path, body=body, headers=headers or {})
         response = connection.getresponse()
@@ -118,6 +118,7 @@
         self.says_leaving = False  # In its answers.
         self.limit = None  # The requests a second that it names in its answers.
         self.crashes_on, self.down_seconds = None, 2.0  # It ends when it gets a path with this end.
+        self.crashes_on_id, self.crash_delay = None, 0.0  # Or a request whose id begins so, after that time.
         self.arrived, self.runs, self.lock = [], collections.Counter(), threading.Lock()
         self.endless_streams = 0  # Responses without end that are being sent.
         seed = hashlib.sha256(service.encode()).digest()
@@ -173,6 +174,10 @@
         if self.crashes_on and handler.path.endswith(self.crashes_on):
             handler.close_connection = True
             return self.crash(self.down_seconds)
+        if self.crashes_on_id and request.startswith(self.crashes_on_id):
+            handler.close_connection = True
+            time.sleep(self.crash_delay)
+            return self.crash(self.down_seconds)
         if self.fault == "closed":
             return self.reply(handler, 503, b"", {"X-Not-Executed": "1", "X-Request-Id": request, "Retry-After": "3"})
         if self.fault == "shed":
