Count losses at the same time once in each failure domain

A loss was compared with the one counted last only. Where two failure domains lose servers at the same moment, the losses of each request in flight there were counted alternately, up to one for each run. Each is compared with all that count now, so there are at most as many as domains.

--- a/Source/Core/Suspects/Evidence.cpp
+++ b/Source/Core/Suspects/Evidence.cpp
@@ -95,7 +95,8 @@
                 || count([&](const Strike* known) { return isSameServer(*known, strike); });
             auto ofVariant = count([&](const Strike* known) { return known->variant == strike.variant; });
             bool isAccountedFor = static_cast<size_t>(ofVariant) >= maximumLossesOfVariant(evidence.breadth, rule);
-            if (!isKnown && !isAccountedFor && (losses.empty() || isSeparate(strike, *losses.back(), rule)))
+            auto overlapping = count([&](const Strike* known) { return !isSeparate(strike, *known, rule); });
+            if (!isKnown && !isAccountedFor && !overlapping)
                 losses.push_back(&strike);
         }
         return losses;
--- a/Source/UnitTests/Suspects/EvidenceTest.cpp
+++ b/Source/UnitTests/Suspects/EvidenceTest.cpp
@@ -106,11 +106,14 @@
 
 TEST(Evidence, LossesAtTheSameTimeCountOnceUnlessOneSendFollowedTheOther)
 {
-    for (uint64_t runs : { 3u, 8u }) {
-        Evidence rack;
-        for (uint64_t run = 1; run <= runs; ++run)
-            addStrike(rack, strikeOf(run, run, static_cast<double>(run)), rule);
-        EXPECT_EQ(standingAt(rack, 9), Standing::Clear);
+    for (uint64_t domains : { 1u, 2u }) {
+        Evidence lost;
+        for (uint64_t run = 1; run <= 8; ++run) {
+            Strike strike = strikeOf(run, run, static_cast<double>(run));
+            strike.domain = FailureDomain(std::to_string(run % domains));
+            addStrike(lost, strike, rule);
+        }
+        EXPECT_EQ(countLosses(lost, rule, at(9)), domains);
     }
     Evidence slow;
     for (uint64_t run = 1; run <= 3; ++run) {
