--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -171,7 +171,7 @@
                                  handler.headers.get("X-Deadline-Ms")))
         if handler.headers.get("X-Expect-Instance") != self.id:
             return self.reply(handler, 421, b"", {"X-Request-Id": request})
-        if self.crashes_on and handler.path.endswith(self.crashes_on):
+        if self.crashes_on and handler.path.partition("?")[0].endswith(self.crashes_on):
             handler.close_connection = True
             return self.crash(self.down_seconds)
         if self.crashes_on_id and request.startswith(self.crashes_on_id):
--- a/Source/UnitTests/Processes/platform_soak.py
+++ b/Source/UnitTests/Processes/platform_soak.py
@@ -202,8 +202,10 @@
         threading.Thread(target=run, daemon=True).start()
 
     def send_crashing_request(self):
+        """Half of them with a query that no other one has."""
         kind = self.random.choice(["all", "one", "book"])
-        threading.Thread(target=self.request, args=(kind, CRASHING), daemon=True).start()
+        item = CRASHING + self.random.choice(["", f"?page={self.random.randrange(1 << 30)}"])
+        threading.Thread(target=self.request, args=(kind, item), daemon=True).start()
 
     def check_crashes(self):
         crashes = sum(len(leaf.crashed_at) for leaf in self.cluster.leafs)
