Send a strike to each control instance once, and none that was answered

Control instances sent on what they had from each other, so each strike crossed between them up to twenty times, and a relay reported a strike 20 ms after it although most are answered soon.

Now a strike that another control instance reported is sent on only if it makes a suspect, or to a reader without a report; and a relay reports after 80 ms what was not answered by then. An answer to the same variant is derived by the reader.

--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -23,8 +23,8 @@
     // Longer than the time for which a control instance holds a watch request.
     constexpr Milliseconds requestTimeout { 2'500 };
     constexpr Milliseconds retryDelay { 100 };
-    // Strikes within this time are sent in one report.
-    constexpr Milliseconds reportDelay { 20 };
+    // Strikes within this time are sent in one report. Most of them are answered in it, and not sent at all.
+    constexpr Milliseconds reportDelay { 80 };
     constexpr Milliseconds reportTimeout { 500 };
     constexpr Milliseconds reviewInterval { 200 };
     constexpr Milliseconds sweepInterval { 2'000 };
@@ -254,7 +254,7 @@
 
 void RosterFollower::Private::takeSuspects(const Address& address, const Roster::WatchReply& reply)
 {
-    dependencies.suspects->merge(reply.suspects.records, Clock::now());
+    dependencies.suspects->merge(reply.suspects.records, Suspects::Reporter::Control, Clock::now());
     bool isNewEpoch = false;
     {
         std::lock_guard lock(mutex);
--- a/Source/Core/Daemon/RosterServer.cpp
+++ b/Source/Core/Daemon/RosterServer.cpp
@@ -323,7 +323,7 @@
     bool isChanged = false;
     bool isFirstReply = false;
     if (reply && !reply.value().suspects.records.empty()) {
-        suspects.merge(reply.value().suspects.records, Clock::now());
+        suspects.merge(reply.value().suspects.records, Suspects::Reporter::Control, Clock::now());
         isChanged = true;
     }
     {
@@ -542,7 +542,7 @@
         return;
     }
     if (auto report = std::get_if<Roster::SuspectsReport>(&request.value())) {
-        m_private->suspects.merge(report->records, Clock::now());
+        m_private->suspects.merge(report->records, Suspects::Reporter::Relay, Clock::now());
         m_private->scheduleFlush();
         reply(std::string());
         return;
--- a/Source/Core/Suspects/Board.cpp
+++ b/Source/Core/Suspects/Board.cpp
@@ -111,17 +111,22 @@
         TimePoint at = now - std::max(report.age, Common::Milliseconds(0));
         return { report.server, report.incarnation, report.group, report.domain, report.run, report.variant,
             at - std::max(report.took, Common::Milliseconds(0)), at, report.isRefuted, report.wasAnswered,
-            report.isAnswered, std::nullopt, Revision(0) };
+            report.isAnswered, std::nullopt };
     }
 
-    // Readers that get all request keys derive the other strikes from these. A reader that gets suspects only has
-    // missed the strikes before the key became one.
     bool isWanted(const Entry& entry, const Strike& strike, Scope scope, Revision from)
     {
+        bool isTold = entry.toldSince > Revision(0);
+        // A reader that gets suspects only has missed the strikes before the key became one.
         if (scope == Scope::Suspected)
-            return entry.toldSince > Revision(0) && std::max(strike.changedAt, entry.toldSince) > from;
-        bool isDerived = entry.evidence.breadth != Breadth::Request && !strike.isAnswered && !strike.wasAnswered;
-        return strike.changedAt > from && !isDerived;
+            return isTold && std::max(strike.changedAt, entry.toldSince) > from;
+        if (entry.evidence.breadth != Breadth::Request)
+            return strike.changedAt > from && strike.isAnsweredByOther; // The others are derived from request keys.
+        if (strike.reporter == Reporter::Control && from > Revision(0))
+            return isTold && std::max(strike.changedAt, entry.toldSince) > from;
+        bool isSettled = strike.isAnswered || strike.isRefuted;
+        bool isUnknownToOthers = strike.reporter == Reporter::Itself && strike.addedAt > from;
+        return strike.changedAt > from && !(isSettled && isUnknownToOthers);
     }
 
     enum class Merge {
@@ -154,7 +159,7 @@
 
     Verdict verdictOn(const ContentDigest&, TimePoint now);
     Merge addStrike(Breadth, const Keys&, Strike, TimePoint now);
-    bool recordAnswer(const ContentDigest&, const GroupName&, TimePoint sentAt, TimePoint now);
+    bool recordAnswer(const ContentDigest&, const GroupName&, VariantId, TimePoint sentAt, TimePoint now);
     bool recordHeartbeat(Shard&, const Common::BackendServerId&, Common::Incarnation, uint64_t sequence);
 };
 
@@ -183,8 +188,8 @@
         strike.wasAnswered = strike.wasAnswered || strike.at - answer->second <= rule.answeredWithin;
     if (!Suspects::addStrike(entry.evidence, strike, rule))
         return Merge::Known;
-    bool isAnswered
-        = answer != shard.answers.end() && Suspects::recordAnswer(entry.evidence, strike.group, answer->second, now);
+    bool isAnswered = answer != shard.answers.end()
+        && Suspects::recordAnswer(entry.evidence, strike.group, strike.variant, answer->second, now);
     if (isAnswered)
         answer->second = TimePoint(); // It stands against one strike.
     noteChange(shard, entry, rule, now);
@@ -194,7 +199,8 @@
 }
 
 // Returns whether a strike has changed.
-bool Board::Private::recordAnswer(const ContentDigest& key, const GroupName& group, TimePoint sentAt, TimePoint now)
+bool Board::Private::recordAnswer(
+    const ContentDigest& key, const GroupName& group, VariantId variant, TimePoint sentAt, TimePoint now)
 {
     Shard& shard = shardOf(key);
     std::lock_guard lock(shard.mutex);
@@ -202,7 +208,7 @@
     bool isChanged = false;
     if (it != shard.entries.end()) {
         prepare(shard, it->second);
-        isChanged = Suspects::recordAnswer(it->second.evidence, group, sentAt, now);
+        isChanged = Suspects::recordAnswer(it->second.evidence, group, variant, sentAt, now);
     }
     if (isChanged)
         noteChange(shard, it->second, rule, now);
@@ -266,7 +272,7 @@
 {
     bool isChanged = false;
     for (Breadth breadth : allBreadths)
-        isChanged = m_private->recordAnswer(keyOf(keys, breadth), group, sentAt, now) || isChanged;
+        isChanged = m_private->recordAnswer(keyOf(keys, breadth), group, variantOf(keys), sentAt, now) || isChanged;
     if (isChanged)
         m_private->notify();
     return isChanged;
@@ -304,20 +310,19 @@
     return changes;
 }
 
-void Board::merge(const std::vector<Record>& records, TimePoint now)
+void Board::merge(const std::vector<Record>& records, Reporter reporter, TimePoint now)
 {
     bool isAnsweredHere = false;
     for (const Record& record : records) {
         for (const ReportedStrike& report : record.strikes) {
             Strike strike = strikeOf(report, now);
+            strike.reporter = reporter;
+            strike.isAnsweredByOther = strike.isAnswered && record.breadth != Breadth::Request;
             for (Breadth breadth : allBreadths) {
                 if (record.breadth != Breadth::Request && record.breadth != breadth)
                     continue;
                 auto merged = m_private->addStrike(breadth, record.keys, strike, now);
                 isAnsweredHere = isAnsweredHere || merged == Merge::Answered;
-                // An answer under this key stands against one strike under it; those under the wider keys are reported
-                // with these.
-                strike.isAnswered = false;
             }
         }
     }
--- a/Source/Core/Suspects/Board.h
+++ b/Source/Core/Suspects/Board.h
@@ -25,7 +25,8 @@
 };
 
 // Strikes under the key of this breadth. Those of a request key are strikes under its other keys too; strikes of these
-// are reported only if an answer stands against them, or to readers that do not get all request keys.
+// are reported only if the answer to another variant stands against them, or to readers that do not get all request
+// keys.
 struct Record {
     Breadth breadth { Breadth::Request };
     Keys keys; // For the other breadths, only the one key is set.
@@ -42,7 +43,8 @@
 
 // Which records a reader needs.
 enum class Scope {
-    All,
+    All, // A reader that has had a report gets no strikes that all control instances are told of by another one, unless
+         // they make a suspect, and none that were answered or refuted before they could be reported.
     Suspected, // Under keys that are or were suspected. Most requests with a strike are innocent and never strike
                // again.
 };
@@ -75,7 +77,7 @@
 
     // The strikes that changed after these revisions; all of the scope if there are no revisions.
     Changes changesSince(const std::vector<Common::Revision>&, Scope, Common::TimePoint now) const;
-    void merge(const std::vector<Record>&, Common::TimePoint now);
+    void merge(const std::vector<Record>&, Reporter, Common::TimePoint now);
     void expire(Common::TimePoint now);
     size_t size() const; // Keys with evidence.
 
--- a/Source/Core/Suspects/Evidence.cpp
+++ b/Source/Core/Suspects/Evidence.cpp
@@ -136,6 +136,7 @@
         it->isRefuted = it->isRefuted || strike.isRefuted;
         it->wasAnswered = it->wasAnswered || strike.wasAnswered;
         it->isAnswered = it->isAnswered || strike.isAnswered;
+        it->isAnsweredByOther = it->isAnsweredByOther || strike.isAnsweredByOther;
         if (!isNews)
             return false;
     } else {
@@ -144,21 +145,27 @@
         auto later = std::find_if(
             strikes.begin(), strikes.end(), [&](const Strike& known) { return orderOf(known) > orderOf(strike); });
         it = strikes.insert(later, strike);
+        it->addedAt = evidence.revision;
     }
     it->changedAt = evidence.revision;
     evidence.changedAt = std::max(evidence.changedAt, strike.at);
     return true;
 }
 
-bool recordAnswer(Evidence& evidence, const GroupName& group, TimePoint sentAt, TimePoint now)
+bool recordAnswer(Evidence& evidence, const GroupName& group, VariantId variant, TimePoint sentAt, TimePoint now)
 {
-    auto it = std::find_if(evidence.strikes.begin(), evidence.strikes.end(), [&](const Strike& strike) {
-        return strike.group == group && !strike.isRefuted && !strike.isAnswered && strike.at <= sentAt;
-    });
-    if (it == evidence.strikes.end())
+    Strike* answered = nullptr;
+    for (Strike& strike : evidence.strikes) {
+        if (strike.group != group || strike.isRefuted || strike.isAnswered || strike.at > sentAt)
+            continue;
+        if (!answered || (strike.variant == variant && answered->variant != variant))
+            answered = &strike;
+    }
+    if (!answered)
         return false;
-    it->isAnswered = true;
-    it->changedAt = evidence.revision;
+    answered->isAnswered = true;
+    answered->isAnsweredByOther = answered->variant != variant;
+    answered->changedAt = evidence.revision;
     evidence.changedAt = now;
     return true;
 }
--- a/Source/Core/Suspects/Evidence.h
+++ b/Source/Core/Suspects/Evidence.h
@@ -24,6 +24,13 @@
 
 VariantId variantOf(const Keys&);
 
+// Who told this instance of a strike.
+enum class Reporter {
+    Itself,
+    Relay,
+    Control, // It tells the other control instances as well.
+};
+
 // A server's connection ended without an answer while it had the request.
 struct Strike {
     Common::BackendServerId server;
@@ -38,7 +45,10 @@
     bool wasAnswered { false }; // A send with the same key was answered in the group shortly before.
     bool isAnswered { false }; // A later send with the same key was answered in the group.
     std::optional<uint64_t> heardSequence; // Of the first heartbeat after the strike, as this instance received it.
-    Common::Revision changedAt; // Of this instance's evidence.
+    bool isAnsweredByOther { false }; // Only under a wide key, by the answer to another variant.
+    Reporter reporter { Reporter::Itself };
+    Common::Revision addedAt; // Of this instance's evidence, as changedAt.
+    Common::Revision changedAt;
 };
 
 // What is known of the requests with one key.
@@ -95,8 +105,9 @@
 // These return whether the evidence has changed.
 bool addStrike(Evidence&, const Strike&, const Rule&);
 // A request with this key that was sent at this time has been answered. Each answer stands against one earlier strike
-// in its group: a request that is answered more often than it loses servers does not become a suspect.
-bool recordAnswer(Evidence&, const Common::GroupName&, Common::TimePoint sentAt, Common::TimePoint now);
+// in its group, of its own variant if there is one: a request that is answered more often than it loses servers does
+// not become a suspect.
+bool recordAnswer(Evidence&, const Common::GroupName&, VariantId, Common::TimePoint sentAt, Common::TimePoint now);
 // A heartbeat of the server. The second one after a strike refutes it; the first may have been sent before the strike.
 bool recordHeartbeat(Evidence&, const Common::BackendServerId&, Common::Incarnation, uint64_t sequence);
 
--- a/Source/UnitTests/Suspects/BoardTest.cpp
+++ b/Source/UnitTests/Suspects/BoardTest.cpp
@@ -22,7 +22,7 @@
 Strike strikeOf(uint64_t run, double ms)
 {
     return { BackendServerId("s" + std::to_string(run)), Incarnation(1), group, Common::FailureDomain(), RunId(run),
-        VariantId(), at(ms), at(ms), false, false, false, std::nullopt, Revision(0) };
+        VariantId(), at(ms), at(ms), false, false, false, std::nullopt };
 }
 
 void strike(Board& board, const Keys& keys, uint64_t runs, uint64_t firstRun = 1)
@@ -82,10 +82,43 @@
     auto before = board.changesSince({}, Scope::Suspected, at(9));
     EXPECT_TRUE(before.records.empty());
     strike(board, keysOf(1), 2, 2);
-    follower.merge(board.changesSince(before.revisions, Scope::Suspected, at(9)).records, at(9));
+    follower.merge(board.changesSince(before.revisions, Scope::Suspected, at(9)).records, Reporter::Relay, at(9));
     EXPECT_EQ(standingOf(follower, keysOf(1)), Standing::Quarantined);
 }
 
+TEST(Board, AStrikeThatIsAnsweredBeforeItsFirstReportIsNotReported)
+{
+    Board board;
+    strike(board, keysOf(1), 1);
+    board.recordAnswer(keysOf(1), group, at(9), at(9));
+    EXPECT_TRUE(board.changesSince({}, Scope::All, at(9)).records.empty());
+    strike(board, keysOf(2), 1);
+    auto before = board.changesSince({}, Scope::All, at(9));
+    board.recordAnswer(keysOf(2), group, at(9), at(9));
+    auto after = board.changesSince(before.revisions, Scope::All, at(9));
+    ASSERT_EQ(strikesIn(after, Breadth::Request), 1u) << "who knows the strike is told of the answer";
+    EXPECT_TRUE(after.records[0].strikes[0].isAnswered);
+}
+
+TEST(Board, AControlInstanceForwardsStrikesOfOthersOnlyIfTheyMakeASuspect)
+{
+    Board relay;
+    Board one;
+    Board two;
+    strike(two, keysOf(5), 1); // In the same shard, so that its readers have had a report.
+    auto known = two.changesSince({}, Scope::All, at(9)).revisions;
+    strike(relay, keysOf(9), 1);
+    one.merge(relay.changesSince({}, Scope::All, at(9)).records, Reporter::Relay, at(9));
+    two.merge(one.changesSince({}, Scope::All, at(9)).records, Reporter::Control, at(9));
+    EXPECT_TRUE(two.changesSince(known, Scope::All, at(9)).records.empty());
+    strike(relay, keysOf(9), 2, 2);
+    one.merge(relay.changesSince({}, Scope::All, at(9)).records, Reporter::Relay, at(9));
+    two.merge(one.changesSince({}, Scope::All, at(9)).records, Reporter::Control, at(9));
+    EXPECT_EQ(strikesIn(two.changesSince(known, Scope::All, at(9)), Breadth::Request), 3u);
+    EXPECT_EQ(strikesIn(two.changesSince({}, Scope::All, at(9)), Breadth::Request), 4u)
+        << "an instance that has restarted is told of all";
+}
+
 TEST(Board, StrikesThatTwoInstancesReportAddUp)
 {
     Board control;
@@ -93,10 +126,10 @@
     Board two;
     strike(one, keysOf(1), 1);
     strike(two, keysOf(1), 2, 2);
-    control.merge(one.changesSince({}, Scope::All, at(9)).records, at(9));
-    control.merge(two.changesSince({}, Scope::All, at(9)).records, at(9));
+    control.merge(one.changesSince({}, Scope::All, at(9)).records, Reporter::Relay, at(9));
+    control.merge(two.changesSince({}, Scope::All, at(9)).records, Reporter::Relay, at(9));
     EXPECT_EQ(standingOf(control, keysOf(1)), Standing::Quarantined);
-    one.merge(control.changesSince({}, Scope::Suspected, at(9)).records, at(9));
+    one.merge(control.changesSince({}, Scope::Suspected, at(9)).records, Reporter::Relay, at(9));
     EXPECT_EQ(standingOf(one, keysOf(1)), Standing::Quarantined);
 }
 
@@ -115,11 +148,11 @@
             EXPECT_NE(standingOf(control, variant(9)), Standing::Quarantined);
             Board relay;
             strike(relay, variant(n), 1, n);
-            control.merge(relay.changesSince({}, Scope::All, at(9)).records, at(9));
+            control.merge(relay.changesSince({}, Scope::All, at(9)).records, Reporter::Relay, at(9));
         }
         EXPECT_EQ(standingOf(control, variant(9)), Standing::Quarantined) << breadthName(breadth);
         EXPECT_EQ(standingOf(control, keysOf(1)), Standing::Clear) << "an unrelated request";
-        follower.merge(control.changesSince({}, Scope::Suspected, at(9)).records, at(9));
+        follower.merge(control.changesSince({}, Scope::Suspected, at(9)).records, Reporter::Relay, at(9));
         EXPECT_EQ(standingOf(follower, variant(9)), Standing::Quarantined) << breadthName(breadth);
     }
 }
@@ -146,17 +179,17 @@
     Board answeredBefore;
     answeredBefore.recordAnswer(keysOf(1), group, at(0), at(0));
     answeredBefore.recordAnswer(keysOf(2), group, at(0), at(0));
-    answeredBefore.merge(records, at(9));
+    answeredBefore.merge(records, Reporter::Relay, at(9));
     EXPECT_EQ(standingOf(answeredBefore, keysOf(1)), Standing::Suspect) << "more losses are needed";
     EXPECT_EQ(standingOf(answeredBefore, keysOf(2)), Standing::Quarantined);
     Board answeredSince;
     int changes = 0;
     answeredSince.onChange([&] { ++changes; });
     answeredSince.recordAnswer(keysOf(1), group, at(5), at(6));
-    answeredSince.merge(records, at(9));
+    answeredSince.merge(records, Reporter::Relay, at(9));
     EXPECT_EQ(standingOf(answeredSince, keysOf(1)), Standing::Clear);
     EXPECT_EQ(changes, 1) << "so that the others learn of it";
-    elsewhere.merge(answeredSince.changesSince({}, Scope::All, at(9)).records, at(9));
+    elsewhere.merge(answeredSince.changesSince({}, Scope::All, at(9)).records, Reporter::Relay, at(9));
     EXPECT_EQ(standingOf(elsewhere, keysOf(1)), Standing::Clear);
 }
 
--- a/Source/UnitTests/Suspects/EvidenceTest.cpp
+++ b/Source/UnitTests/Suspects/EvidenceTest.cpp
@@ -27,7 +27,7 @@
 Strike strikeOf(uint64_t server, uint64_t run, double ms, const GroupName& group = first, uint64_t variant = 1)
 {
     return { BackendServerId(std::to_string(server)), Incarnation(server), group, FailureDomain("a"), RunId(run),
-        VariantId(variant), at(ms - 10), at(ms), false, false, false, std::nullopt, Revision(0) };
+        VariantId(variant), at(ms - 10), at(ms), false, false, false, std::nullopt };
 }
 
 Standing standingAt(const Evidence& evidence, double ms) { return judge(evidence, rule, at(ms)).standing; }
@@ -169,18 +169,19 @@
     for (uint64_t run = 1; run <= 7; ++run)
         addStrike(evidence, strikeOf(run, run, static_cast<double>(1'000 * run)), rule);
     const Evidence before = evidence;
-    EXPECT_FALSE(recordAnswer(evidence, first, at(500), at(7'100))) << "sent before the strikes";
-    EXPECT_FALSE(recordAnswer(evidence, second, at(7'050), at(7'100))) << "another group holds other data";
+    EXPECT_FALSE(recordAnswer(evidence, first, VariantId(1), at(500), at(7'100))) << "sent before the strikes";
+    EXPECT_FALSE(recordAnswer(evidence, second, VariantId(1), at(7'050), at(7'100)))
+        << "another group holds other data";
     for (size_t losses = 6; losses > 0; --losses) {
-        EXPECT_TRUE(recordAnswer(evidence, first, at(7'050), at(7'100)));
+        EXPECT_TRUE(recordAnswer(evidence, first, VariantId(1), at(7'050), at(7'100)));
         EXPECT_EQ(countLosses(evidence, rule, at(7'100)), losses);
         EXPECT_EQ(standingAt(evidence, 7'100),
             losses >= 6       ? Standing::Quarantined
                 : losses >= 4 ? Standing::Suspect
                               : Standing::Clear);
     }
-    EXPECT_TRUE(recordAnswer(evidence, first, at(7'050), at(7'100)));
-    EXPECT_FALSE(recordAnswer(evidence, first, at(7'050), at(7'100)));
+    EXPECT_TRUE(recordAnswer(evidence, first, VariantId(1), at(7'050), at(7'100)));
+    EXPECT_FALSE(recordAnswer(evidence, first, VariantId(1), at(7'050), at(7'100)));
     for (const Strike& strike : before.strikes)
         EXPECT_FALSE(addStrike(evidence, strike, rule)) << "reports from before do not restore it";
     EXPECT_EQ(countLosses(evidence, rule, at(7'100)), 0u);
@@ -261,7 +262,7 @@
 {
     Evidence evidence;
     addStrike(evidence, strikeOf(1, 1, 0), rule);
-    recordAnswer(evidence, first, at(1), at(1));
+    recordAnswer(evidence, first, VariantId(1), at(1), at(1));
     double now = 0;
     for (uint64_t run = 2; run <= 7; ++run) {
         EXPECT_NE(standingAt(evidence, now), Standing::Quarantined);
--- a/Source/UnitTests/Suspects/ManyInstancesTest.cpp
+++ b/Source/UnitTests/Suspects/ManyInstancesTest.cpp
@@ -93,7 +93,7 @@
             link.fromStarts = from.starts;
             link.toStarts = to.starts;
             auto changes = from.board->changesSince(link.known, link.scope, now);
-            to.board->merge(changes.records, now);
+            to.board->merge(changes.records, link.from < relays ? Reporter::Relay : Reporter::Control, now);
             link.known = changes.revisions;
         }
     }
@@ -108,7 +108,7 @@
     {
         instances[relay].board->addStrike(keys,
             { BackendServerId(std::to_string(server)), Incarnation(1), target, Common::FailureDomain(),
-                runOf(request, isRetry), VariantId(), now, now, false, false, false, std::nullopt, Revision(0) });
+                runOf(request, isRetry), VariantId(), now, now, false, false, false, std::nullopt });
     }
 };
 
