Forward variants that make a suspect together

A control instance that another one can't reach heard of strikes which make a suspect only under a wide key from nobody in between. Its board test fails before.

--- a/Source/Core/Suspects/Board.cpp
+++ b/Source/Core/Suspects/Board.cpp
@@ -116,14 +116,12 @@
 
     bool isWanted(const Entry& entry, const Strike& strike, Scope scope, Revision from)
     {
-        bool isTold = entry.toldSince > Revision(0);
-        // A reader that gets suspects only has missed the strikes before the key became one.
-        if (scope == Scope::Suspected)
-            return isTold && std::max(strike.changedAt, entry.toldSince) > from;
+        bool isToldByOthers = strike.reporter == Reporter::Control && from > Revision(0);
+        // Such a reader has missed the strikes before the key became one of a suspect.
+        if (scope == Scope::Suspected || isToldByOthers)
+            return entry.toldSince > Revision(0) && std::max(strike.changedAt, entry.toldSince) > from;
         if (entry.evidence.breadth != Breadth::Request)
             return strike.changedAt > from && strike.isAnsweredByOther; // The others are derived from request keys.
-        if (strike.reporter == Reporter::Control && from > Revision(0))
-            return isTold && std::max(strike.changedAt, entry.toldSince) > from;
         bool isSettled = strike.isAnswered || strike.isRefuted;
         bool isUnknownToOthers = strike.reporter == Reporter::Itself && strike.addedAt > from;
         return strike.changedAt > from && !(isSettled && isUnknownToOthers);
--- a/Source/UnitTests/Suspects/BoardTest.cpp
+++ b/Source/UnitTests/Suspects/BoardTest.cpp
@@ -157,6 +157,27 @@
     }
 }
 
+TEST(Board, AControlInstanceForwardsVariantsThatMakeASuspectTogether)
+{
+    Board one;
+    Board two;
+    Board three;
+    auto known = two.changesSince({}, Scope::All, at(9)).revisions;
+    for (uint64_t n = 1; n <= 3; ++n) {
+        Keys keys = keysOf(4 * n);
+        keys.pattern = { 4, 4 };
+        strike(two, keysOf(n), 1); // So that the readers of each shard have had a report.
+        strike(one, keys, 1, n);
+    }
+    strike(two, keysOf(100), 1);
+    known = two.changesSince(known, Scope::All, at(9)).revisions;
+    two.merge(one.changesSince({}, Scope::All, at(9)).records, Reporter::Control, at(9));
+    three.merge(two.changesSince(known, Scope::All, at(9)).records, Reporter::Control, at(9));
+    Keys next = keysOf(4 * 7);
+    next.pattern = { 4, 4 };
+    EXPECT_EQ(standingOf(three, next), Standing::Quarantined);
+}
+
 TEST(Board, AnswersToOthersWithTheSameContentDoNotClearTheRequest)
 {
     Board board;
