--- a/Source/UnitTests/Suspects/BoardTest.cpp
+++ b/Source/UnitTests/Suspects/BoardTest.cpp
@@ -173,7 +173,7 @@
     known = two.changesSince(known, Scope::All, at(9)).revisions;
     two.merge(one.changesSince({}, Scope::All, at(9)).records, Reporter::Control, at(9));
     three.merge(two.changesSince(known, Scope::All, at(9)).records, Reporter::Control, at(9));
-    Keys next = keysOf(4 * 7);
+    Keys next = keysOf(28);
     next.pattern = { 4, 4 };
     EXPECT_EQ(standingOf(three, next), Standing::Quarantined);
 }
