Let refuted strikes of a run hide no other server of it

Of each run the four strikes with the lowest server ids are kept. If these servers were alive after all, the run counted as none, whatever the other servers of it had lost, until somebody reported the same run again. Only open strikes take a place now.

--- a/Source/Core/Suspects/Evidence.cpp
+++ b/Source/Core/Suspects/Evidence.cpp
@@ -36,10 +36,13 @@
             || strike.domain != earlier.domain;
     }
 
-    // Of a run, the strikes with the lowest server ids are kept, so that all instances keep the same.
+    // Of a run, the open strikes with the lowest server ids are kept, so that all instances keep the same. The others
+    // don't take their place: those servers may be alive, and the ones left out lost.
     bool makeRoomInRun(Evidence& evidence, const Strike& strike, const Rule& rule)
     {
-        auto isOfRun = [&](const Strike& known) { return known.run == strike.run && known.variant == strike.variant; };
+        auto isOfRun = [&](const Strike& known) {
+            return known.run == strike.run && known.variant == strike.variant && !known.isRefuted && !known.isAnswered;
+        };
         auto n = std::count_if(evidence.strikes.begin(), evidence.strikes.end(), isOfRun);
         if (static_cast<size_t>(n) < rule.maximumStrikesOfRun)
             return true;
--- a/Source/UnitTests/Suspects/EvidenceTest.cpp
+++ b/Source/UnitTests/Suspects/EvidenceTest.cpp
@@ -59,6 +59,19 @@
     EXPECT_LE(evidence.strikes.size(), rule.maximumStrikesOfRun);
 }
 
+TEST(Evidence, StrikesOfARunThatAreRefutedHideNoOtherServerOfIt)
+{
+    Evidence evidence;
+    for (uint64_t server = 1; server <= rule.maximumStrikesOfRun; ++server) {
+        addStrike(evidence, strikeOf(server, 1, 0), rule);
+        for (uint64_t sequence = 1; sequence <= 2; ++sequence)
+            recordHeartbeat(evidence, BackendServerId(std::to_string(server)), Incarnation(server), sequence);
+    }
+    EXPECT_EQ(countLosses(evidence, rule, at(1)), 0u);
+    EXPECT_TRUE(addStrike(evidence, strikeOf(9, 1, 1), rule));
+    EXPECT_EQ(countLosses(evidence, rule, at(1)), 1u);
+}
+
 // The first run of a gather loses servers of more groups than are kept.
 TEST(Evidence, LaterRunsInOtherGroupsCountAfterARunThatLostManyGroups)
 {
