Identify callers by the keys of tenants

Cause: a route table can name tenants with keys; the product passed the keys on to backend servers and refused nobody. Change: Routes/Tenants holds tenants, key digests and quotas; the relay that receives a call identifies its caller, refuses unknown, missing, malformed and repeated keys with 401, and forwards the tenant's name instead of the key, also to gatherers. Error messages never contain a key.

--- a/Source/Core/Common/Error.cpp
+++ b/Source/Core/Common/Error.cpp
@@ -35,6 +35,10 @@
         return "cancelled";
     case Reason::Internal:
         return "internal";
+    case Reason::Unauthenticated:
+        return "unauthenticated";
+    case Reason::QuotaExceeded:
+        return "quota-exceeded";
     }
     return "internal";
 }
--- a/Source/Core/Common/Error.h
+++ b/Source/Core/Common/Error.h
@@ -27,8 +27,13 @@
     Corrupt, // Stored or received bytes can't be decoded.
     Cancelled,
     Internal,
+    Unauthenticated, // The caller gave no valid key.
+    QuotaExceeded, // The caller's tenant is over its quota; nothing was sent.
 };
 
+// The last value, by which decoders recognise reasons of later versions.
+inline constexpr Reason lastReason = Reason::QuotaExceeded;
+
 // The name used in answers, logs and metrics, such as "deadline-exceeded".
 const char* reasonCode(Reason);
 
--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -11,6 +11,7 @@
 using RouteName = StrongId<struct RouteNameTag, std::string>;
 using GroupName = StrongId<struct GroupNameTag, std::string>;
 using FailureDomain = StrongId<struct FailureDomainTag, std::string>;
+using TenantName = StrongId<struct TenantNameTag, std::string>;
 
 // Processes: an InstanceId names one of this system, a BackendServerId one that it sends requests to.
 using InstanceId = StrongId<struct InstanceIdTag, std::string>;
--- a/Source/Core/Json/Reader.cpp
+++ b/Source/Core/Json/Reader.cpp
@@ -167,6 +167,20 @@
     return values;
 }
 
+std::vector<std::string> Reader::secretTexts(const std::string& field)
+{
+    const Value* value = find(field);
+    bool isList = value && value->is_array();
+    bool isListOfTexts = isList
+        && std::all_of(
+            value->as_array().begin(), value->as_array().end(), [](const Value& item) { return item.is_string(); });
+    if (value && !isListOfTexts) {
+        reportProblem(field, "of another type", "a list of texts");
+        return {};
+    }
+    return texts(field);
+}
+
 std::vector<uint64_t> Reader::integers(const std::string& field, uint64_t limit)
 {
     std::vector<uint64_t> values;
--- a/Source/Core/Json/Reader.h
+++ b/Source/Core/Json/Reader.h
@@ -38,6 +38,8 @@
     Reader object(const std::string& field);
     std::vector<Reader> objects(const std::string& field);
     std::vector<std::string> texts(const std::string& field);
+    // The same for values that must not appear in error messages.
+    std::vector<std::string> secretTexts(const std::string& field);
     std::vector<uint64_t> integers(const std::string& field, uint64_t limit);
     // Reports fields that have not been read.
     void rejectUnknownFields();
--- a/Source/Core/Peer/Codec.cpp
+++ b/Source/Core/Peer/Codec.cpp
@@ -11,7 +11,7 @@
 
     Common::Reason decodeReason(uint16_t code)
     {
-        const bool isKnown = code && code <= encodeReason(Common::Reason::Internal);
+        const bool isKnown = code && code <= encodeReason(Common::lastReason);
         return isKnown ? static_cast<Common::Reason>(code - 1) : Common::Reason::Internal;
     }
 
--- a/Source/Core/Relay/Call.h
+++ b/Source/Core/Relay/Call.h
@@ -5,6 +5,7 @@
 #include "Common/Ids.h"
 #include "Http/Message.h"
 #include "Limits/ServerNotice.h"
+#include "Routes/Tenants.h"
 #include "Suspects/Keys.h"
 
 #include <functional>
@@ -29,6 +30,8 @@
     std::string identity; // Who asks, from the headers that say so; empty if none does.
     std::string address; // The IP address that the call came from, empty if unknown.
     Suspects::Keys keys; // See keysOf().
+    Routes::Credentials credentials;
+    std::optional<Common::TenantName> tenant; // Set by identified().
     std::shared_ptr<Http::Caller> caller;
 };
 
@@ -37,6 +40,16 @@
 
 using CallPtr = std::shared_ptr<const Call>;
 
+// The headers, in lower case, that carry a caller's key and a tenant's name. Supplied by the front end.
+struct TenantHeaders {
+    std::string key;
+    std::string tenant;
+};
+
+// The call under a table with tenants, once its caller is identified: without its key, and without the tenant that it
+// named itself. The tenant is null for an anonymous call.
+CallPtr identified(const Call&, const Routes::Tenant*, const TenantHeaders&);
+
 // The answer of one backend server.
 struct SubAnswer {
     enum class Outcome {
@@ -95,6 +108,7 @@
         const std::string& head, const Call&, const Common::BackendServerId&, Common::Milliseconds timeLeft)>
         encode;
     std::function<SubAnswer(const Call&, Http::Response)> decode;
+    TenantHeaders tenantHeaders;
 };
 
 } // namespace Relay
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -87,11 +87,22 @@
         refuse(call, routes, Reason::NotFound, "no route matches", Milliseconds(0), done);
         return;
     }
-    Times times = timesOf(*call, *route, now);
-    if (route->fanOut)
-        gather(call, routes, *route, times, std::move(done));
+    auto tenant = Routes::identify(*routes, *route, call->credentials);
+    if (!tenant) {
+        refuse(call, routes, tenant.error().reason, tenant.error().message, Milliseconds(0), done);
+        return;
+    }
+    CallPtr admitted = routes->tenants ? identified(*call, tenant.value(), backendCodec.tenantHeaders) : call;
+    forward(admitted, routes, *route, timesOf(*admitted, *route, now), std::move(done));
+}
+
+void Engine::Private::forward(
+    const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
+{
+    if (route.fanOut)
+        gather(call, routes, route, times, std::move(done));
     else
-        run(call, routes, *route, { { Routes::chooseGroup(*route, nextGroupChoice++).group }, std::nullopt, false },
+        run(call, routes, route, { { Routes::chooseGroup(route, nextGroupChoice++).group }, std::nullopt, false },
             times, std::move(done));
 }
 
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -471,7 +471,9 @@
     auto& delegated = std::get<DelegatedCall>(request.body);
     Routes::TablePtr routes = table();
     const Routes::Route* route = routes ? Routes::match(*routes, delegated.call->host, delegated.call->path) : nullptr;
-    bool isSameTable = route && route->fanOut && routes->number == delegated.table
+    // An instance of an earlier version does not identify callers.
+    bool isIdentified = route && Routes::isIdentified(*routes, *route, delegated.call->tenant);
+    bool isSameTable = isIdentified && route->fanOut && routes->number == delegated.table
         && std::all_of(delegated.groups.begin(), delegated.groups.end(),
             [&](size_t place) { return place < route->fanOut->groups.size(); });
     if (!isSameTable || delegated.groups.empty()) {
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -178,6 +178,7 @@
     ServerPool pool;
 
     void relay(const CallPtr&, Done);
+    void forward(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
     void run(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const LocalRequest&, const Times&, Done);
     void gather(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
     void startBundle(const GatheringPtr&, size_t index);
--- a/Source/Core/Routes/Table.cpp
+++ b/Source/Core/Routes/Table.cpp
@@ -67,7 +67,7 @@
         BOOST_OUTCOME_TRYV(checkTarget(route));
         BOOST_OUTCOME_TRYV(checkGroups(table, route));
     }
-    return Common::success();
+    return validateTenants(table);
 }
 
 void index(Table& table)
@@ -75,6 +75,14 @@
     table.groupAt.clear();
     for (size_t i = 0; i < table.groups.size(); ++i)
         table.groupAt[table.groups[i].name] = i;
+    table.tenantAt.clear();
+    table.tenantOfKey.clear();
+    for (size_t i = 0; table.tenants && i < table.tenants->size(); ++i) {
+        const Tenant& tenant = (*table.tenants)[i];
+        table.tenantAt[tenant.name] = i;
+        for (const KeyDigest& key : tenant.keys)
+            table.tenantOfKey[key] = i;
+    }
     table.byHost.clear();
     for (size_t i = 0; i < table.routes.size(); ++i)
         table.byHost[table.routes[i].host].push_back(i);
--- a/Source/Core/Routes/Table.h
+++ b/Source/Core/Routes/Table.h
@@ -4,6 +4,7 @@
 #include "Common/Error.h"
 #include "Common/Ids.h"
 #include "Common/Units.h"
+#include "Routes/Tenants.h"
 
 #include <memory>
 #include <optional>
@@ -41,7 +42,8 @@
     Common::Milliseconds timeout; // The caller gets an answer or an error within this time.
     Common::Milliseconds latencyObjective; // Target for the total latency. Late answers count less.
     int maximumAttempts { 1 }; // Servers on which one request may run, per group.
-    int priority { 0 }; // 0 is the most urgent.
+    int priority { 0 }; // 0 is the most urgent. A tenant's priority takes precedence.
+    bool allowsAnonymous { false }; // Without a key, if the table has tenants.
     std::vector<WeightedGroup> weightedGroups; // Empty if fanOut is set.
     std::optional<FanOut> fanOut;
 };
@@ -63,10 +65,13 @@
     std::vector<Route> routes;
     std::vector<Group> groups;
     CallerLimits limits;
+    std::optional<std::vector<Tenant>> tenants; // If set, even if empty, requests need the key of a tenant.
 
     // Filled by index(). Route indexes by host, longest prefix first.
     std::unordered_map<std::string, std::vector<size_t>> byHost;
     std::unordered_map<Common::GroupName, size_t> groupAt;
+    std::unordered_map<Common::TenantName, size_t> tenantAt;
+    std::unordered_map<KeyDigest, size_t> tenantOfKey;
 };
 
 using TablePtr = std::shared_ptr<const Table>;
@@ -74,7 +79,7 @@
 // Returns InvalidInput with the first invalid field. A table that passes can be served.
 Common::Result<void> validate(const Table&);
 
-// Fills byHost and groupAt.
+// Fills the members that are derived from the others.
 void index(Table&);
 
 // The route of this host with the longest matching prefix, or nullptr.
--- a/Source/Core/Wire/Relay.capnp
+++ b/Source/Core/Wire/Relay.capnp
@@ -30,6 +30,7 @@
   requestLow @16 :UInt64;
   patternHigh @17 :UInt64;
   patternLow @18 :UInt64;
+  tenant @19 :Text; # Of the identified caller; absent for a call without one.
 }
 
 struct Request {
--- a/Source/Core/Wire/Relay.capnp.h
+++ b/Source/Core/Wire/Relay.capnp.h
@@ -57,7 +57,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4adb7993b1f947b, 12, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(c4adb7993b1f947b, 12, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -364,6 +364,9 @@
 
   inline  ::uint64_t getPatternLow() const;
 
+  inline bool hasTenant() const;
+  inline  ::capnp::Text::Reader getTenant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -478,6 +481,13 @@
   inline  ::uint64_t getPatternLow();
   inline void setPatternLow( ::uint64_t value);
 
+  inline bool hasTenant();
+  inline  ::capnp::Text::Builder getTenant();
+  inline void setTenant( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTenant(unsigned int size);
+  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1910,6 +1920,40 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Call::Reader::hasTenant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasTenant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setTenant( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initTenant(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptTenant(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::Wire::RelaySchema::Request::Which Request::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/RelayCodec.cpp
+++ b/Source/Core/Wire/RelayCodec.cpp
@@ -44,6 +44,8 @@
         out.setRequestLow(call.keys.request.low);
         out.setPatternHigh(call.keys.pattern.high);
         out.setPatternLow(call.keys.pattern.low);
+        if (call.tenant)
+            out.setTenant(toText(*call.tenant));
         auto groups = out.initGroups(static_cast<unsigned>(delegated.groups.size()));
         for (unsigned i = 0; i < groups.size(); ++i)
             groups.set(i, static_cast<uint16_t>(delegated.groups[i]));
@@ -71,6 +73,8 @@
             { in.getPatternHigh(), in.getPatternLow() } };
         if (call->keys.request == Common::ContentDigest())
             call->keys = Relay::keysOf(*call);
+        if (in.hasTenant())
+            call->tenant = fromText<Common::TenantName>(in.getTenant());
         Relay::DelegatedCall delegated;
         delegated.bundle = { Common::Incarnation(in.getIncarnation()), in.getBundle() };
         if (in.getObjectiveInMs() >= 0)
@@ -95,9 +99,8 @@
             return merged;
         }
         auto refusal = in.getRefusal();
-        return Relay::Refusal { { fromNumber(refusal.getReason(), Common::Reason::Internal),
-                                    fromText(refusal.getStep()), fromText(refusal.getPeer()),
-                                    fromText(refusal.getMessage()) },
+        return Relay::Refusal { { fromNumber(refusal.getReason(), Common::lastReason), fromText(refusal.getStep()),
+                                    fromText(refusal.getPeer()), fromText(refusal.getMessage()) },
             refusal.getHasNotRun(), Milliseconds(refusal.getRetryAfterMs()) };
     }
 
--- a/Source/Core/Wire/ResourceStructs.cpp
+++ b/Source/Core/Wire/ResourceStructs.cpp
@@ -106,7 +106,7 @@
 
 Common::Error read(ControlSchema::Error::Reader in)
 {
-    return { fromNumber(in.getReason(), Common::Reason::Internal), fromText(in.getStep()), fromText(in.getPeer()),
+    return { fromNumber(in.getReason(), Common::lastReason), fromText(in.getStep()), fromText(in.getPeer()),
         fromText(in.getMessage()) };
 }
 
