Treat a status above 599 as a malformed response

Cause: an answer with the status 600 or 999 reached the caller of a single send as its answer; HTTP has no such codes. Codes below 100 (000, 001, 099) were refused by the parser before and are only covered by the new test now. Change: the HTTP client ends the exchange as a malformed response, so that another server is tried within the retry budget. Relays, gatherers and the product's own client all read answers through it. Measured: Response.StatusOutsideOfHttpIsConnectionLost fails without the change at 600 and passes with it; HttpTest passes.

--- a/Source/Core/Http/Connection.cpp
+++ b/Source/Core/Http/Connection.cpp
@@ -34,6 +34,7 @@
     // Also of what the parser leaves in the buffer, such as the extension of a chunk.
     constexpr uint32_t maximumHead = 64 << 10;
     constexpr int maximumInterimResponses = 32;
+    constexpr unsigned lastStatus = 599; // Lower codes than 100 are refused by the parser.
     // A server can send without end, so what a process buffers must not depend on the number of such servers.
     BufferBudget responseBudget { Common::Bytes(24 << 20), Common::Bytes(256 << 10) };
     // Closes a connection whose sent bytes stay unacknowledged. A peer that lost power sends no RST.
@@ -245,6 +246,10 @@
             fail(Reason::ConnectionLost, "request", "malformed response: " + error.message());
             return;
         }
+        if (parser->is_header_done() && parser->get().result_int() > lastStatus) {
+            fail(Reason::ConnectionLost, "request", "malformed response: the status is no HTTP status code");
+            return;
+        }
         parser->eager(parser->is_header_done());
         bool isInterim = parser->is_header_done() && parser->get().result_int() < 200;
         if (isInterim) {
--- a/Source/UnitTests/Http/ResponseTest.cpp
+++ b/Source/UnitTests/Http/ResponseTest.cpp
@@ -124,6 +124,23 @@
     }
 }
 
+// A server in trouble sends status codes that HTTP does not have. They must not reach the caller as its answer.
+TEST(Response, StatusOutsideOfHttpIsConnectionLost)
+{
+    for (const char* status : { "000", "001", "099", "600", "999" }) {
+        for (const char* rest :
+            { "\r\nContent-Length: 2\r\n\r\nok", " OK\r\n\r\nok", "\r\nX-Server-Stamp: a\r\n\r\n" }) {
+            std::string bytes = std::string("HTTP/1.1 ") + status + rest;
+            RawServer server(first(bytes, RawServer::After::Close));
+            Http::Connection connection(server.address(), Http::Reuse::Allowed, timeout);
+            auto result = get(connection);
+            ASSERT_FALSE(result) << bytes << " gave " << result.value().status;
+            EXPECT_EQ(result.error().reason, Reason::ConnectionLost) << bytes;
+            expectSecondOnNewConnection(connection, server);
+        }
+    }
+}
+
 TEST(Response, InterimResponsesAreSkipped)
 {
     RawServer server(first("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" + okReply("\"a\""),
