Serve waiting requests, shed load and admit calls by priority

Cause: where capacity was scarce, the wait queue took turns by route, the load shedder refused all calls over the same groups alike, and admission counted waiters that would not be served first. Queued requests that could no longer be answered in time stayed until the deadline of their call.

Change: waiters have a priority and a tenant; one in eight served waiters is of a less urgent priority. Late waiters are refused when they can no longer be answered in time. A waiter that finds no connection keeps its turn.

--- a/Source/Core/Limits/WaitQueue.cpp
+++ b/Source/Core/Limits/WaitQueue.cpp
@@ -13,6 +13,14 @@
     // Estimates are means, but an answer waits for the slowest of its shards.
     constexpr double estimateMargin = 1.25;
 
+    // Of the served waiters, one in this many is of a less urgent priority, if any waits.
+    constexpr int lessUrgentInterval = 8;
+
+    WaitFlow flowOf(const Common::RouteName& route, const CallerClass& caller)
+    {
+        return caller.tenant ? WaitFlow { caller.tenant, {} } : WaitFlow { std::nullopt, route };
+    }
+
     bool mayUse(const Waiter& waiter, const Common::BackendServerId& server)
     {
         const auto& avoid = waiter.avoidServers;
@@ -29,13 +37,76 @@
         return waiter;
     }
 
+    std::optional<Waiter> popFrom(
+        PriorityQueue& queue, TimePoint now, Milliseconds needed, const Common::BackendServerId& server)
+    {
+        // Each flow is tried once. A flow without a suitable waiter moves to the back as if it had been served.
+        for (size_t n = queue.roundRobin.size(); n > 0; --n) {
+            WaitFlow flow = std::move(queue.roundRobin.front());
+            queue.roundRobin.pop_front();
+            auto it = queue.flows.find(flow);
+            auto& waiters = it->second;
+            while (!waiters.empty() && waiters.front().deadline <= now + needed)
+                waiters.pop_front();
+            std::optional<Waiter> next = takeFirst(waiters, server);
+            if (waiters.empty())
+                queue.flows.erase(it);
+            else
+                queue.roundRobin.push_back(std::move(flow));
+            if (next)
+                return next;
+        }
+        return std::nullopt;
+    }
+
+    // The priorities that have waiters, in the order in which they are tried.
+    std::vector<int> orderOf(const WaitQueue& queue)
+    {
+        std::vector<int> order;
+        order.reserve(queue.priorities.size());
+        for (const auto& [priority, waiters] : queue.priorities)
+            order.push_back(priority);
+        bool isTurnOfOthers = queue.turns.mostUrgentInRow + 1 >= lessUrgentInterval && order.size() > 1;
+        if (!isTurnOfOthers)
+            return order;
+        // The less urgent ones in turn, then the most urgent one.
+        auto next = queue.turns.lastLessUrgent
+            ? std::upper_bound(order.begin() + 1, order.end(), *queue.turns.lastLessUrgent)
+            : order.begin() + 1;
+        std::rotate(order.begin() + 1, next, order.end());
+        std::rotate(order.begin(), order.begin() + 1, order.end());
+        return order;
+    }
+
+    size_t sizeOf(const PriorityQueue& queue)
+    {
+        size_t n = 0;
+        for (const auto& [flow, waiters] : queue.flows)
+            n += waiters.size();
+        return n;
+    }
+
+    size_t aheadWithin(const PriorityQueue& queue, const WaitFlow& own)
+    {
+        auto it = queue.flows.find(own);
+        size_t ownLength = it == queue.flows.end() ? 0 : it->second.size();
+        size_t n = ownLength;
+        // Round-robin: each other flow is served at most once for each waiter of this flow.
+        for (const auto& [flow, waiters] : queue.flows)
+            if (flow != own)
+                n += std::min(waiters.size(), ownLength + 1);
+        return n;
+    }
+
 } // namespace
 
 void push(WaitQueue& queue, Waiter waiter)
 {
-    auto& waiters = queue.routes[waiter.route];
+    auto& [flows, roundRobin] = queue.priorities[waiter.caller.priority];
+    WaitFlow flow = flowOf(waiter.route, waiter.caller);
+    auto& waiters = flows[flow];
     if (waiters.empty())
-        queue.roundRobin.push_back(waiter.route);
+        roundRobin.push_back(std::move(flow));
     auto it = std::upper_bound(waiters.begin(), waiters.end(), waiter.deadline,
         [](TimePoint deadline, const Waiter& w) { return deadline < w.deadline; });
     waiters.insert(it, std::move(waiter));
@@ -43,29 +114,68 @@
 
 std::optional<Waiter> pop(WaitQueue& queue, TimePoint now, Milliseconds needed, const Common::BackendServerId& server)
 {
-    // Each route is tried once. A route without a suitable waiter moves to the back as if it had been served.
-    for (size_t n = queue.roundRobin.size(); n > 0; --n) {
-        Common::RouteName route = std::move(queue.roundRobin.front());
-        queue.roundRobin.pop_front();
-        auto it = queue.routes.find(route);
-        auto& waiters = it->second;
-        while (!waiters.empty() && waiters.front().deadline <= now + needed)
-            waiters.pop_front();
-        std::optional<Waiter> next = takeFirst(waiters, server);
-        if (waiters.empty())
-            queue.routes.erase(it);
-        else
-            queue.roundRobin.push_back(std::move(route));
-        if (next)
-            return next;
+    queue.turnsBeforePop = queue.turns;
+    std::vector<int> order = orderOf(queue);
+    bool othersWait = order.size() > 1;
+    int mostUrgent = order.empty() ? 0 : *std::min_element(order.begin(), order.end());
+    for (int priority : order) {
+        auto it = queue.priorities.find(priority);
+        std::optional<Waiter> next = popFrom(it->second, now, needed, server);
+        if (it->second.flows.empty())
+            queue.priorities.erase(it);
+        if (!next)
+            continue;
+        bool isMostUrgent = priority == mostUrgent;
+        if (!isMostUrgent)
+            queue.turns.lastLessUrgent = priority;
+        queue.turns.mostUrgentInRow
+            = isMostUrgent && othersWait ? std::min(queue.turns.mostUrgentInRow + 1, lessUrgentInterval) : 0;
+        return next;
     }
     return std::nullopt;
 }
 
-bool remove(WaitQueue& queue, Common::QueryId query, Common::AttemptId attempt, const Common::RouteName& route)
+void putBack(WaitQueue& queue, Waiter waiter)
+{
+    queue.turns = queue.turnsBeforePop;
+    auto& [flows, roundRobin] = queue.priorities[waiter.caller.priority];
+    WaitFlow flow = flowOf(waiter.route, waiter.caller);
+    auto& waiters = flows[flow];
+    std::erase(roundRobin, flow);
+    roundRobin.push_front(std::move(flow));
+    auto it = std::lower_bound(waiters.begin(), waiters.end(), waiter.deadline,
+        [](const Waiter& w, TimePoint deadline) { return w.deadline < deadline; });
+    waiters.insert(it, std::move(waiter));
+}
+
+std::vector<Waiter> takeLate(WaitQueue& queue, TimePoint now, Milliseconds needed)
+{
+    std::vector<Waiter> late;
+    for (auto& [priority, waiting] : queue.priorities) {
+        for (auto& [flow, waiters] : waiting.flows) {
+            while (!waiters.empty() && waiters.front().deadline <= now + needed) {
+                late.push_back(std::move(waiters.front()));
+                waiters.pop_front();
+            }
+            if (waiters.empty())
+                std::erase(waiting.roundRobin, flow);
+        }
+        std::erase_if(waiting.flows, [](const auto& pair) { return pair.second.empty(); });
+    }
+    std::erase_if(queue.priorities, [](const auto& pair) { return pair.second.flows.empty(); });
+    return late;
+}
+
+bool remove(WaitQueue& queue, Common::QueryId query, Common::AttemptId attempt, const Common::RouteName& route,
+    const CallerClass& caller)
 {
-    auto it = queue.routes.find(route);
-    if (it == queue.routes.end())
+    auto priority = queue.priorities.find(caller.priority);
+    if (priority == queue.priorities.end())
+        return false;
+    auto& [flows, roundRobin] = priority->second;
+    WaitFlow flow = flowOf(route, caller);
+    auto it = flows.find(flow);
+    if (it == flows.end())
         return false;
     auto& waiters = it->second;
     auto waiter = std::find_if(
@@ -73,31 +183,43 @@
     if (waiter == waiters.end())
         return false;
     waiters.erase(waiter);
-    if (waiters.empty()) {
-        queue.routes.erase(it);
-        std::erase(queue.roundRobin, route);
-    }
+    if (!waiters.empty())
+        return true;
+    flows.erase(it);
+    std::erase(roundRobin, flow);
+    if (flows.empty())
+        queue.priorities.erase(priority);
     return true;
 }
 
 size_t size(const WaitQueue& queue)
 {
     size_t n = 0;
-    for (const auto& [route, waiters] : queue.routes)
-        n += waiters.size();
+    for (const auto& [priority, waiting] : queue.priorities)
+        n += sizeOf(waiting);
     return n;
 }
 
-size_t waitersAhead(const WaitQueue& queue, const Common::RouteName& route)
+size_t waitersAhead(const WaitQueue& queue, const Common::RouteName& route, const CallerClass& caller)
 {
-    auto own = queue.routes.find(route);
-    size_t ownLength = own == queue.routes.end() ? 0 : own->second.size();
-    size_t n = ownLength;
-    // Round-robin: each other route is served at most once for each waiter of this route.
-    for (const auto& [name, waiters] : queue.routes)
-        if (name != route)
-            n += std::min(waiters.size(), ownLength + 1);
-    return n;
+    size_t moreUrgent = 0;
+    size_t own = 0;
+    size_t lessUrgent = 0;
+    size_t otherPriorities = 0; // Except the most urgent one.
+    for (const auto& [priority, waiting] : queue.priorities) {
+        if (priority == caller.priority) {
+            own = aheadWithin(waiting, flowOf(route, caller));
+            continue;
+        }
+        (priority < caller.priority ? moreUrgent : lessUrgent) += sizeOf(waiting);
+        otherPriorities += priority == queue.priorities.begin()->first ? 0 : 1;
+    }
+    if (moreUrgent) {
+        // At the latest, each waiter of this priority is served in its turn among the less urgent ones.
+        size_t turnLength = static_cast<size_t>(lessUrgentInterval) * (otherPriorities + 1);
+        return own + std::min(moreUrgent + lessUrgent / lessUrgentInterval, (turnLength - 1) * (own + 1));
+    }
+    return own + std::min(lessUrgent, (own + 1) / (lessUrgentInterval - 1));
 }
 
 Milliseconds estimatedTime(const Backlog& backlog)
--- a/Source/Core/Limits/WaitQueue.h
+++ b/Source/Core/Limits/WaitQueue.h
@@ -12,6 +12,12 @@
 
 namespace Limits {
 
+// What the order of waiters depends on, apart from their deadlines.
+struct CallerClass {
+    int priority { 0 }; // 0 is the most urgent.
+    std::optional<Common::TenantName> tenant;
+};
+
 // An attempt that waits for a free slot on one of the servers of its shard.
 struct Waiter {
     Common::QueryId query;
@@ -20,25 +26,53 @@
     Common::RouteName route;
     Common::TimePoint deadline; // By which the answer is needed.
     std::vector<Common::BackendServerId> avoidServers; // Excluded: earlier attempts went there.
+    CallerClass caller;
+};
+
+// Waiters that take one turn together: those of one tenant, or those of one route without a tenant.
+struct WaitFlow {
+    std::optional<Common::TenantName> tenant;
+    Common::RouteName route; // Empty if there is a tenant.
+
+    friend auto operator<=>(const WaitFlow&, const WaitFlow&) = default;
+};
+
+// The waiters of one priority.
+struct PriorityQueue {
+    std::map<WaitFlow, std::deque<Waiter>> flows; // Flows that have waiters.
+    std::deque<WaitFlow> roundRobin; // The same flows, the next one first.
+};
+
+// Which priority is served next.
+struct PriorityTurns {
+    int mostUrgentInRow { 0 }; // Waiters of the most urgent priority served while less urgent ones waited.
+    std::optional<int> lastLessUrgent;
 };
 
-// Waiters for the slots of one set of replicas. Routes are served round-robin; within a route the earliest deadline is
-// first, and equal deadlines are first in, first out. A retry therefore goes before first sends: its query is older.
+// Waiters for the slots of one set of replicas. The most urgent priority is served first, but one in eight waiters is
+// taken from the less urgent priorities in turn. Within a priority, flows are served round-robin; within a flow the
+// earliest deadline is first, and equal deadlines are first in, first out. A retry therefore goes before first sends:
+// its query is older.
 struct WaitQueue {
-    std::map<Common::RouteName, std::deque<Waiter>> routes; // Routes that have waiters.
-    std::deque<Common::RouteName> roundRobin; // The same routes, the next one first.
+    std::map<int, PriorityQueue> priorities; // Those that have waiters.
+    PriorityTurns turns;
+    PriorityTurns turnsBeforePop; // The turns before the last pop().
 };
 
 void push(WaitQueue&, Waiter);
 // The next waiter that may use the server with the free slot and whose deadline is more than `needed` away. Waiters at
-// the head of a route that can't meet their deadline are dropped. An empty server id suits all waiters.
+// the head of a flow that can't meet their deadline are dropped. An empty server id suits all waiters.
 std::optional<Waiter> pop(
     WaitQueue&, Common::TimePoint now, Common::Milliseconds needed = {}, const Common::BackendServerId& server = {});
+// Returns a waiter that could not be sent after pop(): it is the first of its priority again, and was not served.
+void putBack(WaitQueue&, Waiter);
+// Removes all waiters whose deadline is at most `needed` away.
+std::vector<Waiter> takeLate(WaitQueue&, Common::TimePoint now, Common::Milliseconds needed = {});
 // Returns whether the attempt was in the queue.
-bool remove(WaitQueue&, Common::QueryId, Common::AttemptId, const Common::RouteName&);
+bool remove(WaitQueue&, Common::QueryId, Common::AttemptId, const Common::RouteName&, const CallerClass& = {});
 size_t size(const WaitQueue&);
-// The number of waiters that would be served before a new one of this route.
-size_t waitersAhead(const WaitQueue&, const Common::RouteName&);
+// The number of waiters that would be served before a new one of this route and class.
+size_t waitersAhead(const WaitQueue&, const Common::RouteName&, const CallerClass& = {});
 
 // The load ahead of a new request at one set of replicas.
 struct Backlog {
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <thread>
 
 namespace Relay {
@@ -24,30 +25,47 @@
 
 std::string toText(Milliseconds time) { return std::to_string(std::lround(time.value())); }
 
+Limits::CallerClass callerClassOf(const Relay::Call& call, const Routes::Table& table, const Routes::Route& route)
+{
+    const Routes::Tenant* tenant = call.tenant ? Routes::findTenant(table, *call.tenant) : nullptr;
+    return { Routes::priorityOf(route, tenant), call.tenant };
+}
+
+// The median of the observed times of sub-requests.
+Milliseconds Engine::Private::serviceTimeOf(const Routes::Route& route)
+{
+    return latencies.withValue(route.name, [](Routing::LatencyStats& stats) { return Routing::quantile(stats, 0.5); });
+}
+
 // Refuses a call before anything is sent if more groups than may be missing have wait queues here that exceed the
-// latency objective.
-std::optional<Common::Error> Engine::Private::checkOverload(const Query& query, TimePoint now)
+// latency objective. Only waiters that would be served before this call count.
+std::optional<AdmissionRefusal> Engine::Private::checkOverload(
+    const Query& query, const Limits::CallerClass& caller, TimePoint now)
 {
-    Milliseconds service;
-    latencies.withValue(
-        query.route->name, [&](Routing::LatencyStats& stats) { service = Routing::quantile(stats, 0.5); });
+    Milliseconds service = serviceTimeOf(*query.route);
     const auto& fanOut = query.route->fanOut;
     size_t allowed = fanOut ? allowedMissing(*fanOut, query.parts.size()) : 0;
-    size_t late = 0;
+    std::vector<Milliseconds> excess; // Over the latency objective, of the groups that exceed it.
     for (const Relay::Part& part : query.parts) {
-        size_t ahead = groups.withValue(
-            part.group, [&](GroupState& state) { return Limits::waitersAhead(state.waiting, query.route->name); });
+        size_t ahead = groups.withValue(part.group,
+            [&](GroupState& state) { return Limits::waitersAhead(state.waiting, query.route->name, caller); });
         if (!ahead)
             continue;
         double slots = static_cast<double>(serversOf(part.group)->size())
             * static_cast<double>(connectionsOf(*query.table, part.group).value());
         Limits::Backlog backlog { ahead, false, std::max(slots, 1.0), service };
-        late += now + Limits::estimatedTime(backlog) > query.times.objective ? 1 : 0;
+        Milliseconds over = now + Limits::estimatedTime(backlog) - query.times.objective;
+        if (over > Milliseconds(0))
+            excess.push_back(over);
     }
-    if (late <= allowed)
+    if (excess.size() <= allowed)
         return std::nullopt;
-    return Common::makeError(
-        Reason::Overloaded, "admit", std::to_string(late) + " groups have queues that exceed the latency objective");
+    // The call can be admitted as soon as only the allowed number of groups exceeds the objective.
+    std::sort(excess.begin(), excess.end(), std::greater<>());
+    return AdmissionRefusal { Common::makeError(Reason::Overloaded, "admit",
+                                  std::to_string(excess.size())
+                                      + " groups have queues that exceed the latency objective"),
+        excess[allowed] };
 }
 
 void Engine::Private::refuse(const CallPtr& call, const Routes::TablePtr& routes, Reason reason,
@@ -125,8 +143,10 @@
     auto active = std::make_shared<ActiveCall>();
     active->call = call;
     active->query = makeQuery(routes, route, request.groups, 1, request.bundle.has_value(), times);
-    if (auto error = checkOverload(active->query, now)) {
-        refuse(call, routes, error->reason, error->message, refusedRetryAfter, done);
+    active->caller = callerClassOf(*call, *routes, route);
+    if (auto refusal = checkOverload(active->query, active->caller, now)) {
+        auto wait = Limits::retryAfter(refusal->capacityIn, times.deadline - now, localRandom().unit());
+        refuse(call, routes, refusal->error.reason, refusal->error.message, wait, done);
         return;
     }
     active->requestHead = backendCodec.encodeHead(*call);
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -115,6 +115,31 @@
     return true;
 }
 
+// Refuses some of the calls, the less urgent ones first, while many answers over the same groups are late.
+bool Engine::Private::refuseIfShed(const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route,
+    const Times& times, const Done& done)
+{
+    auto now = Clock::now();
+    const GroupName& key = route.fanOut->groups.front();
+    int priority = callerClassOf(*call, *routes, route).priority;
+    std::set<int> priorities;
+    {
+        std::lock_guard lock(viewMutex);
+        if (auto it = prioritiesOver.find(key); it != prioritiesOver.end())
+            priorities = it->second;
+    }
+    double chance = localRandom().unit();
+    bool isAdmitted = shedders.withValue(key, [&](Limits::LoadShedder& shedder) {
+        Limits::recordCall(shedder, priority, now);
+        return Limits::shouldAdmit(shedder, chance, now, priority, priorities);
+    });
+    if (isAdmitted)
+        return false;
+    auto wait = Limits::retryAfter(refusedRetryAfter, times.deadline - now, localRandom().unit());
+    refuse(call, routes, Reason::Overloaded, "too many answers are late", wait, done);
+    return true;
+}
+
 // Gathers the groups in bundles, each from one failure domain that has servers of all its groups.
 void Engine::Private::gather(
     const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
@@ -127,14 +152,9 @@
     }
     if (refuseIfQuarantined(call, routes, *route.fanOut, done))
         return;
-    const GroupName shedKey = route.fanOut->groups.front();
-    double chance = localRandom().unit();
-    bool isAdmitted = shedders.withValue(
-        shedKey, [&](Limits::LoadShedder& shedder) { return Limits::shouldAdmit(shedder, chance, Clock::now()); });
-    if (!isAdmitted) {
-        refuse(call, routes, Reason::Overloaded, "too many answers are late", refusedRetryAfter, done);
+    if (refuseIfShed(call, routes, route, times, done))
         return;
-    }
+    const GroupName shedKey = route.fanOut->groups.front();
     auto gathering = std::make_shared<Gathering>();
     gathering->id = GatheringId(nextGathering++);
     gathering->bundles = requestedBundlesOf(*call, *route.fanOut, times.arrived);
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -2,6 +2,7 @@
 
 #include "Common/ShardedMap.h"
 #include "Limits/LoadShedder.h"
+#include "Limits/RetryAfter.h"
 #include "Limits/SenderHistory.h"
 #include "Limits/WaitQueue.h"
 #include "Observe/EventLog.h"
@@ -70,6 +71,7 @@
     Engine::Done done; // Called at delivery and at the end, if set at that time.
     Common::TimerId wake;
     std::optional<BundleKey> bundle;
+    Limits::CallerClass caller; // Immutable.
 };
 
 using ActiveCallPtr = std::shared_ptr<ActiveCall>;
@@ -115,6 +117,14 @@
 inline constexpr size_t assumedInstances = 16;
 inline constexpr const char* quarantineText = "servers were lost each time that this request ran";
 
+// A refusal before anything was sent.
+struct AdmissionRefusal {
+    Common::Error error;
+    Milliseconds capacityIn; // When the request is expected to be admitted.
+};
+
+// The priority and the tenant of a call that was identified under this table.
+Limits::CallerClass callerClassOf(const Relay::Call&, const Routes::Table&, const Routes::Route&);
 Common::Random& localRandom();
 std::string toText(Milliseconds);
 
@@ -158,6 +168,7 @@
     std::set<GroupName> ownedGroups; // The subset in partitions that this instance owns.
     std::map<GroupName, Limits::SenderHistory> retrySenders; // Of the groups in the table.
     std::map<GroupName, size_t> partitionOfGroup; // Of the groups of all fan-out routes.
+    std::map<GroupName, std::set<int>> prioritiesOver; // Of the fan-out routes, by their first group.
     TimePoint viewConfirmedAt;
     std::optional<TimePoint> viewSince; // When the table and the instances were first known.
     GathererHealth health;
@@ -206,7 +217,9 @@
     void refuse(const CallPtr&, const Routes::TablePtr&, Reason, const std::string&, Milliseconds, const Done&);
     Times timesOf(const Relay::Call&, const Routes::Route&, TimePoint arrived) const;
     void updateGatherers();
-    std::optional<Common::Error> checkOverload(const Query&, TimePoint now);
+    std::optional<AdmissionRefusal> checkOverload(const Query&, const Limits::CallerClass&, TimePoint now);
+    bool refuseIfShed(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, const Done&);
+    Milliseconds serviceTimeOf(const Routes::Route&);
     void performAll(const ActiveCallPtr&, QueryId);
     void perform(const ActiveCallPtr&, QueryId, const Send&);
     void perform(const ActiveCallPtr&, QueryId, const Abandon&);
@@ -224,6 +237,8 @@
     bool refuseIfSuspect(const ActiveCallPtr&, const AttemptKey&, Purpose, const GroupName&);
     bool refuseIfClosed(const ActiveCallPtr&, const Limits::Waiter&, const GroupName&);
     void serveWaiters(const GroupName&);
+    bool trySendWaiter(const Limits::Waiter&, const GroupName&);
+    void refuseLateWaiters(const GroupName&);
     void logAnswer(Observe::Event event, const Relay::Call&, const Routes::Table&, const Routes::Route&, const Answer&,
         Milliseconds took, const std::string& what);
     void recordEnd(const ActiveCall&, const Answer&);
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -135,9 +135,17 @@
     waiter.query = id;
     waiter.attempt = send.attempt;
     waiter.route = active->query.route->name;
-    waiter.deadline = active->query.times.deadline;
+    // A request that is sent later can't be answered in time.
+    waiter.deadline = active->query.times.deadline - serviceTimeOf(*active->query.route);
     waiter.avoidServers = send.avoid;
+    waiter.caller = active->caller;
+    auto sendBy = waiter.deadline;
     groups.withValue(group, [&](GroupState& state) { Limits::push(state.waiting, std::move(waiter)); });
+    // Servers that stall release no connection, which would refuse the late waiters.
+    timers.at(sendBy, [weak = weak_from_this(), group] {
+        if (auto self = weak.lock())
+            self->refuseLateWaiters(group);
+    });
     // A connection may have been released between trySend() and the push to the queue.
     serveWaiters(group);
 }
@@ -346,33 +354,68 @@
     return true;
 }
 
+// Refuses the queued requests that can't be answered in time. Otherwise their callers would learn that at the deadline.
+void Engine::Private::refuseLateWaiters(const GroupName& group)
+{
+    auto now = Clock::now();
+    auto late = groups.withValue(group, [&](GroupState& state) { return Limits::takeLate(state.waiting, now); });
+    for (const Limits::Waiter& waiter : late) {
+        ActiveCallPtr active;
+        queries.ifPresent(waiter.query, [&](ActiveCallPtr& found) { active = found; });
+        if (!active)
+            continue;
+        Observe::logEvent(Observe::Part::Relay, Observe::Event::NotSent,
+            { { "request", active->call->id.value() }, { "group", group.value() }, { "purpose", "queued" },
+                { "why", "no connection was free in time" } });
+        step(active, waiter.query, [&](Query& query) {
+            return notSent(query, waiter.attempt,
+                Common::makeError(Reason::Overloaded, "send", "no connection was free in time"), now);
+        });
+    }
+}
+
+// Returns false if no server that the waiter may use has a free connection.
+bool Engine::Private::trySendWaiter(const Limits::Waiter& waiter, const GroupName& group)
+{
+    ActiveCallPtr active;
+    queries.ifPresent(waiter.query, [&](ActiveCallPtr& found) { active = found; });
+    if (!active)
+        return true;
+    std::optional<Purpose> purpose;
+    {
+        std::lock_guard lock(active->mutex);
+        purpose = purposeOf(active->query, waiter.attempt);
+    }
+    if (!purpose)
+        return true;
+    Send send { waiter.attempt, 0, *purpose, false, waiter.avoidServers };
+    return trySend(active, { waiter.query, waiter.attempt }, send, group) || refuseIfClosed(active, waiter, group);
+}
+
 // Sends the queued requests of the group while its servers have free connections.
 void Engine::Private::serveWaiters(const GroupName& group)
 {
+    refuseLateWaiters(group);
+    // Waiters that may not use the servers with free connections. They don't hold up the others.
+    std::vector<Limits::Waiter> unsent;
     for (;;) {
         auto waiter
             = groups.withValue(group, [&](GroupState& state) { return Limits::pop(state.waiting, Clock::now()); });
         if (!waiter)
-            return;
-        ActiveCallPtr active;
-        queries.ifPresent(waiter->query, [&](ActiveCallPtr& found) { active = found; });
-        if (!active)
+            break;
+        if (trySendWaiter(*waiter, group))
             continue;
-        std::optional<Purpose> purpose;
-        {
-            std::lock_guard lock(active->mutex);
-            purpose = purposeOf(active->query, waiter->attempt);
-        }
-        if (!purpose)
-            continue;
-        Send send { waiter->attempt, 0, *purpose, false, waiter->avoidServers };
-        if (trySend(active, { waiter->query, waiter->attempt }, send, group))
-            continue;
-        if (refuseIfClosed(active, *waiter, group))
-            continue;
-        groups.withValue(group, [&](GroupState& state) { Limits::push(state.waiting, *waiter); });
-        return;
+        bool isFull = waiter->avoidServers.empty();
+        unsent.push_back(std::move(*waiter));
+        if (isFull)
+            break;
     }
+    if (unsent.empty())
+        return;
+    groups.withValue(group, [&](GroupState& state) {
+        for (auto it = unsent.rbegin(); it != unsent.rend(); ++it)
+            Limits::putBack(state.waiting, std::move(*it));
+    });
 }
 
 void Engine::Private::perform(const ActiveCallPtr& active, QueryId id, const Abandon& abandon)
@@ -398,7 +441,7 @@
     }
     for (const Relay::Part& part : active->query.parts) {
         bool found = groups.withValue(part.group, [&](GroupState& state) {
-            return Limits::remove(state.waiting, id, abandon.attempt, active->query.route->name);
+            return Limits::remove(state.waiting, id, abandon.attempt, active->query.route->name, active->caller);
         });
         if (found)
             return;
--- a/Source/Core/Relay/EngineView.cpp
+++ b/Source/Core/Relay/EngineView.cpp
@@ -97,6 +97,11 @@
     fanOutGroups.clear();
     ownedGroups.clear();
     partitionOfGroup.clear();
+    prioritiesOver.clear();
+    for (const Routes::Route& route : table ? table->routes : std::vector<Routes::Route>()) {
+        if (route.fanOut)
+            prioritiesOver[route.fanOut->groups.front()].insert(route.priority);
+    }
     std::set<Common::FailureDomain> domains;
     size_t most = 0;
     partitions = table ? partitionCounts(*table, options.processorShare) : std::map<GroupName, size_t>();
