--- a/Source/Core/Limits/LoadShedder.cpp
+++ b/Source/Core/Limits/LoadShedder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace Limits {
 
@@ -21,8 +22,11 @@
     constexpr Common::Milliseconds mixHalfLife { 30'000 };
     // Assumed for each priority that the routes name.
     constexpr double assumedCalls = 1;
-    // Callers require that each kind is served at least a quarter as often as all. Other refusals come on top.
+    // Callers require that each kind and tenant is served at least a quarter as often as all. Other refusals come on
+    // top.
     constexpr double minimumShareOfAll = 1.0 / 3;
+    // A tenant with fewer recent calls is forgotten, about three minutes after its last one.
+    constexpr double forgottenCalls = 0.02;
 
     double weightAfter(Common::Milliseconds time, Common::Milliseconds half = halfLife)
     {
@@ -34,6 +38,54 @@
         return 1 - (1 - shedder.admittedShare) * weightAfter(now - shedder.updatedAt);
     }
 
+    double sumOf(const LoadShedder::CallsByTenant& calls)
+    {
+        double sum = 0;
+        for (const auto& [tenant, count] : calls)
+            sum += count;
+        return sum;
+    }
+
+    // The share of a priority, if the most urgent priorities get what is left above the minimum of each.
+    double shareOfPriority(const std::map<int, double>& calls, int priority, double all, double minimum)
+    {
+        double total = 0;
+        for (const auto& [other, count] : calls)
+            total += count;
+        double left = (all - minimum) * total;
+        for (const auto& [other, count] : calls) {
+            double share = std::min(1.0, minimum + (count > 0 ? left / count : 1));
+            if (other == priority)
+                return share;
+            left = std::max(0.0, left - (share - minimum) * count);
+        }
+        return minimum;
+    }
+
+    // The share of a tenant, if all tenants get the same number of calls above the minimum of each, as far as they
+    // have so many.
+    double shareOfTenant(const LoadShedder::CallsByTenant& calls, const std::optional<Common::TenantName>& tenant,
+        double share, double minimum)
+    {
+        std::vector<double> counts;
+        counts.reserve(calls.size());
+        for (const auto& [other, count] : calls)
+            counts.push_back(count);
+        std::sort(counts.begin(), counts.end());
+        double left = (share - minimum) * sumOf(calls);
+        double each = 0;
+        for (size_t i = 0; i < counts.size(); ++i) {
+            each = left / static_cast<double>(counts.size() - i);
+            if (counts[i] * (1 - minimum) > each)
+                break;
+            left -= counts[i] * (1 - minimum);
+        }
+        auto own = calls.find(tenant);
+        if (own == calls.end() || own->second <= 0)
+            return 1;
+        return std::min(1.0, minimum + each / own->second);
+    }
+
 } // namespace
 
 void recordAnswer(LoadShedder& shedder, bool isLate, Common::TimePoint now)
@@ -48,43 +100,41 @@
         shedder.admittedShare = std::min(1.0, shedder.admittedShare + increasePerAnswer);
 }
 
-void recordCall(LoadShedder& shedder, int priority, Common::TimePoint now)
+void recordCall(LoadShedder& shedder, const CallerClass& caller, Common::TimePoint now)
 {
     double weight = weightAfter(now - shedder.countedAt, mixHalfLife);
-    for (auto& [other, count] : shedder.calls)
-        count *= weight;
     shedder.countedAt = now;
-    shedder.calls[priority] += 1;
+    for (auto& [priority, calls] : shedder.calls) {
+        for (auto& [tenant, count] : calls)
+            count *= weight;
+        std::erase_if(calls, [](const auto& pair) { return pair.second < forgottenCalls; });
+    }
+    std::erase_if(shedder.calls, [](const auto& pair) { return pair.second.empty(); });
+    shedder.calls[caller.priority][caller.tenant] += 1;
 }
 
-double admittedShareOf(const LoadShedder& shedder, int priority, const std::set<int>& priorities, Common::TimePoint now)
+double admittedShareOf(
+    const LoadShedder& shedder, const CallerClass& caller, const std::set<int>& priorities, Common::TimePoint now)
 {
     double all = admittedShareAt(shedder, now);
-    std::map<int, double> calls = shedder.calls;
-    calls.try_emplace(priority, 0);
-    for (int named : priorities)
-        calls[named] += assumedCalls;
-    double total = 0;
-    for (const auto& [other, count] : calls)
-        total += count;
-    if (calls.size() == 1 || total <= 0)
-        return all;
-    // Each priority has its minimum; what is left goes to the most urgent ones first.
+    std::map<int, double> calls;
+    for (const auto& [priority, byTenant] : shedder.calls)
+        calls[priority] = sumOf(byTenant);
+    calls.try_emplace(caller.priority, 0);
+    for (int priority : priorities)
+        calls[priority] += assumedCalls;
     double minimum = all * minimumShareOfAll;
-    double left = (all - minimum) * total;
-    for (const auto& [other, count] : calls) {
-        double extra = count > 0 ? std::min(1 - minimum, left / count) : left > 0 ? 1 - minimum : 0;
-        if (other == priority)
-            return minimum + extra;
-        left = std::max(0.0, left - extra * count);
-    }
-    return minimum;
+    double share = calls.size() > 1 ? shareOfPriority(calls, caller.priority, all, minimum) : all;
+    auto own = shedder.calls.find(caller.priority);
+    if (own == shedder.calls.end() || own->second.size() < 2)
+        return share;
+    return shareOfTenant(own->second, caller.tenant, share, minimum);
 }
 
-bool shouldAdmit(
-    const LoadShedder& shedder, double chance, Common::TimePoint now, int priority, const std::set<int>& priorities)
+bool shouldAdmit(const LoadShedder& shedder, double chance, Common::TimePoint now, const CallerClass& caller,
+    const std::set<int>& priorities)
 {
-    return chance < admittedShareOf(shedder, priority, priorities, now);
+    return chance < admittedShareOf(shedder, caller, priorities, now);
 }
 
 } // namespace Limits
--- a/Source/Core/Limits/WaitQueue.h
+++ b/Source/Core/Limits/WaitQueue.h
@@ -4,6 +4,7 @@
 #include "Common/Error.h"
 #include "Common/Ids.h"
 #include "Common/Units.h"
+#include "Limits/CallerClass.h"
 
 #include <deque>
 #include <map>
@@ -12,12 +13,6 @@
 
 namespace Limits {
 
-// What the order of waiters depends on, apart from their deadlines.
-struct CallerClass {
-    int priority { 0 }; // 0 is the most urgent.
-    std::optional<Common::TenantName> tenant;
-};
-
 // An attempt that waits for a free slot on one of the servers of its shard.
 struct Waiter {
     Common::QueryId query;
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -121,7 +121,7 @@
 {
     auto now = Clock::now();
     const GroupName& key = route.fanOut->groups.front();
-    int priority = callerClassOf(*call, *routes, route).priority;
+    auto caller = callerClassOf(*call, *routes, route);
     std::set<int> priorities;
     {
         std::lock_guard lock(viewMutex);
@@ -130,8 +130,8 @@
     }
     double chance = localRandom().unit();
     bool isAdmitted = shedders.withValue(key, [&](Limits::LoadShedder& shedder) {
-        Limits::recordCall(shedder, priority, now);
-        return Limits::shouldAdmit(shedder, chance, now, priority, priorities);
+        Limits::recordCall(shedder, caller, now);
+        return Limits::shouldAdmit(shedder, chance, now, caller, priorities);
     });
     if (isAdmitted)
         return false;
