--- a/Source/Core/Api/ResourceJson.cpp
+++ b/Source/Core/Api/ResourceJson.cpp
@@ -75,6 +75,14 @@
         return value;
     }
 
+    Value toJson(const Model::DomainEvacuation& evacuation)
+    {
+        Value value = Value::object();
+        value["domain"] = Value(evacuation.domain.value());
+        value["evacuated"] = Value(evacuation.isEvacuated);
+        return value;
+    }
+
     Value resourceJson(const Model::Resource& resource)
     {
         Value value = std::visit([](const auto& r) { return toJson(r); }, resource);
@@ -154,8 +162,8 @@
         std::string name = reader.text("kind");
         Model::Kind kind = Model::Kind::QueryRoute;
         if (!Model::parseKind(name, kind))
-            reader.reportProblem(
-                "kind", "'" + name + "'", "query-route, backend-group, index-version, instance or route-table");
+            reader.reportProblem("kind", "'" + name + "'",
+                "query-route, backend-group, index-version, instance, route-table or domain-evacuation");
         Model::Resource resource;
         switch (kind) {
         case Model::Kind::QueryRoute:
@@ -173,6 +181,10 @@
         case Model::Kind::RouteTable:
             resource = readRouteTable(reader);
             break;
+        case Model::Kind::DomainEvacuation:
+            resource = Model::DomainEvacuation { Common::FailureDomain(reader.text("domain")),
+                reader.flag("evacuated", false) };
+            break;
         }
         reader.rejectUnknownFields();
         return resource;
@@ -287,6 +299,10 @@
     for (const Common::InstanceId& id : found.status.missing)
         missing.emplace_back(id.value());
     value["missing"] = Value::array(missing);
+    std::vector<Value> evacuated;
+    for (const Common::FailureDomain& domain : found.evacuated)
+        evacuated.emplace_back(domain.value());
+    value["evacuated_domains"] = Value::array(evacuated);
     return value.serialize();
 }
 
--- a/Source/Core/CommandLine/Print.cpp
+++ b/Source/Core/CommandLine/Print.cpp
@@ -77,6 +77,13 @@
         std::cout << " " << id.as_string();
     std::cout << (value.at("new_leader").as_bool() ? " (the leader is new and may not know all instances yet)\n"
                                                    : "\n");
+    // Instances of earlier versions don't send the field.
+    if (!value.has_field("evacuated_domains") || !value.at("evacuated_domains").size())
+        return;
+    std::cout << "evacuated:";
+    for (const Value& domain : value.at("evacuated_domains").as_array())
+        std::cout << " " << domain.as_string();
+    std::cout << "\n";
 }
 
 void printAnswer(const std::string& body)
--- a/Source/Core/CommandLine/ResourceFile.cpp
+++ b/Source/Core/CommandLine/ResourceFile.cpp
@@ -114,6 +114,9 @@
             resource = readIndexVersion(section);
         else if (kind == Model::Kind::Instance)
             resource = readInstance(section);
+        else if (kind == Model::Kind::DomainEvacuation)
+            resource = Model::DomainEvacuation { Common::FailureDomain(section.text("domain")),
+                section.flag("evacuated", false) };
         else
             resource = readRouteTable(section);
         section.rejectUnknownFields();
--- a/Source/Core/Control/Change.cpp
+++ b/Source/Core/Control/Change.cpp
@@ -71,6 +71,11 @@
             hasher.add(table.number.value());
             hasher.add(table.document);
         }
+        void operator()(const Model::DomainEvacuation& evacuation) const
+        {
+            hasher.add(evacuation.domain.value());
+            hasher.add(uint64_t { evacuation.isEvacuated });
+        }
     };
 
 } // namespace
@@ -86,6 +91,8 @@
         return "delete";
     case Action::Raise:
         return "raise";
+    case Action::Assign:
+        return "assign";
     }
     return "";
 }
--- a/Source/Core/Control/Change.h
+++ b/Source/Core/Control/Change.h
@@ -14,10 +14,14 @@
     Replace,
     Delete,
     Raise, // Route tables only: replaces the stored table if the new number is higher, otherwise changes nothing.
+    Assign, // Evacuations only: stores the resource, unless an equal one is stored.
 };
 
+// The last value, by which decoders recognise actions of later versions.
+inline constexpr Action lastAction = Action::Assign;
+
 // A change requested by an operator, with optimistic concurrency control: madeFrom is the version of the resource that
-// the change is based on, 0 for a create and a raise.
+// the change is based on, 0 for a create, a raise and an assign.
 struct Change {
     Common::ChangeId id;
     Action action { Action::Create };
@@ -38,7 +42,7 @@
 };
 
 struct Accepted {
-    Common::Revision revision; // The version of the resource; an earlier one if a raise was superseded.
+    Common::Revision revision; // The version of the resource; an earlier one if a raise or an assign changed nothing.
 
     friend bool operator==(const Accepted&, const Accepted&) = default;
 };
@@ -53,7 +57,7 @@
 
 using ChangeOutcome = std::variant<Accepted, Rejected>;
 
-// Returns "create", "replace", "delete" or "raise".
+// Returns "create", "replace", "delete", "raise" or "assign".
 const char* actionName(Action);
 
 // Hashes the whole change. Equal changes have equal fingerprints on every machine.
--- a/Source/Core/Control/Configuration.cpp
+++ b/Source/Core/Control/Configuration.cpp
@@ -37,12 +37,15 @@
                 "1 to " + std::to_string(maximumKeyLength));
         bool isDelete = change.action == Action::Delete;
         bool isRaise = change.action == Action::Raise;
-        bool isUnconditional = change.action == Action::Create || isRaise;
+        bool isAssign = change.action == Action::Assign;
+        bool isUnconditional = change.action == Action::Create || isRaise || isAssign;
         if (isUnconditional && change.madeFrom.value())
             return fieldError("made_from", std::to_string(change.madeFrom.value()),
                 std::string("0 for a ") + actionName(change.action));
         if (isRaise != (change.key.kind == Model::Kind::RouteTable))
             return fieldError("action", actionName(change.action), "raise for a route table, and only for one");
+        if (isAssign != (change.key.kind == Model::Kind::DomainEvacuation))
+            return fieldError("action", actionName(change.action), "assign for an evacuation, and only for one");
         if (!isUnconditional && !change.madeFrom.value())
             return fieldError(
                 "made_from", "0", std::string("the version that the ") + actionName(change.action) + " was made from");
@@ -88,7 +91,7 @@
     std::optional<Rejected> checkVersion(const Configuration& configuration, const Change& change)
     {
         const StoredResource* stored = find(configuration, change.key);
-        if (change.action == Action::Raise)
+        if (change.action == Action::Raise || change.action == Action::Assign)
             return std::nullopt;
         if (change.action == Action::Create)
             return stored ? std::optional(rejectWithWinner(*stored)) : std::nullopt;
@@ -109,6 +112,12 @@
         }
     }
 
+    bool isAssigned(const Configuration& configuration, const Change& change)
+    {
+        const StoredResource* stored = find(configuration, change.key);
+        return stored && stored->resource == *change.resource;
+    }
+
     bool isSuperseded(const Configuration& configuration, const Change& change)
     {
         const StoredResource* stored = find(configuration, change.key);
@@ -138,7 +147,9 @@
     {
         if (auto form = checkWellFormed(change); !form)
             return Rejected { form.error(), std::nullopt, std::nullopt };
-        if (change.action == Action::Raise && isSuperseded(configuration, change))
+        bool isWithoutEffect = (change.action == Action::Raise && isSuperseded(configuration, change))
+            || (change.action == Action::Assign && isAssigned(configuration, change));
+        if (isWithoutEffect)
             return Accepted { find(configuration, change.key)->version };
         if (auto rejected = checkVersion(configuration, change))
             return *rejected;
@@ -209,6 +220,18 @@
     return found;
 }
 
+Evacuations evacuations(const Configuration& configuration)
+{
+    Evacuations found;
+    for (const StoredResource& stored : list(configuration, Model::Kind::DomainEvacuation)) {
+        const auto& evacuation = std::get<Model::DomainEvacuation>(stored.resource);
+        found.revision = std::max(found.revision, stored.version);
+        if (evacuation.isEvacuated)
+            found.domains.push_back(evacuation.domain);
+    }
+    return found;
+}
+
 Changes changesSince(const Configuration& configuration, Common::Revision from)
 {
     Changes changes { false, from, configuration.revision, {} };
--- a/Source/Core/Control/Configuration.h
+++ b/Source/Core/Control/Configuration.h
@@ -63,6 +63,16 @@
 const StoredResource* find(const Configuration&, const Model::ResourceKey&);
 std::vector<StoredResource> list(const Configuration&, Model::Kind);
 
+// The evacuated failure domains, sorted, and the revision of the latest change of an evacuation (0: there was none).
+struct Evacuations {
+    Common::Revision revision;
+    std::vector<Common::FailureDomain> domains;
+
+    friend bool operator==(const Evacuations&, const Evacuations&) = default;
+};
+
+Evacuations evacuations(const Configuration&);
+
 // An update for a follower. A full copy (`whole`) replaces all of its resources. Otherwise the deltas, at most one per
 // key and in order of revision, lead from `from` to `revision`.
 struct Changes {
--- a/Source/Core/Control/Messages.h
+++ b/Source/Core/Control/Messages.h
@@ -81,6 +81,7 @@
 struct StatusFound {
     Common::Revision revision; // The latest accepted one.
     RevisionStatus status; // Of the requested revision.
+    std::vector<Common::FailureDomain> evacuated; // The evacuated failure domains.
 };
 
 struct StatusReply {
--- a/Source/Core/Control/References.cpp
+++ b/Source/Core/Control/References.cpp
@@ -55,6 +55,7 @@
         Result<void> operator()(const Model::BackendGroup&) const { return Common::success(); }
         Result<void> operator()(const Model::Instance&) const { return Common::success(); }
         Result<void> operator()(const Model::RouteTable&) const { return Common::success(); }
+        Result<void> operator()(const Model::DomainEvacuation&) const { return Common::success(); }
     };
 
     // Returns the field of the resource that refers to the given key; empty if none does.
--- a/Source/Core/Daemon/ControlRole.cpp
+++ b/Source/Core/Daemon/ControlRole.cpp
@@ -92,6 +92,13 @@
     Observe::logEvent(Part::Control, Observe::Event::RoutesApplied, { { "table", std::to_string(number.value()) } });
 }
 
+Control::Evacuations ControlRole::Private::evacuations() const
+{
+    Control::Evacuations found;
+    state->withConfiguration([&](const Control::Configuration& c) { found = Control::evacuations(c); });
+    return found;
+}
+
 // Must be called with leaseMutex held, after a lease was renewed or ended.
 void ControlRole::Private::recordRevisionsInForce()
 {
@@ -112,6 +119,7 @@
 {
     recordRevision();
     recordRouteTable();
+    dependencies.metrics.set(Observe::Gauge::DomainsEvacuated, static_cast<double>(evacuations().domains.size()));
     {
         std::lock_guard lock(listenerMutex);
         if (listener)
@@ -295,6 +303,8 @@
 
 Common::TableNumber ControlRole::routeTableNumber() const { return m_private->routeTableNumber(); }
 
+Control::Evacuations ControlRole::evacuations() const { return m_private->evacuations(); }
+
 Milliseconds ControlRole::configurationBehind() const
 {
     return timeBehind(m_private->state->configurationStatus(), Clock::now());
--- a/Source/Core/Daemon/ControlRole.h
+++ b/Source/Core/Daemon/ControlRole.h
@@ -36,6 +36,8 @@
     std::optional<Control::StoredResource> storedRouteTable() const;
     // The number of that copy; 0 if there is none.
     Common::TableNumber routeTableNumber() const;
+    // The evacuated failure domains in this member's copy of the configuration, which may be stale.
+    Control::Evacuations evacuations() const;
     // Returns the time since the state here last held all committed changes of the configuration; infinite if it has
     // not since the start.
     Common::Milliseconds configurationBehind() const;
--- a/Source/Core/Daemon/ControlRoleServe.cpp
+++ b/Source/Core/Daemon/ControlRoleServe.cpp
@@ -197,7 +197,10 @@
             return;
         }
         Control::StatusFound found;
-        self->state->withConfiguration([&](const Control::Configuration& c) { found.revision = c.revision; });
+        self->state->withConfiguration([&](const Control::Configuration& c) {
+            found.revision = c.revision;
+            found.evacuated = Control::evacuations(c).domains;
+        });
         auto revision = request.revision == Common::Revision() ? found.revision : request.revision;
         std::lock_guard lock(self->leaseMutex);
         if (!self->leases) {
--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -80,6 +80,7 @@
         std::unique_ptr<RosterServer> m_rosterServer;
         RouteTables m_routeTables { m_controlClient,
             [this] { return m_control ? m_control->storedRouteTable() : std::nullopt; } };
+        Evacuations m_evacuations { m_settings, m_incarnation, m_controlClient };
         std::unique_ptr<RelayRole> m_relay;
         RunningFrontEnd m_runningFrontEnd;
         std::atomic<bool> m_draining { false };
@@ -184,8 +185,8 @@
         if (!m_frontEnd)
             return Common::success();
         BOOST_OUTCOME_TRY(open,
-            m_frontEnd->open(
-                { m_settings, m_relay.get(), m_rosterServer.get(), m_control ? &m_routeTables : nullptr, m_metrics }));
+            m_frontEnd->open({ m_settings, m_relay.get(), m_rosterServer.get(), m_control ? &m_routeTables : nullptr,
+                m_control ? &m_evacuations : nullptr, m_metrics }));
         m_runningFrontEnd = std::move(open);
         if (m_relay)
             m_relay->onRouteTableChanged(m_runningFrontEnd.setLimits);
--- a/Source/Core/Daemon/FrontEnd.h
+++ b/Source/Core/Daemon/FrontEnd.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Error.h"
+#include "Daemon/Evacuations.h"
 #include "Daemon/RelayRole.h"
 #include "Daemon/RosterServer.h"
 #include "Daemon/RouteTables.h"
@@ -21,6 +22,7 @@
     RelayRole* relay;
     RosterServer* roster;
     RouteTables* tables;
+    Evacuations* evacuations;
     Observe::Metrics& metrics;
 };
 
--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -36,7 +36,8 @@
         : dependencies(std::move(d))
         , engine(engineOptions(dependencies), dependencies.backendCodec, peers(dependencies.peers), dependencies.timers,
               dependencies.metrics, suspects)
-        , rosterFollower({ dependencies.settings, dependencies.peers, dependencies.timers, suspects })
+        , rosterFollower(
+              { dependencies.settings, dependencies.peers, dependencies.timers, dependencies.metrics, suspects })
     {
     }
 
--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -14,6 +14,7 @@
 using Common::Clock;
 using Common::Milliseconds;
 using Common::Result;
+using Common::TimePoint;
 using Observe::Part;
 
 namespace Daemon {
@@ -36,6 +37,9 @@
     constexpr Milliseconds staleThreshold { 1'600 };
     // A few heartbeats of the leader, which tell the others what is committed.
     constexpr Milliseconds logBehindThreshold { 1'200 };
+    // After a start, servers are not published before a control instance that is not behind has told the evacuations.
+    // While none is (control has no majority), the relay serves after this time by what the others hold.
+    constexpr Milliseconds evacuationsTimeout { 3'000 };
 
     // Which evidence on suspected requests a control instance has sent here, and which it has received from here.
     struct SuspectsExchange {
@@ -65,6 +69,8 @@
     Roster::ServerView serverView;
     std::vector<Roster::Peer> instances;
     Common::TableNumber table;
+    bool isEvacuationsKnown { false }; // From a control instance that was not behind, or after the timeout.
+    std::optional<TimePoint> firstReplyAt;
     std::map<Address, SuspectsExchange> suspectsExchanges; // With the control instances that are followed.
 
     void scheduleReview();
@@ -74,6 +80,8 @@
     void handleReply(const Address&, const Result<std::string>&);
     void handleFailure(const Address&, const Common::Error&);
     void applyReply(const Address&, const Roster::WatchReply&);
+    bool noteEvacuationsKnown(const Roster::FollowedControl&, TimePoint now);
+    void reportEvacuations(const Address&, const Roster::Evacuations&);
     void takeSuspects(const Address&, const Roster::WatchReply&);
     void reportSuspects();
     void reportSuspectsTo(const Address&);
@@ -136,6 +144,7 @@
         std::lock_guard lock(mutex);
         request.known = Roster::sourceVersions(sources);
         request.table = table;
+        request.evacuations = serverView.evacuations.revision;
         request.suspects = suspectsExchanges[address].received;
     }
     dependencies.peers.call(address, Peer::Service::Roster, Wire::encode(Roster::Request(request)), requestTimeout,
@@ -200,6 +209,8 @@
     std::optional<std::vector<Roster::Peer>> newInstances;
     bool isNewlyReachable = false;
     bool isNewlyBehind = false;
+    std::optional<Roster::Evacuations> newEvacuations;
+    bool isFirstKnown = false;
     std::vector<Address> ignoredSources;
     {
         std::lock_guard lock(mutex);
@@ -218,6 +229,9 @@
             auto changes = Roster::applyState(sources, serverView, state, now, sourceRetention);
             std::move(changes.begin(), changes.end(), std::back_inserter(statusChanges));
         }
+        if (Roster::takeEvacuations(serverView, reply.evacuations, now))
+            newEvacuations = reply.evacuations;
+        isFirstKnown = noteEvacuationsKnown(control, now);
         // One that is late may not know of later changes of the membership.
         if (!reply.members.empty() && (members.empty() || !control.isLogBehind))
             members = { reply.members.begin(), reply.members.end() };
@@ -243,15 +257,40 @@
             { { "server", change.server.value() }, { "group", change.group.value() },
                 { "incarnation", std::to_string(change.incarnation.value()) },
                 { "standing", Roster::statusName(change.status) }, { "from", address.value() } });
+    if (newEvacuations)
+        reportEvacuations(address, *newEvacuations);
     if (newInstances)
         hooks.instances(std::move(*newInstances));
     hooks.viewConfirmed();
     bool isViewChanged = std::any_of(statusChanges.begin(), statusChanges.end(),
         [](const Roster::StatusChange& change) { return !change.isIgnored; });
-    if (isViewChanged || isNewlyReachable)
+    if (isViewChanged || isNewlyReachable || newEvacuations || isFirstKnown)
         publish();
 }
 
+// Called with the mutex held, after a reply of this control instance was applied. Returns whether servers may be
+// published from now on.
+bool RosterFollower::Private::noteEvacuationsKnown(const Roster::FollowedControl& control, TimePoint now)
+{
+    if (!firstReplyAt)
+        firstReplyAt = now;
+    if (isEvacuationsKnown || (control.isLogBehind && now - *firstReplyAt < evacuationsTimeout))
+        return false;
+    isEvacuationsKnown = true;
+    return true;
+}
+
+void RosterFollower::Private::reportEvacuations(const Address& address, const Roster::Evacuations& evacuations)
+{
+    std::string domains;
+    for (const Common::FailureDomain& domain : evacuations.domains)
+        domains += (domains.empty() ? "" : ",") + domain.value();
+    dependencies.metrics.set(Observe::Gauge::DomainsEvacuated, static_cast<double>(evacuations.domains.size()));
+    Observe::logEvent(Part::Roster, Observe::Event::EvacuationsInForce,
+        { { "revision", std::to_string(evacuations.revision.value()) }, { "domains", domains },
+            { "from", address.value() } });
+}
+
 void RosterFollower::Private::takeSuspects(const Address& address, const Roster::WatchReply& reply)
 {
     dependencies.suspects->merge(reply.suspects.records, Suspects::Reporter::Control, Clock::now());
@@ -328,6 +367,8 @@
     std::map<Common::GroupName, std::vector<Roster::EligibleServer>> servers;
     {
         std::lock_guard lock(mutex);
+        if (!isEvacuationsKnown)
+            return;
         servers = Roster::eligibleServers(serverView);
     }
     hooks.servers(std::move(servers));
--- a/Source/Core/Daemon/RosterFollower.h
+++ b/Source/Core/Daemon/RosterFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Timers.h"
+#include "Observe/Metrics.h"
 #include "Peer/Client.h"
 #include "Roster/Messages.h"
 #include "Roster/ServerView.h"
@@ -18,6 +19,7 @@
     const Settings::Daemon& settings;
     Peer::Client& peers;
     Common::Timers& timers;
+    Observe::Metrics& metrics;
     std::shared_ptr<Suspects::Board> suspects; // Of this instance.
 };
 
--- a/Source/Core/Daemon/RosterServer.cpp
+++ b/Source/Core/Daemon/RosterServer.cpp
@@ -426,6 +426,9 @@
     reply.suspects = suspectsFor(request);
     if (request.isControl)
         return reply;
+    auto evacuations = dependencies.control.evacuations();
+    if (evacuations.revision > request.evacuations)
+        reply.evacuations = { evacuations.revision, std::move(evacuations.domains) };
     auto now = Clock::now();
     std::lock_guard lock(mirrorMutex);
     for (auto& [address, mirror] : mirrors) {
@@ -446,7 +449,8 @@
 
 bool RosterServer::Private::hasChanges(const Roster::WatchRequest& request, const Roster::WatchReply& reply) const
 {
-    return !reply.suspects.records.empty() || !Roster::newerTables(reply, {}, request.table).empty()
+    return !reply.suspects.records.empty() || reply.evacuations.revision > request.evacuations
+        || !Roster::newerTables(reply, {}, request.table).empty()
         || std::any_of(reply.sources.begin(), reply.sources.end(), [&](const Roster::SourceState& state) {
                return Roster::hasChanges(state, Roster::findVersion(request.known, state.source));
            });
--- a/Source/Core/Model/Resources.cpp
+++ b/Source/Core/Model/Resources.cpp
@@ -15,6 +15,8 @@
         return "instance";
     case Kind::RouteTable:
         return "route-table";
+    case Kind::DomainEvacuation:
+        return "domain-evacuation";
     }
     return "";
 }
@@ -46,6 +48,10 @@
         }
         ResourceKey operator()(const Instance& instance) const { return { Kind::Instance, instance.id.value() }; }
         ResourceKey operator()(const RouteTable&) const { return { Kind::RouteTable, routeTableName }; }
+        ResourceKey operator()(const DomainEvacuation& evacuation) const
+        {
+            return { Kind::DomainEvacuation, evacuation.domain.value() };
+        }
     };
     return std::visit(Visitor {}, resource);
 }
--- a/Source/Core/Model/Resources.h
+++ b/Source/Core/Model/Resources.h
@@ -76,10 +76,18 @@
     friend bool operator==(const RouteTable&, const RouteTable&) = default;
 };
 
+// Whether an operator has evacuated a failure domain: its backend servers get no requests.
+struct DomainEvacuation {
+    Common::FailureDomain domain;
+    bool isEvacuated { false };
+
+    friend bool operator==(const DomainEvacuation&, const DomainEvacuation&) = default;
+};
+
 // The resource name of the only route table.
 inline constexpr const char* routeTableName = "routes";
 
-using Resource = std::variant<QueryRoute, BackendGroup, IndexVersionMap, Instance, RouteTable>;
+using Resource = std::variant<QueryRoute, BackendGroup, IndexVersionMap, Instance, RouteTable, DomainEvacuation>;
 
 enum class Kind {
     QueryRoute,
@@ -87,12 +95,17 @@
     IndexVersion,
     Instance,
     RouteTable,
+    DomainEvacuation,
 };
 
-inline constexpr Kind allKinds[]
-    = { Kind::QueryRoute, Kind::BackendGroup, Kind::IndexVersion, Kind::Instance, Kind::RouteTable };
+inline constexpr Kind allKinds[] = { Kind::QueryRoute, Kind::BackendGroup, Kind::IndexVersion, Kind::Instance,
+    Kind::RouteTable, Kind::DomainEvacuation };
+
+// The last value, by which decoders recognise kinds of later versions.
+inline constexpr Kind lastKind = Kind::DomainEvacuation;
 
-// The external name: "query-route", "backend-group", "index-version", "instance" or "route-table".
+// The external name: "query-route", "backend-group", "index-version", "instance", "route-table" or
+// "domain-evacuation".
 const char* kindName(Kind);
 // Returns false if no kind has the name.
 bool parseKind(const std::string&, Kind&);
--- a/Source/Core/Model/Validation.cpp
+++ b/Source/Core/Model/Validation.cpp
@@ -93,6 +93,18 @@
             "1 to " + std::to_string(maximumDocumentBytes));
     }
 
+    // Failure domains are named by the platform, possibly with characters that other names don't have.
+    Result<void> validateEvacuation(const DomainEvacuation& evacuation)
+    {
+        const std::string& name = evacuation.domain.value();
+        if (name.empty() || name.size() > maximumNameLength)
+            return fieldError(
+                "domain", std::to_string(name.size()) + " bytes", "1 to " + std::to_string(maximumNameLength));
+        if (std::any_of(name.begin(), name.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; }))
+            return fieldError("domain", "a name with control characters", "a name without");
+        return Common::success();
+    }
+
 } // namespace
 
 Result<void> validateName(const std::string& field, const std::string& value)
@@ -115,6 +127,7 @@
         Result<void> operator()(const IndexVersionMap& map) const { return validateIndexVersion(map); }
         Result<void> operator()(const Instance& instance) const { return validateInstance(instance); }
         Result<void> operator()(const RouteTable& table) const { return validateRouteTable(table); }
+        Result<void> operator()(const DomainEvacuation& evacuation) const { return validateEvacuation(evacuation); }
     };
     return std::visit(Visitor {}, resource);
 }
--- a/Source/Core/Observe/EventLog.cpp
+++ b/Source/Core/Observe/EventLog.cpp
@@ -90,6 +90,12 @@
         return "routes-in-force";
     case Event::RoutesNotRead:
         return "routes-not-read";
+    case Event::EvacuationAccepted:
+        return "evacuation-accepted";
+    case Event::EvacuationNotAccepted:
+        return "evacuation-not-accepted";
+    case Event::EvacuationsInForce:
+        return "evacuations-in-force";
     case Event::Started:
         return "started";
     case Event::Stopping:
--- a/Source/Core/Observe/MetricNames.cpp
+++ b/Source/Core/Observe/MetricNames.cpp
@@ -44,6 +44,7 @@
         { "corianderlock_servers_known", "Backend servers in the directory.", "state" },
         { "corianderlock_instances_known", "Instances in the directory.", "state" },
         { "corianderlock_draining", "1 while this process accepts no new work.", "" },
+        { "corianderlock_domains_evacuated", "Failure domains whose backend servers get no requests.", "" },
     } };
 
     constexpr std::array<MetricText, static_cast<size_t>(Latency::Count)> latencies { {
--- a/Source/Core/Observe/MetricNames.h
+++ b/Source/Core/Observe/MetricNames.h
@@ -41,6 +41,7 @@
     ServersKnown, // state
     InstancesKnown, // state
     Draining,
+    DomainsEvacuated,
     Count,
 };
 
--- a/Source/Core/Roster/Messages.h
+++ b/Source/Core/Roster/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Roster/Departures.h"
+#include "Roster/Evacuations.h"
 #include "Roster/Records.h"
 #include "Suspects/Board.h"
 
@@ -45,6 +46,7 @@
     // The latest route table that the follower has or, for a control instance, that it knows the receiver to have.
     Common::TableNumber table;
     SuspectsVersion suspects; // Of the receiver.
+    Common::Revision evacuations; // Of those that the follower has.
 };
 
 // The part of a control instance's state that a follower lacks.
@@ -67,6 +69,7 @@
     std::vector<Common::Address> members; // The control instances.
     Epoch epoch; // Of the replying instance; 0 from instances that send no evidence.
     Suspects::Changes suspects; // The replying instance's evidence that the follower lacks.
+    Evacuations evacuations; // Revision 0 if the follower has them.
 };
 
 // Evidence that the sender has and the receiver may lack.
--- a/Source/Core/Roster/ServerView.cpp
+++ b/Source/Core/Roster/ServerView.cpp
@@ -23,6 +23,15 @@
         server.warmAt = now + report.warmupLeft;
     }
 
+    void renew(ServerView::Server& server, const Report& report, TimePoint now)
+    {
+        server.report = report;
+        if (!server.coldSince || report.sequence <= *server.coldSince)
+            return;
+        server.warmAt = now + report.warmupLeft;
+        server.coldSince.reset();
+    }
+
     ServerStatus statusOf(const ServerView::Server& server)
     {
         if (server.isLeaving)
@@ -50,7 +59,7 @@
         if (isNewIncarnation)
             replace(server, report, now);
         else if (report.sequence > server.report.sequence)
-            server.report = report;
+            renew(server, report, now);
         if (report.status == ServerStatus::Serving)
             server.reportedBy.insert(source);
         else
@@ -105,6 +114,8 @@
     std::map<Common::GroupName, std::vector<EligibleServer>> groups;
     for (auto& [id, server] : view.servers) {
         const Report& report = server.report;
+        if (isEvacuated(view.evacuations, report.domain))
+            continue;
         if (!isEligible(server) || latest[report.address] != report.incarnation)
             continue;
         groups[report.group].push_back(
@@ -117,6 +128,21 @@
     return groups;
 }
 
+bool takeEvacuations(ServerView& view, const Evacuations& evacuations, TimePoint now)
+{
+    if (evacuations.revision <= view.evacuations.revision)
+        return false;
+    for (auto& [id, server] : view.servers) {
+        const Common::FailureDomain& domain = server.report.domain;
+        if (!isEvacuated(view.evacuations, domain) || isEvacuated(evacuations, domain))
+            continue;
+        server.warmAt = std::max(server.warmAt, now + coldAfterEvacuation);
+        server.coldSince = server.report.sequence;
+    }
+    view.evacuations = evacuations;
+    return true;
+}
+
 void forgetBefore(ServerView& view, TimePoint time)
 {
     std::erase_if(view.servers, [&](auto& pair) {
--- a/Source/Core/Roster/ServerView.h
+++ b/Source/Core/Roster/ServerView.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Roster/Evacuations.h"
 #include "Roster/Records.h"
 
 #include <map>
@@ -18,11 +19,17 @@
         bool isLeaving { false };
         Common::TimePoint changedAt;
         Common::TimePoint warmAt;
+        // Set when the evacuation of its domain is cancelled: a report with a later sequence says how long it is cold.
+        std::optional<uint64_t> coldSince;
     };
 
     std::unordered_map<Common::BackendServerId, Server> servers;
+    Evacuations evacuations;
 };
 
+// Servers that got no requests for a while may be cold. They report it within two heartbeats, and this is longer.
+inline constexpr Common::Milliseconds coldAfterEvacuation { 3'000 };
+
 // A backend server that may get new work.
 struct EligibleServer {
     Common::BackendServerId server;
@@ -52,8 +59,12 @@
 // Moves the reports of a control instance to another id.
 void renameSource(ServerView&, const Common::InstanceId& from, const Common::InstanceId& to);
 
+// Replaces the evacuations if these have a higher revision. Returns whether they had. Servers of domains that are no
+// longer evacuated count as cold until a later report says how long they are, but for coldAfterEvacuation at most.
+bool takeEvacuations(ServerView&, const Evacuations&, Common::TimePoint now);
+
 // The eligible servers of each group, sorted by id. A server is left out if no control instance reports it as serving,
-// or if a later incarnation that is in use has its address.
+// if its failure domain is evacuated, or if a later incarnation that is in use has its address.
 std::map<Common::GroupName, std::vector<EligibleServer>> eligibleServers(const ServerView&);
 
 // Removes servers that left or were lost before this time.
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -211,6 +211,8 @@
         Daemon daemon;
         daemon.instance = Common::InstanceId(root.text("instance"));
         daemon.failureDomain = Common::FailureDomain(root.text("failure_domain"));
+        for (const std::string& domain : root.texts("failure_domains"))
+            daemon.failureDomains.emplace_back(domain);
         readRoles(root, daemon);
         daemon.dataFolder = root.text("data_folder", "");
         readPeer(root.section("peer"), daemon.peer);
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -99,6 +99,8 @@
 struct Daemon {
     Common::InstanceId instance;
     Common::FailureDomain failureDomain;
+    // All that exist, for checking operators' commands. Empty: any name is accepted.
+    std::vector<Common::FailureDomain> failureDomains;
     bool isEntry { false };
     bool isControl { false };
     bool isRelay { false };
--- a/Source/Core/Wire/Control.capnp
+++ b/Source/Core/Wire/Control.capnp
@@ -55,9 +55,15 @@
     indexVersion @2 :IndexVersionMap;
     instance @3 :Instance;
     routeTable @4 :RouteTable;
+    domainEvacuation @5 :DomainEvacuation;
   }
 }
 
+struct DomainEvacuation {
+  domain @0 :Text;
+  isEvacuated @1 :Bool;
+}
+
 struct RouteTable {
   number @0 :UInt64;
   document @1 :Text;
@@ -307,6 +313,7 @@
   state @1 :UInt16;
   missing @2 :List(Text);
   newLeader @3 :Bool;
+  evacuated @4 :List(Text); # Failure domains.
 }
 
 # A reply has the same union member as its request. If the request failed, `error` is set and the union member is
--- a/Source/Core/Wire/Control.capnp.h
+++ b/Source/Core/Wire/Control.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(88d8c37d65f8b132);
 CAPNP_DECLARE_SCHEMA(ab8bb5656b371701);
 CAPNP_DECLARE_SCHEMA(b02c810c08d97918);
+CAPNP_DECLARE_SCHEMA(945cb619a86d231f);
 CAPNP_DECLARE_SCHEMA(bf92ba91f8e32465);
 CAPNP_DECLARE_SCHEMA(b3101a6c7a4708c7);
 CAPNP_DECLARE_SCHEMA(9d6d9ba91cb90383);
@@ -166,6 +167,7 @@
     INDEX_VERSION,
     INSTANCE,
     ROUTE_TABLE,
+    DOMAIN_EVACUATION,
   };
 
   struct _capnpPrivate {
@@ -176,6 +178,21 @@
   };
 };
 
+struct DomainEvacuation {
+  DomainEvacuation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(945cb619a86d231f, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RouteTable {
   RouteTable() = delete;
 
@@ -710,7 +727,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9daf97de8c953f8f, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9daf97de8c953f8f, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1381,6 +1398,10 @@
   inline bool hasRouteTable() const;
   inline  ::Wire::ControlSchema::RouteTable::Reader getRouteTable() const;
 
+  inline bool isDomainEvacuation() const;
+  inline bool hasDomainEvacuation() const;
+  inline  ::Wire::ControlSchema::DomainEvacuation::Reader getDomainEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1450,6 +1471,14 @@
   inline void adoptRouteTable(::capnp::Orphan< ::Wire::ControlSchema::RouteTable>&& value);
   inline ::capnp::Orphan< ::Wire::ControlSchema::RouteTable> disownRouteTable();
 
+  inline bool isDomainEvacuation();
+  inline bool hasDomainEvacuation();
+  inline  ::Wire::ControlSchema::DomainEvacuation::Builder getDomainEvacuation();
+  inline void setDomainEvacuation( ::Wire::ControlSchema::DomainEvacuation::Reader value);
+  inline  ::Wire::ControlSchema::DomainEvacuation::Builder initDomainEvacuation();
+  inline void adoptDomainEvacuation(::capnp::Orphan< ::Wire::ControlSchema::DomainEvacuation>&& value);
+  inline ::capnp::Orphan< ::Wire::ControlSchema::DomainEvacuation> disownDomainEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1476,6 +1505,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class DomainEvacuation::Reader {
+public:
+  typedef DomainEvacuation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool getIsEvacuated() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DomainEvacuation::Builder {
+public:
+  typedef DomainEvacuation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool getIsEvacuated();
+  inline void setIsEvacuated(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DomainEvacuation::Pipeline {
+public:
+  typedef DomainEvacuation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RouteTable::Reader {
 public:
   typedef RouteTable Reads;
@@ -4916,6 +5031,9 @@
 
   inline bool getNewLeader() const;
 
+  inline bool hasEvacuated() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4961,6 +5079,14 @@
   inline bool getNewLeader();
   inline void setNewLeader(bool value);
 
+  inline bool hasEvacuated();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuated();
+  inline void setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuated(unsigned int size);
+  inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuated();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5990,6 +6116,108 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Resource::Reader::isDomainEvacuation() const {
+  return which() == Resource::DOMAIN_EVACUATION;
+}
+inline bool Resource::Builder::isDomainEvacuation() {
+  return which() == Resource::DOMAIN_EVACUATION;
+}
+inline bool Resource::Reader::hasDomainEvacuation() const {
+  if (which() != Resource::DOMAIN_EVACUATION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Resource::Builder::hasDomainEvacuation() {
+  if (which() != Resource::DOMAIN_EVACUATION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::ControlSchema::DomainEvacuation::Reader Resource::Reader::getDomainEvacuation() const {
+  KJ_IREQUIRE((which() == Resource::DOMAIN_EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::DomainEvacuation>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Wire::ControlSchema::DomainEvacuation::Builder Resource::Builder::getDomainEvacuation() {
+  KJ_IREQUIRE((which() == Resource::DOMAIN_EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::DomainEvacuation>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Resource::Builder::setDomainEvacuation( ::Wire::ControlSchema::DomainEvacuation::Reader value) {
+  _builder.setDataField<Resource::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Resource::DOMAIN_EVACUATION);
+  ::capnp::_::PointerHelpers< ::Wire::ControlSchema::DomainEvacuation>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::ControlSchema::DomainEvacuation::Builder Resource::Builder::initDomainEvacuation() {
+  _builder.setDataField<Resource::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Resource::DOMAIN_EVACUATION);
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::DomainEvacuation>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Resource::Builder::adoptDomainEvacuation(
+    ::capnp::Orphan< ::Wire::ControlSchema::DomainEvacuation>&& value) {
+  _builder.setDataField<Resource::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Resource::DOMAIN_EVACUATION);
+  ::capnp::_::PointerHelpers< ::Wire::ControlSchema::DomainEvacuation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::ControlSchema::DomainEvacuation> Resource::Builder::disownDomainEvacuation() {
+  KJ_IREQUIRE((which() == Resource::DOMAIN_EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::ControlSchema::DomainEvacuation>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool DomainEvacuation::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DomainEvacuation::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader DomainEvacuation::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder DomainEvacuation::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DomainEvacuation::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder DomainEvacuation::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void DomainEvacuation::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> DomainEvacuation::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool DomainEvacuation::Reader::getIsEvacuated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool DomainEvacuation::Builder::getIsEvacuated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DomainEvacuation::Builder::setIsEvacuated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RouteTable::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10154,6 +10382,44 @@
       ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StatusFound::Reader::hasEvacuated() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StatusFound::Builder::hasEvacuated() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StatusFound::Reader::getEvacuated() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StatusFound::Builder::getEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StatusFound::Builder::setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void StatusFound::Builder::setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StatusFound::Builder::initEvacuated(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StatusFound::Builder::adoptEvacuated(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StatusFound::Builder::disownEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::Wire::ControlSchema::Reply::Which Reply::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/MessageCodec.cpp
+++ b/Source/Core/Wire/MessageCodec.cpp
@@ -26,18 +26,18 @@
         return { Common::Term(in.getTerm()), in.getNumber() };
     }
 
-    void writeIds(capnp::List<capnp::Text>::Builder out, const std::vector<InstanceId>& ids)
+    template <typename Id> void writeIds(capnp::List<capnp::Text>::Builder out, const std::vector<Id>& ids)
     {
         for (unsigned i = 0; i < out.size(); ++i)
             out.set(i, toText(ids[i]));
     }
 
-    std::vector<InstanceId> readIds(capnp::List<capnp::Text>::Reader in)
+    template <typename Id = InstanceId> std::vector<Id> readIds(capnp::List<capnp::Text>::Reader in)
     {
-        std::vector<InstanceId> ids;
+        std::vector<Id> ids;
         ids.reserve(in.size());
         for (auto id : in)
-            ids.push_back(fromText<InstanceId>(id));
+            ids.push_back(fromText<Id>(id));
         return ids;
     }
 
@@ -106,7 +106,7 @@
         }
         case ControlSchema::Request::READ: {
             auto part = in.getRead();
-            return Control::ReadRequest { fromNumber(part.getKind(), Model::Kind::RouteTable), fromText(part.getName()),
+            return Control::ReadRequest { fromNumber(part.getKind(), Model::lastKind), fromText(part.getName()),
                 Revision(part.getKnownVersion()) };
         }
         case ControlSchema::Request::WATCH_FROM:
@@ -156,13 +156,14 @@
         out.setState(toNumber(found.status.state));
         writeIds(out.initMissing(found.status.missing.size()), found.status.missing);
         out.setNewLeader(found.status.newLeader);
+        writeIds(out.initEvacuated(found.evacuated.size()), found.evacuated);
     }
 
     Control::StatusFound read(ControlSchema::StatusFound::Reader in)
     {
         return { Revision(in.getRevision()),
-            { fromNumber(in.getState(), Control::RevisionState::InForce), readIds(in.getMissing()),
-                in.getNewLeader() } };
+            { fromNumber(in.getState(), Control::RevisionState::InForce), readIds(in.getMissing()), in.getNewLeader() },
+            readIds<Common::FailureDomain>(in.getEvacuated()) };
     }
 
     void writeLeader(ControlSchema::Reply::Builder out, const Control::LeaderHint& leader)
--- a/Source/Core/Wire/ResourceStructs.cpp
+++ b/Source/Core/Wire/ResourceStructs.cpp
@@ -63,6 +63,13 @@
             part.setNumber(table.number.value());
             part.setDocument(table.document);
         }
+
+        void operator()(const Model::DomainEvacuation& evacuation) const
+        {
+            auto part = out.initDomainEvacuation();
+            part.setDomain(toText(evacuation.domain));
+            part.setIsEvacuated(evacuation.isEvacuated);
+        }
     };
 
     Model::QueryRoute readRoute(ControlSchema::QueryRoute::Reader in)
@@ -127,6 +134,9 @@
     case ControlSchema::Resource::ROUTE_TABLE:
         return Model::RouteTable { Common::TableNumber(in.getRouteTable().getNumber()),
             fromText(in.getRouteTable().getDocument()) };
+    case ControlSchema::Resource::DOMAIN_EVACUATION:
+        return Model::DomainEvacuation { fromText<FailureDomain>(in.getDomainEvacuation().getDomain()),
+            in.getDomainEvacuation().getIsEvacuated() };
     case ControlSchema::Resource::INSTANCE:
         return readInstance(in.getInstance());
     }
@@ -141,7 +151,7 @@
 
 Model::ResourceKey read(ControlSchema::ResourceKey::Reader in)
 {
-    return { fromNumber(in.getKind(), Model::Kind::RouteTable), fromText(in.getName()) };
+    return { fromNumber(in.getKind(), Model::lastKind), fromText(in.getName()) };
 }
 
 void write(ControlSchema::StoredResource::Builder out, const Control::StoredResource& stored)
@@ -168,7 +178,7 @@
 
 Control::Change read(ControlSchema::Change::Reader in)
 {
-    Control::Change change { fromText<Common::ChangeId>(in.getId()), fromNumber(in.getAction(), Control::Action::Raise),
+    Control::Change change { fromText<Common::ChangeId>(in.getId()), fromNumber(in.getAction(), Control::lastAction),
         read(in.getKey()), std::nullopt, Revision(in.getMadeFrom()) };
     if (in.hasResource())
         change.resource = read(in.getResource());
--- a/Source/Core/Wire/Roster.capnp
+++ b/Source/Core/Wire/Roster.capnp
@@ -99,6 +99,7 @@
   tableNumber @6 :UInt64;
   suspectsEpoch @7 :UInt64; # The version of the receiver's evidence that the follower has.
   suspectsRevisions @8 :List(UInt64);
+  evacuations @9 :UInt64; # The revision of the evacuations that the follower has.
 }
 
 struct SourceState {
@@ -119,6 +120,12 @@
   members @3 :List(Text); # Addresses of the control instances.
   logBehindMs @4 :Float64; # Since the replying instance last held all committed changes; infinite if it has not yet.
   suspects @5 :Suspects;
+  evacuations @6 :Evacuations; # Revision 0 if the follower has them.
+}
+
+struct Evacuations {
+  revision @0 :UInt64;
+  domains @1 :List(Text);
 }
 
 struct TableRequest {
--- a/Source/Core/Wire/Roster.capnp.h
+++ b/Source/Core/Wire/Roster.capnp.h
@@ -29,6 +29,7 @@
 CAPNP_DECLARE_SCHEMA(f6be001587868b45);
 CAPNP_DECLARE_SCHEMA(d00942c004785fb8);
 CAPNP_DECLARE_SCHEMA(ecd69fe695f9209a);
+CAPNP_DECLARE_SCHEMA(96c95dacb8c55609);
 CAPNP_DECLARE_SCHEMA(bb7c596319729910);
 CAPNP_DECLARE_SCHEMA(e0dbd208b121a2b5);
 CAPNP_DECLARE_SCHEMA(dc83a5172a1b761c);
@@ -199,7 +200,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f6be001587868b45, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f6be001587868b45, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -229,7 +230,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ecd69fe695f9209a, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Evacuations {
+  Evacuations() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(96c95dacb8c55609, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1434,6 +1450,8 @@
   inline bool hasSuspectsRevisions() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSuspectsRevisions() const;
 
+  inline  ::uint64_t getEvacuations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1510,6 +1528,9 @@
   inline void adoptSuspectsRevisions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSuspectsRevisions();
 
+  inline  ::uint64_t getEvacuations();
+  inline void setEvacuations( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1699,6 +1720,9 @@
   inline bool hasSuspects() const;
   inline  ::Wire::RosterSchema::Suspects::Reader getSuspects() const;
 
+  inline bool hasEvacuations() const;
+  inline  ::Wire::RosterSchema::Evacuations::Reader getEvacuations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1758,6 +1782,13 @@
   inline void adoptSuspects(::capnp::Orphan< ::Wire::RosterSchema::Suspects>&& value);
   inline ::capnp::Orphan< ::Wire::RosterSchema::Suspects> disownSuspects();
 
+  inline bool hasEvacuations();
+  inline  ::Wire::RosterSchema::Evacuations::Builder getEvacuations();
+  inline void setEvacuations( ::Wire::RosterSchema::Evacuations::Reader value);
+  inline  ::Wire::RosterSchema::Evacuations::Builder initEvacuations();
+  inline void adoptEvacuations(::capnp::Orphan< ::Wire::RosterSchema::Evacuations>&& value);
+  inline ::capnp::Orphan< ::Wire::RosterSchema::Evacuations> disownEvacuations();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1777,6 +1808,94 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::Wire::RosterSchema::Suspects::Pipeline getSuspects();
+  inline  ::Wire::RosterSchema::Evacuations::Pipeline getEvacuations();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Evacuations::Reader {
+public:
+  typedef Evacuations Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasDomains() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDomains() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Evacuations::Builder {
+public:
+  typedef Evacuations Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasDomains();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDomains();
+  inline void setDomains( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setDomains(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDomains(unsigned int size);
+  inline void adoptDomains(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDomains();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Evacuations::Pipeline {
+public:
+  typedef Evacuations Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3650,6 +3769,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t WatchRequest::Reader::getEvacuations() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WatchRequest::Builder::getEvacuations() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void WatchRequest::Builder::setEvacuations( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SourceState::Reader::hasSource() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3995,6 +4128,97 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool WatchReply::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool WatchReply::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::RosterSchema::Evacuations::Reader WatchReply::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Evacuations>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Wire::RosterSchema::Evacuations::Builder WatchReply::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Evacuations>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Wire::RosterSchema::Evacuations::Pipeline WatchReply::Pipeline::getEvacuations() {
+  return  ::Wire::RosterSchema::Evacuations::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void WatchReply::Builder::setEvacuations( ::Wire::RosterSchema::Evacuations::Reader value) {
+  ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Evacuations>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::RosterSchema::Evacuations::Builder WatchReply::Builder::initEvacuations() {
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Evacuations>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void WatchReply::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::Wire::RosterSchema::Evacuations>&& value) {
+  ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Evacuations>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::RosterSchema::Evacuations> WatchReply::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::Wire::RosterSchema::Evacuations>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Evacuations::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Evacuations::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Evacuations::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evacuations::Reader::hasDomains() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuations::Builder::hasDomains() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Evacuations::Reader::getDomains() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuations::Builder::getDomains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuations::Builder::setDomains( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Evacuations::Builder::setDomains(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuations::Builder::initDomains(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuations::Builder::adoptDomains(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Evacuations::Builder::disownDomains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t TableRequest::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/RosterCodec.cpp
+++ b/Source/Core/Wire/RosterCodec.cpp
@@ -210,6 +210,7 @@
         out.setDomain(toText(request.peer.domain));
         out.setIsLeaving(request.isLeaving);
         out.setIsControl(request.isControl);
+        out.setEvacuations(request.evacuations.value());
         out.setSuspectsEpoch(request.suspects.epoch.value());
         write(out.initSuspectsRevisions(static_cast<unsigned>(request.suspects.revisions.size())),
             request.suspects.revisions);
@@ -226,12 +227,29 @@
         request.peer = { fromText<Common::Address>(in.getAddress()), fromText<Common::FailureDomain>(in.getDomain()) };
         request.isLeaving = in.getIsLeaving();
         request.isControl = in.getIsControl();
+        request.evacuations = Common::Revision(in.getEvacuations());
         request.suspects = { Roster::Epoch(in.getSuspectsEpoch()), read(in.getSuspectsRevisions()) };
         for (auto known : in.getKnown())
             request.known.push_back(read(known));
         return request;
     }
 
+    void write(Schema::Evacuations::Builder out, const Roster::Evacuations& evacuations)
+    {
+        out.setRevision(evacuations.revision.value());
+        auto domains = out.initDomains(static_cast<unsigned>(evacuations.domains.size()));
+        for (unsigned i = 0; i < domains.size(); ++i)
+            domains.set(i, toText(evacuations.domains[i]));
+    }
+
+    Roster::Evacuations read(Schema::Evacuations::Reader in)
+    {
+        Roster::Evacuations evacuations { Common::Revision(in.getRevision()), {} };
+        for (auto domain : in.getDomains())
+            evacuations.domains.push_back(fromText<Common::FailureDomain>(domain));
+        return evacuations;
+    }
+
     void write(Schema::Departure::Builder out, const Roster::Departure& departure)
     {
         out.setServer(toText(departure.server));
@@ -285,6 +303,8 @@
     out.setTableNumber(reply.table.value());
     out.setLogBehindMs(reply.logBehind.value());
     write(out.initSuspects(), reply.epoch, reply.suspects);
+    if (reply.evacuations.revision > Common::Revision())
+        write(out.initEvacuations(), reply.evacuations);
     auto sources = out.initSources(static_cast<unsigned>(reply.sources.size()));
     for (unsigned i = 0; i < sources.size(); ++i)
         write(sources[i], reply.sources[i]);
@@ -302,6 +322,7 @@
         reply.logBehind = Common::Milliseconds(in.getLogBehindMs());
         reply.epoch = Roster::Epoch(in.getSuspects().getEpoch());
         reply.suspects = read(in.getSuspects());
+        reply.evacuations = read(in.getEvacuations());
         for (auto source : in.getSources())
             reply.sources.push_back(read(source));
         for (auto member : in.getMembers())
--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -26,6 +26,7 @@
 SETTINGS = """
 instance: "{ip}:{port}"
 failure_domain: "{domain}"
+failure_domains: [{known_domains}]
 roles: [{role}]
 data_folder: "{folder}"
 peer: {{ listen: "{ip}:{port}", heartbeat_ms: 300, silence_ms: 900 }}
@@ -273,8 +274,9 @@
 
 
 class PlatformCluster:
-    def __init__(self, controls=5, domains=("a", "b", "c"), silence_ms=2000):
+    def __init__(self, controls=5, domains=("a", "b", "c"), silence_ms=2000, failure_domains=()):
         self.silence_ms = silence_ms
+        self.failure_domains = failure_domains
         self.folder = tempfile.mkdtemp(prefix="corianderlock-platform-")
         self.port = self.find_port()
         self.controls = [f"127.0.2.{i + 1}" for i in range(controls)]
@@ -312,6 +314,7 @@
             ip=ip, port=self.port, http=self.port + 1, role=role, listens=listens, found=str(found).lower(),
             domain=self.relays.get(ip) or self.control_domains.get(ip, "a"), folder=os.path.join(self.folder, "data-" + ip),
             seeds=", ".join(f'"{seed}:{self.port + 2}"' for seed in seeds or self.seeds), silence=self.silence_ms,
+            known_domains=", ".join(f'"{domain}"' for domain in self.failure_domains),
             wait=600 if role == "relay" else 100)
         path = os.path.join(self.folder, ip + ".yaml")
         # Renamed, so that a running process never reads a part of it.
--- a/Source/UnitTests/Wire/ControlCodecTest.cpp
+++ b/Source/UnitTests/Wire/ControlCodecTest.cpp
@@ -125,7 +125,9 @@
     case 3:
         return WatchReply { randomDeltas(changes), leader };
     case 4:
-        return StatusReply { StatusFound { Revision(3), { RevisionState::InForce, { live.id }, true } }, leader };
+        return StatusReply { StatusFound { Revision(3), { RevisionState::InForce, { live.id }, true },
+                                 { Common::FailureDomain("patan") } },
+            leader };
     default:
         return ReleaseReply { isError ? std::optional(error) : std::nullopt, leader };
     }
