Test the evacuation of failure domains without processes

Assign is idempotent, the order of the log decides, and followers that get changes in any batches, late or twice end in the state of the replicas (RapidCheck).

--- a/Source/UnitTests/Control/ConfigurationTest.cpp
+++ b/Source/UnitTests/Control/ConfigurationTest.cpp
@@ -65,6 +65,8 @@
     // Returns whether a change with a new id must be accepted.
     bool accepts(const Change& change) const
     {
+        if (change.action == Action::Assign)
+            return !change.madeFrom.value();
         auto it = states.back().find(change.key);
         bool exists = it != states.back().end();
         if (change.action == Action::Create ? exists || change.madeFrom.value() : !exists)
@@ -76,6 +78,15 @@
         return hasValidReferences(after);
     }
 
+    // Returns the stored resource if the change assigns an equal one, and so has no effect.
+    const StoredResource* findAssigned(const Change& change) const
+    {
+        auto it = states.back().find(change.key);
+        bool isSame = change.action == Action::Assign && !change.madeFrom.value() && it != states.back().end()
+            && it->second.resource == change.resource;
+        return isSame ? &it->second : nullptr;
+    }
+
     void accept(const Change& change)
     {
         states.push_back(states.back());
@@ -151,6 +162,11 @@
             EXPECT_EQ(rejected(outcome).error.reason, Reason::Conflict);
             return;
         }
+        if (const StoredResource* same = m_naive.findAssigned(change)) {
+            EXPECT_EQ(acceptedAt(outcome), same->version.value()) << messageOf(outcome);
+            EXPECT_EQ(m_configuration.resources, m_naive.states.back());
+            return;
+        }
         EXPECT_EQ(acceptedAt(outcome) != 0, m_naive.accepts(change)) << messageOf(outcome);
         if (acceptedAt(outcome)) {
             m_naive.accept(change);
--- a/Source/UnitTests/Control/RandomChanges.h
+++ b/Source/UnitTests/Control/RandomChanges.h
@@ -22,6 +22,13 @@
             return resend();
         Control::Change change;
         change.id = Common::ChangeId("change-" + std::to_string(++m_ids));
+        if (m_random.chance(0.1)) {
+            change.action = Control::Action::Assign;
+            change.resource = randomEvacuation();
+            change.key = Model::keyOf(*change.resource);
+            m_sent.push_back(change);
+            return change;
+        }
         Model::Resource resource = randomResource();
         change.key = Model::keyOf(resource);
         const Control::StoredResource* stored = Control::find(seen, change.key);
@@ -61,6 +68,11 @@
         }
     }
 
+    Model::DomainEvacuation randomEvacuation()
+    {
+        return { Common::FailureDomain("domain-" + number(3)), m_random.chance(0.5) };
+    }
+
 private:
     std::string number(uint64_t limit) { return std::to_string(m_random.below(limit)); }
 
--- a/Source/UnitTests/Wire/RosterCodecTest.cpp
+++ b/Source/UnitTests/Wire/RosterCodecTest.cpp
@@ -35,6 +35,7 @@
     request.known = { { Address("10.0.0.3:1"), Epoch(7), { Revision(1), Revision(2) }, 4 },
         { Address("10.0.0.4:1"), Epoch(8), {}, 0 } };
     request.table = Common::TableNumber(9);
+    request.evacuations = Revision(12);
     request.suspects = { Epoch(3), { Revision(4), Revision(5) } };
     return request;
 }
@@ -62,6 +63,7 @@
     reply.table = Common::TableNumber(10);
     reply.members = { Address("10.0.0.3:1"), Address("10.0.0.4:1") };
     reply.epoch = Epoch(8);
+    reply.evacuations = { Revision(13), { FailureDomain("patan"), FailureDomain("nagy v\u00e1ros") } };
     reply.suspects = { { Revision(6), Revision(7) }, makeRecords() };
     return reply;
 }
@@ -83,6 +85,7 @@
     EXPECT_EQ(back.known[0].revisions, makeRequest().known[0].revisions);
     EXPECT_EQ(back.known[0].peersVersion, 4u);
     EXPECT_EQ(back.table, Common::TableNumber(9));
+    EXPECT_EQ(back.evacuations, Revision(12));
     EXPECT_EQ(back.suspects.epoch, Epoch(3));
     EXPECT_EQ(back.suspects.revisions, makeRequest().suspects.revisions);
     EXPECT_EQ(Wire::encode(Request(back)), bytes);
@@ -108,6 +111,7 @@
     EXPECT_EQ(decoded.value().logBehind, Milliseconds(1'300));
     EXPECT_EQ(decoded.value().members, makeReply().members);
     EXPECT_EQ(decoded.value().epoch, Epoch(8));
+    EXPECT_EQ(decoded.value().evacuations, makeReply().evacuations);
     EXPECT_EQ(decoded.value().suspects.revisions, makeReply().suspects.revisions);
     EXPECT_EQ(decoded.value().suspects.records, makeRecords());
     EXPECT_EQ(Wire::encode(decoded.value()), bytes);
