--- a/Source/UnitTests/Processes/evacuation_test.py
+++ b/Source/UnitTests/Processes/evacuation_test.py
@@ -11,6 +11,7 @@
 SHARDS = ["s0", "s1"]
 ZONES = ["a", "b", "c"]
 IN_FORCE_SECONDS = 5.0
+TABLES = 25  # More than the log entries between two snapshots, and less than two times as many.
 ACK_SECONDS = 6.0
 SERVE_SECONDS = 12.0
 
@@ -66,6 +67,11 @@
         self.send_some(1)
         expect(self.arrived_in(["a"]) > before, "none of these evacuates a domain")
 
+    def write_snapshot(self):
+        accepted = [call(self.cluster.control_address(), "PUT", "/-/config",
+                         configuration(version, SHARDS, "one", "book"), timeout=3)[0] for version in range(8, 8 + TABLES)]
+        expect(accepted == [200] * TABLES, f"{TABLES} further configurations are accepted")
+
     def check_evacuation(self):
         status, _, body = self.command("POST", "a")
         expect((status, body) == (200, b"{}"), f"an evacuation is acknowledged: {status} {body}")
@@ -78,7 +84,8 @@
 
     def check_restart(self):
         everyone = self.cluster.controls + list(self.cluster.relays)
-        # Long after the acknowledgement of the evacuation, and no snapshot was written since.
+        # The latest snapshot has a route table and no evacuation, so that an instance that starts with it and has not
+        # caught up yet would send requests to the domain.
         for ip in everyone:
             self.cluster.signal(ip, signal.SIGKILL, wait=False)
         for ip in everyone:
@@ -124,6 +131,7 @@
             self.cluster.control_address(1), "PUT", "/-/config", document, timeout=3)[0] == 200), "configured")
         expect(wait_for(SERVE_SECONDS, self.served_by_all), "all relays serve")
         self.check_refusals()
+        self.write_snapshot()
         self.check_evacuation()
         self.check_restart()
         self.check_whole_group()
--- a/Source/UnitTests/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -26,6 +26,15 @@
 
 } // namespace
 
+TEST(Settings, FailureDomainsAreOptional)
+{
+    EXPECT_TRUE(Settings::parse("a.yaml", validSettings).value().failureDomains.empty());
+    auto daemon = Settings::parse("a.yaml", validSettings + "failure_domains: [\"kozep-a\",\"kozep b\"]\n");
+    ASSERT_TRUE(daemon) << daemon.error();
+    EXPECT_EQ(daemon.value().failureDomains,
+        (std::vector { Common::FailureDomain("kozep-a"), Common::FailureDomain("kozep b") }));
+}
+
 TEST(Settings, ReadsAValidFileWithDefaults)
 {
     auto result = Settings::parse("a.yaml", validSettings);
