Start the first election round a tenth to a fifth of the election timeout after a start

Cause: after a power loss of all members, each waited one to two election timeouts for a leader that was not there. Change: the first round is due early, postponed by a granted pre-vote of another member, with a precedence by id if two first rounds overlap on equal logs. A member that denies a pre-vote for an old log repeats its first round once, since that member may complete the majority. A restarted leader that asks for votes no longer counts as active. A member outside a group announces itself at the same short interval until the first reply, at most 16 times.

--- a/Source/Core/Consensus/Bootstrap.cpp
+++ b/Source/Core/Consensus/Bootstrap.cpp
@@ -18,6 +18,8 @@
 
     // Number of election timeouts for which a reply that a member is in no group remains valid.
     constexpr double announcementValidTimeouts = 3;
+    // After a power loss the others may start slightly later than this member.
+    constexpr size_t maximumEarlyAnnouncements = 16;
 
     bool isInGroup(const State& state) { return membership(state).group != GroupId(0); }
 
@@ -78,7 +80,9 @@
 void announce(Context& c)
 {
     State& state = c.state;
-    state.announceDue = c.now + state.options.electionTimeout;
+    bool isEarly = state.earlyAnnouncements < maximumEarlyAnnouncements;
+    state.earlyAnnouncements += isEarly ? 1 : 0;
+    state.announceDue = c.now + (isEarly ? firstRoundDelay(state) : state.options.electionTimeout);
     if (find(membership(state), state.options.self) && hasActiveLeader(c))
         return;
     sendAnnouncements(c);
@@ -110,6 +114,7 @@
 
 void handleAnnounceReply(Context& c, const Message& message, const AnnounceReply& reply)
 {
+    c.state.earlyAnnouncements = maximumEarlyAnnouncements;
     c.state.discoveredInstances = { reply.members.begin(), reply.members.end() };
     if (reply.inGroup)
         c.state.announcedMembers.erase(message.from.instance);
--- a/Source/Core/Consensus/Election.cpp
+++ b/Source/Core/Consensus/Election.cpp
@@ -6,6 +6,7 @@
 #include "Consensus/Reads.h"
 #include "Consensus/Replication.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Consensus {
@@ -16,6 +17,9 @@
 namespace {
 
     constexpr Term nextTerm { 1 };
+    // Of the election timeout: how long a first round takes precedence over those of members with higher ids. Members
+    // that it reaches answer sooner; after that, it has found no majority.
+    constexpr double precedenceShare = 0.1;
 
     bool isUpToDate(const State& state, const VoteRequest& request)
     {
@@ -50,6 +54,7 @@
         CORIANDERLOCK_INVARIANT(!state.leader, "at most one leader per term");
         state.role = Role::Leader;
         state.leader = state.options.self;
+        state.hasKnownLeader = true;
         state.leading = {};
         state.leading.heartbeatDue = c.now + state.options.heartbeat;
         syncProgress(c);
@@ -58,9 +63,50 @@
         sendEntriesToAll(c);
     }
 
+    // Of two members with equal logs whose first rounds overlap, the one with the lower id goes on. Without this, both
+    // could become candidates of the same term, and with three of five members up, neither would get a majority.
+    bool takesPrecedence(const Context& c, const Message& message, const VoteRequest& request)
+    {
+        const State& state = c.state;
+        bool isSameLog = request.lastTerm == lastTerm(state.log) && request.lastIndex == lastIndex(state.log);
+        return state.role == Role::PreCandidate && state.candidate.firstRoundAt && isSameLog
+            && state.options.self < message.from
+            && c.now - *state.candidate.firstRoundAt < state.options.electionTimeout * precedenceShare;
+    }
+
+    // Lets the member whose pre-vote was granted win before this one begins its own first round.
+    void postponeFirstRound(Context& c)
+    {
+        State& state = c.state;
+        if (state.role == Role::PreCandidate && state.candidate.firstRoundAt) {
+            state.role = Role::Follower;
+            state.isFirstRoundPending = true;
+        }
+        if (state.isFirstRoundPending && state.role == Role::Follower)
+            state.electionDue = c.now + firstRoundDelay(state);
+    }
+
+    // A member with an older log may be the one that completes a majority, after the first rounds of the others found
+    // none. It can't be elected, so that the others would wait for a whole election timeout.
+    void repeatFirstRound(Context& c)
+    {
+        State& state = c.state;
+        bool isWaiting = state.role == Role::Follower || state.role == Role::PreCandidate;
+        if (state.hasKnownLeader || state.isFirstRoundPending || !isWaiting)
+            return;
+        state.role = Role::Follower;
+        state.isFirstRoundPending = true;
+        state.electionDue = std::min(state.electionDue, c.now + firstRoundDelay(state));
+    }
+
     void handlePreVote(Context& c, const Message& message, const VoteRequest& request)
     {
-        bool granted = !hasActiveLeader(c) && message.term > c.state.hard.term && isUpToDate(c.state, request);
+        bool granted = !hasOtherActiveLeader(c, message.from) && message.term > c.state.hard.term
+            && isUpToDate(c.state, request) && !takesPrecedence(c, message, request);
+        if (granted)
+            postponeFirstRound(c);
+        else if (!isUpToDate(c.state, request))
+            repeatFirstRound(c);
         Message reply = makeMessage(c.state, message.from, VoteReply { true, granted });
         if (granted)
             reply.term = message.term;
@@ -84,8 +130,11 @@
         state.leader.reset();
         resetElectionTimer(c);
     }
-    if (leader)
+    if (leader) {
         state.leader = std::move(leader);
+        state.isFirstRoundPending = false;
+        state.hasKnownLeader = true;
+    }
 }
 
 bool hasActiveLeader(const Context& c)
@@ -96,6 +145,11 @@
     return state.leader && state.lastLeaderContact && c.now - *state.lastLeaderContact < state.options.electionTimeout;
 }
 
+bool hasOtherActiveLeader(const Context& c, const MemberId& candidate)
+{
+    return hasActiveLeader(c) && (isLeading(c.state) || candidate != *c.state.leader);
+}
+
 void resetElectionTimer(Context& c)
 {
     c.state.electionDue = c.now + c.state.options.electionTimeout * (1 + c.state.random.unit());
@@ -106,7 +160,10 @@
     State& state = c.state;
     state.role = Role::PreCandidate;
     state.leader.reset();
-    state.candidate = { { state.options.self }, {} };
+    state.candidate = {};
+    state.candidate.votes.insert(state.options.self);
+    if (std::exchange(state.isFirstRoundPending, false))
+        state.candidate.firstRoundAt = c.now;
     resetElectionTimer(c);
     if (hasQuorumOfVotes(state)) {
         startElection(c, false);
@@ -128,8 +185,10 @@
     CORIANDERLOCK_INVARIANT(isSelfVoter(state), "only a voter starts an election");
     state.role = Role::Candidate;
     state.leader.reset();
+    state.isFirstRoundPending = false;
     setHardState(c, state.hard.term + nextTerm, state.options.self);
-    state.candidate = { {}, state.lastWrite };
+    state.candidate = {};
+    state.candidate.ownVoteWrite = state.lastWrite;
     resetElectionTimer(c);
     forEachOtherVoter(
         state, [&](const MemberId& id) { sendAfterWrites(c, id, makeVoteRequest(state, false, transfer)); });
@@ -160,6 +219,7 @@
     }
     CORIANDERLOCK_INVARIANT(message.to == state.options.self, "a vote request is addressed to this storage identity");
     setHardState(c, state.hard.term, message.from);
+    state.isFirstRoundPending = false;
     resetElectionTimer(c);
     sendAfterWrites(c, message.from, VoteReply { false, true });
 }
--- a/Source/Core/Consensus/Election.h
+++ b/Source/Core/Consensus/Election.h
@@ -8,6 +8,9 @@
 void becomeFollower(Context&, Common::Term, std::optional<MemberId> leader);
 // Returns true if this member leads or received a message from the leader of its term within an election timeout.
 bool hasActiveLeader(const Context&);
+// Like hasActiveLeader(), except where the candidate for a later term is itself the leader known here: it has restarted
+// or has stepped down.
+bool hasOtherActiveLeader(const Context&, const MemberId& candidate);
 void resetElectionTimer(Context&);
 
 // Starts a pre-vote: asks the voters whether they would grant a vote, without raising the term. A member that was
--- a/Source/Core/Consensus/State.cpp
+++ b/Source/Core/Consensus/State.cpp
@@ -8,6 +8,14 @@
 using Common::LogIndex;
 using Common::TimePoint;
 
+namespace {
+
+    // Of the election timeout: the shortest time from a start to the first election round. Several round trips and disk
+    // syncs of the members fit in it.
+    constexpr double firstRoundShare = 0.1;
+
+} // namespace
+
 State makeState(Options options, Recovered recovered, uint64_t seed, TimePoint now)
 {
     State state;
@@ -31,12 +39,18 @@
         append(state.log, std::move(entry));
     }
     state.persisted = lastIndex(state.log);
-    // After a start, wait for messages of an existing leader before starting an election.
-    state.electionDue = now + state.options.electionTimeout * (1 + state.random.unit());
+    // Short, since after a power loss of all members no request is served until a leader is elected. Pre-vote denies
+    // the round where a leader is active, and the votes that this member has granted are durable.
+    state.electionDue = now + firstRoundDelay(state);
     state.announceDue = now;
     return state;
 }
 
+Common::Milliseconds firstRoundDelay(State& state)
+{
+    return state.options.electionTimeout * (firstRoundShare * (1 + state.random.unit()));
+}
+
 const Membership& membership(const State& state) { return state.memberships.back().second; }
 
 LogIndex membershipIndex(const State& state) { return state.memberships.back().first; }
--- a/Source/Core/Consensus/State.h
+++ b/Source/Core/Consensus/State.h
@@ -94,6 +94,8 @@
 };
 
 struct CandidateState {
+    // When this member asked for pre-votes in its first round; empty in later rounds.
+    std::optional<Common::TimePoint> firstRoundAt;
     std::set<MemberId> votes;
     WriteNumber ownVoteWrite; // The candidate's own vote counts once this write is durable.
 };
@@ -120,7 +122,12 @@
     std::optional<Common::TimePoint> lastLeaderContact;
     std::optional<CommitReport> groupCommit; // The latest one; empty until a leader was heard of since the start.
     Common::TimePoint electionDue;
+    // Since its start this member has neither begun an election round of its own nor known a leader. Another member's
+    // pre-vote that it grants postpones the round.
+    bool isFirstRoundPending { true };
+    bool hasKnownLeader { false }; // Since its start.
     Common::TimePoint announceDue;
+    size_t earlyAnnouncements { 0 }; // Sent since the start without an answer, at the shorter interval.
     LeaderState leading;
     CandidateState candidate;
     std::map<Common::InstanceId, AnnouncedMember> announcedMembers;
@@ -143,6 +150,8 @@
 const Membership& membershipAt(const State&, Common::LogIndex);
 bool isSelfVoter(const State&);
 bool isLeading(const State&);
+// A tenth to a fifth of the election timeout: the time from a start until the first election round.
+Common::Milliseconds firstRoundDelay(State&);
 // Returns when the next Tick is due.
 Common::TimePoint nextTick(const State&);
 
--- a/Source/Core/Consensus/Step.cpp
+++ b/Source/Core/Consensus/Step.cpp
@@ -49,9 +49,9 @@
         if (const auto* request = std::get_if<VoteRequest>(&message.body)) {
             if (request->pre)
                 return true;
-            // A member with an active leader ignores vote requests, unless the leader itself transfers its
+            // A member with an active leader ignores vote requests, unless the leader itself asks or transfers its
             // leadership.
-            if (!request->transfer && hasActiveLeader(c))
+            if (!request->transfer && hasOtherActiveLeader(c, message.from))
                 return false;
         }
         const auto* reply = std::get_if<VoteReply>(&message.body);
