Follow several control instances at the start, and retry refused connections soon

Cause: a relay asked one control instance at a time (250 ms for each that is down) and met the connection backoff of up to 500 ms; the first table after a start waited for the 100 ms that collect changes. Change: without a table, up to 5 control instances are watched concurrently; a failed request is repeated after 15 to 25 ms in the first 3 s; a channel adds a connection attempt each 60 ms to one without an answer in that time; control answers waiting watch requests at once when it first knows a table.

--- a/Source/Core/Daemon/Daemon.cpp
+++ b/Source/Core/Daemon/Daemon.cpp
@@ -26,6 +26,8 @@
 
 namespace {
 
+    // After a power loss, all processes start within about this time.
+    constexpr Milliseconds eagerConnectTime { 3'000 };
     constexpr int timerShards = 2;
     constexpr long signalWaitNanoseconds = 500'000'000;
     constexpr Milliseconds workCheckInterval { 20 };
@@ -131,6 +133,7 @@
         options.threads = m_settings.peer.threads;
         options.heartbeat = m_settings.peer.heartbeat;
         options.silenceTimeout = m_settings.peer.silenceTimeout;
+        options.eagerUntil = Clock::now() + eagerConnectTime;
         options.logicalTime.stamp = [this] { return m_timeline.stamp().value(); };
         options.logicalTime.observe = [this](uint64_t time) { m_timeline.observe(Observe::LogicalTime(time)); };
         return options;
--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -1,5 +1,6 @@
 #include "Daemon/RosterFollower.h"
 
+#include "Common/Random.h"
 #include "Observe/EventLog.h"
 #include "Roster/FollowChoice.h"
 #include "Roster/Sources.h"
@@ -54,10 +55,12 @@
 
     RosterFollowerDependencies dependencies;
     RosterFollowerHooks hooks; // Set before the first request.
+    const Common::TimePoint startedAt { Clock::now() };
     std::atomic<bool> leaving { false };
     std::atomic<bool> stopped { false };
 
     std::mutex mutex; // Guards what follows.
+    Common::Random random { std::hash<Common::InstanceId> {}(dependencies.settings.instance) };
     std::set<Address> seeds;
     std::set<Address> members;
     std::map<Address, Roster::FollowedControl> followedControls;
@@ -101,8 +104,11 @@
     std::map<Address, Common::FailureDomain> domains;
     for (auto& [address, source] : sources.known)
         domains.emplace(address, source.domain);
-    return Roster::chooseFollowed({ all.begin(), all.end() }, domains, followedControls, dependencies.settings.instance,
-        dependencies.settings.failureDomain, Clock::now());
+    const Settings::Daemon& settings = dependencies.settings;
+    if (table == Common::TableNumber(0))
+        return Roster::chooseAtStart({ all.begin(), all.end() }, domains, settings.instance, settings.failureDomain);
+    return Roster::chooseFollowed({ all.begin(), all.end() }, domains, followedControls, settings.instance,
+        settings.failureDomain, Clock::now());
 }
 
 // Starts to watch the control instances that are chosen and not yet watched. The watch of an instance that is no longer
@@ -183,15 +189,17 @@
 void RosterFollower::Private::handleFailure(const Address& address, const Common::Error& error)
 {
     bool isFirstFailure = false;
+    Milliseconds pause;
     {
         std::lock_guard lock(mutex);
+        pause = Roster::retryPause(table != Common::TableNumber(0), Clock::now() - startedAt, random.unit());
         isFirstFailure = !std::exchange(followedControls[address].hasFailed, true);
     }
     if (isFirstFailure)
         Observe::logEvent(Part::Roster, Observe::Event::ControlLost,
             { { "address", address.value() }, { "why", Common::describe(error) } });
     followChosenControls();
-    scheduleWatch(address, retryDelay);
+    scheduleWatch(address, pause);
 }
 
 void RosterFollower::Private::applyReply(const Address& address, const Roster::WatchReply& reply)
--- a/Source/Core/Daemon/RosterServer.cpp
+++ b/Source/Core/Daemon/RosterServer.cpp
@@ -83,6 +83,7 @@
     const Roster::Epoch epoch;
     std::array<Shard, shardCount> shards;
     std::atomic<bool> flushPending { false };
+    std::atomic<bool> isTableKnown { false };
     std::atomic<bool> stopped { false };
     std::mutex watchMutex; // Guards what follows.
     std::vector<Watcher> watchers;
@@ -104,6 +105,7 @@
 
     void scheduleSweep();
     void scheduleFlush();
+    void configurationChanged();
     void flush();
     void watch(const Roster::WatchRequest&, const Peer::Reply&);
     Roster::WatchReply replyTo(const Roster::WatchRequest&);
@@ -376,6 +378,19 @@
     });
 }
 
+// Followers without a route table refuse all requests, so they learn of the first one after a start without the delay
+// that collects changes.
+void RosterServer::Private::configurationChanged()
+{
+    scheduleFlush();
+    if (isTableKnown || dependencies.control.routeTableNumber() == Common::TableNumber(0) || isTableKnown.exchange(true))
+        return;
+    dependencies.timers.after(Milliseconds(0), [weak = weak_from_this()] {
+        if (auto self = weak.lock())
+            self->flush();
+    });
+}
+
 // Answers the watch requests that have changes to report or have reached their timeout.
 void RosterServer::Private::flush()
 {
@@ -479,7 +494,7 @@
     std::weak_ptr<Private> weak = m_private;
     dependencies.control.onConfigurationChanged([weak] {
         if (auto self = weak.lock())
-            self->scheduleFlush();
+            self->configurationChanged();
     });
     m_private->suspects.onChange([weak] {
         if (auto self = weak.lock())
--- a/Source/Core/Peer/Channel.cpp
+++ b/Source/Core/Peer/Channel.cpp
@@ -11,6 +11,11 @@
 
     constexpr Common::Milliseconds firstBackoff { 20 };
     constexpr Common::Milliseconds maximumBackoff { 500 };
+    // Shorter than the pauses of callers that retry, so that none of their calls meets the backoff.
+    constexpr Common::Milliseconds eagerBackoff { 10 };
+    // A machine that is still down drops the SYN. Attempts are added, since a slow process may notice late that one has
+    // succeeded.
+    constexpr Common::Milliseconds eagerInterval { 60 };
 
     kj::Duration toDuration(Common::Milliseconds d) { return Common::Clock::toChrono(d).count() * kj::MICROSECONDS; }
 
@@ -65,13 +70,22 @@
 void Channel::connect()
 {
     m_isConnecting = true;
+    m_tasks.add(m_timer.timeoutAfter(toDuration(m_options.connectTimeout), attempt())
+                    .then([this](kj::Own<kj::AsyncIoStream>&& it) { onConnected(kj::mv(it)); },
+                        [this](kj::Exception&& e) { onConnectFailed(e.getDescription().cStr()); }));
+}
+
+bool Channel::isEager() const { return Common::Clock::now() < m_options.eagerUntil; }
+
+kj::Promise<kj::Own<kj::AsyncIoStream>> Channel::attempt()
+{
     auto stream = m_network.parseAddress(m_address.value()).then([](kj::Own<kj::NetworkAddress>&& address) {
         auto promise = address->connect();
         return promise.attach(kj::mv(address));
     });
-    m_tasks.add(m_timer.timeoutAfter(toDuration(m_options.connectTimeout), kj::mv(stream))
-                    .then([this](kj::Own<kj::AsyncIoStream>&& it) { onConnected(kj::mv(it)); },
-                        [this](kj::Exception&& e) { onConnectFailed(e.getDescription().cStr()); }));
+    if (!isEager())
+        return stream;
+    return stream.exclusiveJoin(m_timer.afterDelay(toDuration(eagerInterval)).then([this] { return attempt(); }));
 }
 
 void Channel::onConnected(kj::Own<kj::AsyncIoStream> stream)
@@ -90,8 +104,9 @@
 void Channel::onConnectFailed(const std::string& why)
 {
     m_isConnecting = false;
-    m_backoff = std::clamp(m_backoff * 2, firstBackoff, maximumBackoff);
-    m_nextAttempt = Common::Clock::now() + m_backoff;
+    if (!isEager())
+        m_backoff = std::clamp(m_backoff * 2, firstBackoff, maximumBackoff);
+    m_nextAttempt = Common::Clock::now() + (isEager() ? eagerBackoff : m_backoff);
     for (auto& [id, call] : std::exchange(m_queued, {}))
         complete(call, error(Common::Reason::ConnectionFailed, "connect", why));
 }
--- a/Source/Core/Peer/Channel.h
+++ b/Source/Core/Peer/Channel.h
@@ -55,6 +55,8 @@
     };
 
     void connect();
+    kj::Promise<kj::Own<kj::AsyncIoStream>> attempt();
+    bool isEager() const;
     void onConnected(kj::Own<kj::AsyncIoStream>);
     void onConnectFailed(const std::string& why);
     void send(uint64_t id, const CallPtr&);
--- a/Source/Core/Peer/Client.h
+++ b/Source/Core/Peer/Client.h
@@ -18,6 +18,9 @@
     Common::Milliseconds callTimeout { 2000 }; // Default for calls without a timeout.
     // A machine without power does not answer the SYN, and the kernel retransmits it only after a second.
     Common::Milliseconds connectTimeout { 300 };
+    // Until then, a failed connection attempt is followed by the next one almost at once, and an unanswered one by a
+    // second one beside it: the peer may have started at the same time as this process.
+    Common::TimePoint eagerUntil;
     Common::Milliseconds heartbeat { 500 }; // Interval of heartbeats while an answer is outstanding.
     // A connection that stays silent this long while an answer is outstanding is replaced.
     Common::Milliseconds silenceTimeout { 1500 };
--- a/Source/Core/Roster/FollowChoice.cpp
+++ b/Source/Core/Roster/FollowChoice.cpp
@@ -16,6 +16,12 @@
     constexpr Milliseconds replyTimeout { 1'400 };
     // For the first reply, including the connect, before the next control instance is followed as well.
     constexpr Milliseconds firstReplyTimeout { 250 };
+    // Bounds the load on the control instances while hundreds of followers start.
+    constexpr size_t maximumAtStart = 5;
+    constexpr Milliseconds retryDelay { 100 };
+    constexpr Milliseconds eagerRetryDelay { 15 };
+    constexpr Milliseconds eagerRetrySpread { 10 };
+    constexpr Milliseconds eagerTime { 3'000 };
 
     bool isResponsive(const FollowedControl& control, TimePoint now)
     {
@@ -26,22 +32,30 @@
         return now - *control.startedAt < firstReplyTimeout;
     }
 
+    std::vector<Address> inOrder(std::vector<Address> members,
+        const std::map<Address, Common::FailureDomain>& domains, const Common::InstanceId& self,
+        const Common::FailureDomain& own)
+    {
+        auto isLocal = [&](const Address& address) {
+            auto it = domains.find(address);
+            return it != domains.end() && it->second == own;
+        };
+        // The hash spreads followers over the control instances of other failure domains.
+        auto sortKey = [&](const Address& address) {
+            return std::pair(!isLocal(address), Common::hash64(address.value() + " " + self.value()));
+        };
+        std::sort(
+            members.begin(), members.end(), [&](const Address& a, const Address& b) { return sortKey(a) < sortKey(b); });
+        return members;
+    }
+
 } // namespace
 
 std::vector<Address> chooseFollowed(const std::vector<Address>& members,
     const std::map<Address, Common::FailureDomain>& domains, const std::map<Address, FollowedControl>& followed,
     const Common::InstanceId& self, const Common::FailureDomain& own, TimePoint now)
 {
-    auto isLocal = [&](const Address& address) {
-        auto it = domains.find(address);
-        return it != domains.end() && it->second == own;
-    };
-    // The hash spreads followers over the control instances of other failure domains.
-    auto sortKey = [&](const Address& address) {
-        return std::pair(!isLocal(address), Common::hash64(address.value() + " " + self.value()));
-    };
-    std::vector<Address> order = members;
-    std::sort(order.begin(), order.end(), [&](const Address& a, const Address& b) { return sortKey(a) < sortKey(b); });
+    std::vector<Address> order = inOrder(members, domains, self, own);
     std::vector<Address> chosen;
     bool mayAddForRoster = true;
     // Each committed change is held by one instance of any majority.
@@ -68,4 +82,18 @@
     return chosen;
 }
 
+std::vector<Address> chooseAtStart(const std::vector<Address>& members,
+    const std::map<Address, Common::FailureDomain>& domains, const Common::InstanceId& self,
+    const Common::FailureDomain& own)
+{
+    std::vector<Address> chosen = inOrder(members, domains, self, own);
+    chosen.resize(std::min(chosen.size(), maximumAtStart));
+    return chosen;
+}
+
+Milliseconds retryPause(bool hasTable, Milliseconds sinceStart, double random)
+{
+    return hasTable || sinceStart > eagerTime ? retryDelay : eagerRetryDelay + eagerRetrySpread * random;
+}
+
 } // namespace Roster
--- a/Source/Core/Roster/FollowChoice.h
+++ b/Source/Core/Roster/FollowChoice.h
@@ -26,4 +26,14 @@
     const std::map<Common::Address, Common::FailureDomain>& domains, const std::map<Common::Address, FollowedControl>&,
     const Common::InstanceId& self, const Common::FailureDomain& own, Common::TimePoint now);
 
+// Chooses the control instances that a follower without a route table asks at the same time: those of its own failure
+// domain first, then others. After a power loss of all machines it is unknown which of them serve first.
+std::vector<Common::Address> chooseAtStart(const std::vector<Common::Address>& members,
+    const std::map<Common::Address, Common::FailureDomain>& domains, const Common::InstanceId& self,
+    const Common::FailureDomain& own);
+
+// A pause before the next request to a control instance that has failed. It is short in the first seconds after the
+// start of a follower without a route table, and spread, since hundreds of followers may start at the same time.
+Common::Milliseconds retryPause(bool hasTable, Common::Milliseconds sinceStart, double random);
+
 } // namespace Roster
