Hold calls while no route table or no server of their groups is known

Cause: every call to a relay that has just started was refused until its first table. A call that may wait no longer takes the usual path, which refuses it if it can't be served. PlatformPowerLossTest kills and restarts all processes and prints the steps.

--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -181,6 +181,7 @@
     }
     if (!isNewer)
         return;
+    engine.admitHeldCalls();
     rosterFollower.setTable(reply.value().number);
     dependencies.metrics.set(Observe::Gauge::RevisionApplied, static_cast<double>(reply.value().number.value()));
     Observe::logEvent(Part::Control, Observe::Event::RoutesInForce,
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -70,16 +70,21 @@
     return times;
 }
 
-void Engine::Private::relay(const CallPtr& call, Done done)
+void Engine::Private::relay(const CallPtr& call, Done done) { admit(call, Clock::now(), true, std::move(done)); }
+
+void Engine::Private::admit(const CallPtr& call, TimePoint arrived, bool mayHold, Done done)
 {
-    auto now = Clock::now();
     Routes::TablePtr routes;
     {
         std::lock_guard lock(viewMutex);
         routes = table;
     }
     if (!routes) {
-        refuse(call, routes, Reason::Unavailable, "no route table is known yet", refusedRetryAfter, done);
+        if (mayHold && holdCall(call, std::nullopt, arrived, done))
+            return;
+        // Spread, since all callers that arrived in this time are refused together.
+        Milliseconds retryAfter = refusedRetryAfter * (1 + localRandom().unit());
+        refuse(call, routes, Reason::Unavailable, "no route table is known yet", retryAfter, done);
         return;
     }
     const Routes::Route* route = Routes::match(*routes, call->host, call->path);
@@ -92,8 +97,10 @@
         refuse(call, routes, tenant.error().reason, tenant.error().message, Milliseconds(0), done);
         return;
     }
+    if (mayHold && shouldWaitForServers(*route, arrived) && holdCall(call, route->latencyObjective, arrived, done))
+        return;
     CallPtr admitted = routes->tenants ? identified(*call, tenant.value(), backendCodec.tenantHeaders) : call;
-    forward(admitted, routes, *route, timesOf(*admitted, *route, now), std::move(done));
+    forward(admitted, routes, *route, timesOf(*admitted, *route, arrived), std::move(done));
 }
 
 void Engine::Private::forward(
@@ -203,9 +210,13 @@
 {
     std::lock_guard lock(m_private->viewMutex);
     m_private->table = std::move(table);
+    if (!m_private->tableKnownAt)
+        m_private->tableKnownAt = Clock::now();
     m_private->updateGatherers();
 }
 
+void Engine::admitHeldCalls() { m_private->reviewHeldCalls(); }
+
 Routes::TablePtr Engine::table() const
 {
     std::lock_guard lock(m_private->viewMutex);
@@ -229,6 +240,7 @@
     m_private->pool.keepOnly(ids);
     for (const GroupName& group : names)
         m_private->serveWaiters(group);
+    m_private->reviewHeldCalls();
 }
 
 void Engine::setInstances(std::vector<Roster::Peer> instances)
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -92,6 +92,8 @@
     ~Engine();
 
     void setTable(Routes::TablePtr);
+    // Admits the calls that were held until a table is known. To be called after setTable(), with no lock held.
+    void admitHeldCalls();
     Routes::TablePtr table() const;
     void setServers(std::shared_ptr<const ServersByGroup>);
     // All relay instances, including this one.
@@ -100,7 +102,7 @@
     void confirmView();
 
     // done is called exactly once, on any thread. NotFound: no route matches. Unavailable: no route table has been
-    // received yet.
+    // received in the time for which a call may be held.
     using Done = std::function<void(Answer)>;
     void relay(const CallPtr&, Done);
     // Gathers a bundle for another instance. Unavailable if the call was admitted under another route table.
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -8,6 +8,7 @@
 #include "Relay/Assembly.h"
 #include "Relay/EffectQueue.h"
 #include "Relay/Engine.h"
+#include "Relay/HeldCalls.h"
 #include "Relay/Query.h"
 #include "Relay/ServerPool.h"
 #include "Routing/LatencyStats.h"
@@ -20,7 +21,7 @@
 #include <string>
 #include <variant>
 
-// Internal to Engine, EngineView, EngineGather and EngineSends.
+// Internal to Engine, EngineHold, EngineView, EngineGather and EngineSends.
 namespace Relay {
 
 using Common::AttemptId;
@@ -161,6 +162,17 @@
     TimePoint viewConfirmedAt;
     std::optional<TimePoint> viewSince; // When the table and the instances were first known.
     GathererHealth health;
+    std::optional<TimePoint> tableKnownAt; // Guarded by viewMutex too.
+
+    struct WaitingCall {
+        CallPtr call;
+        TimePoint arrived;
+        Done done;
+    };
+    std::mutex heldMutex; // Guards the members down to overdueCheckAt. Locked before viewMutex.
+    HeldCalls heldCalls;
+    std::map<HeldCallId, WaitingCall> waitingCalls; // The same ids as in heldCalls.
+    std::optional<TimePoint> overdueCheckAt;
 
     Common::ShardedMap<QueryId, ActiveCallPtr> queries;
     std::atomic<uint64_t> nextGathering { 1 };
@@ -178,6 +190,13 @@
     ServerPool pool;
 
     void relay(const CallPtr&, Done);
+    void admit(const CallPtr&, TimePoint arrived, bool mayHold, Done);
+    bool shouldWaitForServers(const Routes::Route&, TimePoint now) const;
+    bool holdCall(const CallPtr&, std::optional<Milliseconds> objective, TimePoint arrived, Done&);
+    WaitingCall takeWaiting(HeldCallId);
+    void dropHeld(HeldCallId);
+    void scheduleOverdueCheck();
+    void reviewHeldCalls();
     void forward(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
     void run(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const LocalRequest&, const Times&, Done);
     void gather(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
--- a/Source/UnitTests/Processes/platform_power_loss_test.py
+++ b/Source/UnitTests/Processes/platform_power_loss_test.py
@@ -57,7 +57,7 @@
     def watch_readiness(self, ip):
         """A relay is ready once it has a route table."""
         while not self.is_over():
-            if call((ip, self.cluster.port + 3), "GET", "/ready", timeout=0.3)[0] == 200:
+            if call((ip, self.cluster.port + 3), "GET", "/-/ready", timeout=0.3)[0] == 200:
                 return self.note(("table", ip))
             time.sleep(POLL_SECONDS)
 
@@ -99,7 +99,7 @@
             time.sleep(0.1)
         left = set(self.cluster.relays)
         while left and time.monotonic() < end:
-            left = {ip for ip in left if call((ip, self.cluster.port + 3), "GET", "/ready", timeout=1)[0] != 200}
+            left = {ip for ip in left if call((ip, self.cluster.port + 3), "GET", "/-/ready", timeout=1)[0] != 200}
             time.sleep(0.05)
         expect(not left, f"the cluster forms, {len(left)} relays are not ready")
         time.sleep(1.5)  # Time for the other control instances to become voters.
@@ -146,7 +146,7 @@
             return
         majority = up[2]
         print(f"relays {relays}; ms after the start of the first process: all started {watch.steps_of('started')}, "
-              f"first control instance up {up[0]}, majority up {majority}, leader elected {leader}, "
+              f"first control instance up {up[0]}, majority up {majority}, leader elected and table committed {leader}, "
               f"first table at a relay {tables[:1]}, last {tables[-1:]}, "
               f"first request served {served[:1]}, median {served[len(served) // 2:][:1]}, last {served[-1:]}; "
               f"refused {watch.refused}, failed otherwise {watch.failed}", flush=True)
@@ -159,7 +159,7 @@
         self.form()
         for _ in range(rounds):
             self.lose_power()
-            self.report(self.restart(seconds, b"now leads"))
+            self.report(self.restart(seconds, b"event=routes-applied"))
 
 
 def main():
--- a/Source/UnitTests/Roster/FollowTest.cpp
+++ b/Source/UnitTests/Roster/FollowTest.cpp
@@ -375,3 +375,28 @@
     for (auto& [address, count] : first)
         EXPECT_GT(count, 40) << address.value();
 }
+
+// Guards against a follower that waits for one control instance after another after a power loss of all machines, and
+// against hundreds of followers that send to all instances of a large group.
+TEST(FollowChoice, AFollowerWithoutATableAsksSeveralAtOnce)
+{
+    std::map<Address, FailureDomain> domains { { Address("c"), FailureDomain("d") } };
+    std::vector<Address> three { Address("a"), Address("b"), Address("c") };
+    auto chosen = chooseAtStart(three, domains, InstanceId("r"), FailureDomain("d"));
+    EXPECT_EQ(chosen.size(), 3u);
+    EXPECT_EQ(chosen.front(), Address("c"));
+    std::vector<Address> many;
+    for (int i = 0; i < 9; ++i)
+        many.emplace_back(std::to_string(i));
+    EXPECT_EQ(chooseAtStart(many, {}, InstanceId("r"), FailureDomain("d")).size(), 5u);
+}
+
+// Guards against a relay that loses 100 ms for each refused connection at its start, and against one without a table
+// that sends dozens of requests per second for as long as there is none.
+TEST(FollowChoice, RetriesAreCloseAndSpreadAtTheStartOnly)
+{
+    EXPECT_EQ(retryPause(false, Milliseconds(100), 0), Milliseconds(15));
+    EXPECT_LT(retryPause(false, Milliseconds(100), 0.99), Milliseconds(25));
+    EXPECT_EQ(retryPause(true, Milliseconds(100), 0), Milliseconds(100));
+    EXPECT_EQ(retryPause(false, Milliseconds(5'000), 0), Milliseconds(100));
+}
