--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -107,8 +107,8 @@
     const Settings::Daemon& settings = dependencies.settings;
     if (table == Common::TableNumber(0))
         return Roster::chooseAtStart({ all.begin(), all.end() }, domains, settings.instance, settings.failureDomain);
-    return Roster::chooseFollowed({ all.begin(), all.end() }, domains, followedControls, settings.instance,
-        settings.failureDomain, Clock::now());
+    return Roster::chooseFollowed(
+        { all.begin(), all.end() }, domains, followedControls, settings.instance, settings.failureDomain, Clock::now());
 }
 
 // Starts to watch the control instances that are chosen and not yet watched. The watch of an instance that is no longer
--- a/Source/Core/Daemon/RosterServer.cpp
+++ b/Source/Core/Daemon/RosterServer.cpp
@@ -383,7 +383,8 @@
 void RosterServer::Private::configurationChanged()
 {
     scheduleFlush();
-    if (isTableKnown || dependencies.control.routeTableNumber() == Common::TableNumber(0) || isTableKnown.exchange(true))
+    if (isTableKnown || dependencies.control.routeTableNumber() == Common::TableNumber(0)
+        || isTableKnown.exchange(true))
         return;
     dependencies.timers.after(Milliseconds(0), [weak = weak_from_this()] {
         if (auto self = weak.lock())
--- a/Source/Core/Relay/EngineHold.cpp
+++ b/Source/Core/Relay/EngineHold.cpp
@@ -99,8 +99,8 @@
     });
 }
 
-// Admits the held calls whose table and servers are known, and those that may wait no longer. Without a table or without
-// servers, the latter are refused.
+// Admits the held calls whose table and servers are known, and those that may wait no longer. Without a table or
+// without servers, the latter are refused.
 void Engine::Private::reviewHeldCalls()
 {
     std::vector<WaitingCall> ready;
--- a/Source/Core/Roster/FollowChoice.cpp
+++ b/Source/Core/Roster/FollowChoice.cpp
@@ -32,9 +32,8 @@
         return now - *control.startedAt < firstReplyTimeout;
     }
 
-    std::vector<Address> inOrder(std::vector<Address> members,
-        const std::map<Address, Common::FailureDomain>& domains, const Common::InstanceId& self,
-        const Common::FailureDomain& own)
+    std::vector<Address> inOrder(std::vector<Address> members, const std::map<Address, Common::FailureDomain>& domains,
+        const Common::InstanceId& self, const Common::FailureDomain& own)
     {
         auto isLocal = [&](const Address& address) {
             auto it = domains.find(address);
@@ -44,8 +43,8 @@
         auto sortKey = [&](const Address& address) {
             return std::pair(!isLocal(address), Common::hash64(address.value() + " " + self.value()));
         };
-        std::sort(
-            members.begin(), members.end(), [&](const Address& a, const Address& b) { return sortKey(a) < sortKey(b); });
+        std::sort(members.begin(), members.end(),
+            [&](const Address& a, const Address& b) { return sortKey(a) < sortKey(b); });
         return members;
     }
 
--- a/Source/UnitTests/Relay/HeldCallsTest.cpp
+++ b/Source/UnitTests/Relay/HeldCallsTest.cpp
@@ -78,7 +78,8 @@
     EXPECT_EQ(nextOverdue(held), at(30));
 }
 
-// Guards against calls that wait for servers long after the start, when a group without servers is not about to get any.
+// Guards against calls that wait for servers long after the start, when a group without servers is not about to get
+// any.
 TEST(HeldCalls, WaitForServersOnlySoonAfterTheTableIsKnown)
 {
     Relay::HoldLimits limits;
