--- a/Source/UnitTests/Peer/PeerTest.cpp
+++ b/Source/UnitTests/Peer/PeerTest.cpp
@@ -69,7 +69,7 @@
 // A listening socket that never answers.
 class SilentPeer {
 public:
-    SilentPeer()
+    explicit SilentPeer(int backlog = 8)
         : m_fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         sockaddr_in in {};
@@ -78,7 +78,7 @@
         socklen_t size = sizeof(in);
         auto* raw = reinterpret_cast<sockaddr*>(&in);
         EXPECT_EQ(::bind(m_fd, raw, size), 0);
-        EXPECT_EQ(::listen(m_fd, 8), 0);
+        EXPECT_EQ(::listen(m_fd, backlog), 0);
         EXPECT_EQ(::getsockname(m_fd, raw, &size), 0);
         m_port = ntohs(in.sin_port);
     }
@@ -230,6 +230,49 @@
     EXPECT_EQ(reasonOf(callNow(client, Common::Address("no address"), "x")), Reason::ConnectionFailed);
 }
 
+// Guards against a process that loses a connect timeout to a machine that starts at the same time and drops the first
+// SYN, which the kernel sends again only after a second.
+TEST(Peer, UnansweredConnectionAttemptIsFollowedByAnotherAtTheStart)
+{
+    SilentPeer peer(0); // Drops each SYN while one connection waits to be accepted.
+    Peer::Client filler(clientOptions());
+    auto first = send(filler, peer.address(), Service::Control, "", longTimeout);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    auto options = clientOptions();
+    options.connectTimeout = Milliseconds(5'000);
+    options.eagerUntil = Common::Clock::now() + longTimeout;
+    Peer::Client client(options);
+    auto second = send(client, peer.address(), Service::Control, "", longTimeout);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    int firstConnection = peer.accept(std::chrono::milliseconds(0));
+    EXPECT_GE(firstConnection, 0);
+    int secondConnection = peer.accept(std::chrono::milliseconds(500));
+    EXPECT_GE(secondConnection, 0);
+    ::close(firstConnection);
+    ::close(secondConnection);
+}
+
+// Guards against the backoff of up to 500 ms for a peer that starts slightly later than this process.
+TEST(Peer, RefusedConnectionsAreRetriedWithoutBackoffAtTheStart)
+{
+    Common::Address address;
+    {
+        auto server = echoServer(anyPort);
+        address = server->address();
+        server->stop();
+    }
+    auto options = clientOptions();
+    options.eagerUntil = Common::Clock::now() + longTimeout;
+    Peer::Client client(options);
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(reasonOf(callNow(client, address, "")), Reason::ConnectionFailed);
+        std::this_thread::sleep_for(std::chrono::milliseconds(15));
+    }
+    auto server = echoServer(address);
+    auto answer = callNow(client, address, "x");
+    EXPECT_TRUE(answer && answer.value() == "x");
+}
+
 TEST(Peer, PendingCallsFailWithTheirServerAndLaterCallsReachItsReplacement)
 {
     std::mutex mutex;
