Let each member have one first election round also without a majority

Cause: a mutation check showed that two members without a majority granted each other's pre-votes and so postponed and repeated their short first rounds without end. Change: a member gives up its own first round for another's only while the two overlap.

--- a/Source/Core/Consensus/Election.cpp
+++ b/Source/Core/Consensus/Election.cpp
@@ -63,22 +63,28 @@
         sendEntriesToAll(c);
     }
 
+    // Not long after that: two members without a majority would otherwise repeat their first rounds in turn.
+    bool isInFirstRound(const Context& c)
+    {
+        const State& state = c.state;
+        return state.role == Role::PreCandidate && state.candidate.firstRoundAt
+            && c.now - *state.candidate.firstRoundAt < state.options.electionTimeout * precedenceShare;
+    }
+
     // Of two members with equal logs whose first rounds overlap, the one with the lower id goes on. Without this, both
     // could become candidates of the same term, and with three of five members up, neither would get a majority.
     bool takesPrecedence(const Context& c, const Message& message, const VoteRequest& request)
     {
         const State& state = c.state;
         bool isSameLog = request.lastTerm == lastTerm(state.log) && request.lastIndex == lastIndex(state.log);
-        return state.role == Role::PreCandidate && state.candidate.firstRoundAt && isSameLog
-            && state.options.self < message.from
-            && c.now - *state.candidate.firstRoundAt < state.options.electionTimeout * precedenceShare;
+        return isInFirstRound(c) && isSameLog && state.options.self < message.from;
     }
 
     // Lets the member whose pre-vote was granted win before this one begins its own first round.
     void postponeFirstRound(Context& c)
     {
         State& state = c.state;
-        if (state.role == Role::PreCandidate && state.candidate.firstRoundAt) {
+        if (isInFirstRound(c)) {
             state.role = Role::Follower;
             state.isFirstRoundPending = true;
         }
--- a/Source/UnitTests/Consensus/StartTest.cpp
+++ b/Source/UnitTests/Consensus/StartTest.cpp
@@ -104,6 +104,24 @@
     }
 }
 
+// Guards against members that repeat their short first rounds for as long as there is no majority.
+TEST(Start, MembersWithoutAMajorityHaveOneFirstRoundEach)
+{
+    for (uint64_t seed = 1; seed <= runs; ++seed) {
+        FakeCluster cluster(seed, memberCount);
+        ASSERT_NO_FATAL_FAILURE(form(cluster)) << "seed " << seed;
+        for (size_t member = 0; member < memberCount; ++member)
+            cluster.kill(member, false);
+        cluster.restart(0);
+        cluster.restart(1);
+        cluster.run(electionTimeout() / 2 + messageTime);
+        for (size_t member : { 0, 1 }) {
+            EXPECT_FALSE(cluster.state(member).isFirstRoundPending) << "seed " << seed;
+            EXPECT_EQ(cluster.state(member).role, Consensus::Role::PreCandidate) << "seed " << seed;
+        }
+    }
+}
+
 // Guards against an early round of a restarted member that deposes an active leader or raises the term.
 TEST(Start, ARestartedMemberDoesNotDeposeAnActiveLeader)
 {
--- a/Source/UnitTests/Roster/FollowTest.cpp
+++ b/Source/UnitTests/Roster/FollowTest.cpp
@@ -385,9 +385,7 @@
     auto chosen = chooseAtStart(three, domains, InstanceId("r"), FailureDomain("d"));
     EXPECT_EQ(chosen.size(), 3u);
     EXPECT_EQ(chosen.front(), Address("c"));
-    std::vector<Address> many;
-    for (int i = 0; i < 9; ++i)
-        many.emplace_back(std::to_string(i));
+    std::vector<Address> many { Address("1"), Address("2"), Address("3"), Address("4"), Address("5"), Address("6") };
     EXPECT_EQ(chooseAtStart(many, {}, InstanceId("r"), FailureDomain("d")).size(), 5u);
 }
 
