Bound requests to cold servers over all instances, and pace servers that start or recover

Cause: a server that is cold, or has recovered, got as many requests as it had connections. A heartbeat that reported a new cold phase of the same incarnation reached no relay: the registry and the view of servers ignored it. Limits/ServerPace adapts the requests in flight of a server after a start, a cold phase, failures or slowness, if relay.pace is set. Admission counts a cold server with its rate. An end of the cold phase that moves is reported.

--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -69,6 +69,7 @@
     options.processorShare = settings.relay.processorShare.value();
     options.self = { settings.peer.listen, settings.failureDomain };
     options.returnMargin = settings.relay.returnMargin;
+    options.usesPace = settings.relay.pace;
     options.retryBudget = { settings.relay.retryRatio, settings.relay.retryMinimum, settings.relay.retryWindow };
     return options;
 }
--- a/Source/Core/Limits/ServerRate.h
+++ b/Source/Core/Limits/ServerRate.h
@@ -45,9 +45,17 @@
     Common::TimePoint filledAt; // Empty before its first use.
 };
 
+// The rate that binds a server until it is warm, in addition to the one that it names.
+struct ColdRate {
+    Common::RequestRate rate;
+    Common::TimePoint until;
+};
+
 // What this instance may send to one server. Plain data: the caller keeps it under a lock.
 struct ServerRate {
     NamedRate named;
+    Common::Incarnation coldIncarnation;
+    std::optional<ColdRate> cold; // Of coldIncarnation.
     RateBucket bucket; // As the keeper, or alone.
     size_t granted { 0 }; // Tokens from the keeper.
     Common::TimePoint grantedUntil; // Later they are void: the keeper counts a token when it gives it out.
@@ -56,10 +64,17 @@
     Common::TimePoint keeperSilentUntil;
 };
 
+// Sets the cold rate of the server, or ends it. At the start of a cold phase there are no tokens, also at the keeper.
+void setCold(ServerRate&, Common::Incarnation, const std::optional<ColdRate>&, Common::TimePoint now);
+bool isCold(const ServerRate&, Common::Incarnation, Common::TimePoint now);
+// The lower of the rate that the server names and its cold rate; empty if neither binds.
+std::optional<Common::RequestRate> rateInForce(const ServerRate&, Common::Incarnation, Common::TimePoint now);
+
 // The role, given who keeps the server's tokens: a keeper that did not answer is left alone for a while.
 RateRole roleOf(const ServerRate&, RateRole intended, Common::TimePoint now);
 
-// Takes a token. True for a server that names no rate.
+// Takes a token. True for a server that has no rate. An instance that is alone gets none for a cold server: a quarter of
+// the rate, sent by instances that don't know of each other, is not bounded by the cold rate.
 bool tryTakeToken(ServerRate&, Common::Incarnation, RateRole, size_t instances, Common::TimePoint now);
 // Whether a request could be sent now or after asking the keeper.
 bool isWithinRate(const ServerRate&, Common::Incarnation, RateRole, size_t instances, Common::TimePoint now);
@@ -71,7 +86,7 @@
 struct RateClaim {
     Common::BackendServerId server;
     Common::Incarnation incarnation;
-    Common::RequestRate rate; // As the asker knows it.
+    Common::RequestRate rate; // That the server named to the asker; 0 if none, for a cold server.
     Common::Milliseconds age; // Of that knowledge.
     size_t wanted { 1 };
 };
@@ -81,13 +96,14 @@
     Common::Milliseconds retryIn; // If there are none.
 };
 
-// Starts a question; empty if no rate is named, a token is left, a question is under way, or the keeper has just
+// Starts a question; empty if no rate is in force, a token is left, a question is under way, or the keeper has just
 // denied.
 std::optional<RateClaim> ask(
     ServerRate&, const Common::BackendServerId&, Common::Incarnation, size_t wanted, Common::TimePoint now);
 // The keeper's answer; empty if it gave none.
 void answerAsk(ServerRate&, const std::optional<RateGrant>&, Common::TimePoint now);
-// At the keeper. An instance that does not consider itself the keeper gives nothing.
+// At the keeper. An instance that does not consider itself the keeper gives nothing, and so does one that does not know
+// that the server is cold if the asker knows of no other rate.
 RateGrant grant(ServerRate&, const RateClaim&, RateRole, Common::TimePoint now);
 
 } // namespace Limits
--- a/Source/Core/Observe/EventLog.cpp
+++ b/Source/Core/Observe/EventLog.cpp
@@ -62,6 +62,10 @@
         return "rate-changed";
     case Event::KeeperSilent:
         return "keeper-silent";
+    case Event::ServerPaced:
+        return "server-paced";
+    case Event::ServerPaceEnded:
+        return "server-pace-ended";
     case Event::GathererPassedBy:
         return "gatherer-passed-by";
     case Event::ServerChanged:
--- a/Source/Core/Observe/EventLog.h
+++ b/Source/Core/Observe/EventLog.h
@@ -24,6 +24,8 @@
     ServerNotice,
     RateChanged,
     KeeperSilent,
+    ServerPaced,
+    ServerPaceEnded,
     ServerChanged,
     ServerLearned,
     DepartureIgnored,
--- a/Source/Core/Observe/MetricNames.cpp
+++ b/Source/Core/Observe/MetricNames.cpp
@@ -34,6 +34,7 @@
         { "corianderlock_queries_in_flight", "Queries in flight.", "route" },
         { "corianderlock_relay_work",
             "Queries, gatherings, sub-requests, waiting sends, connections, slots and timers of a relay.", "kind" },
+        { "corianderlock_paced_servers", "Backend servers that get requests at a reduced pace.", "" },
         { "corianderlock_claims", "Claims of requests that run at most once.", "state" },
         { "corianderlock_leader", "1 while this process leads the log shard.", "log_shard" },
         { "corianderlock_log_behind_milliseconds",
--- a/Source/Core/Observe/MetricNames.h
+++ b/Source/Core/Observe/MetricNames.h
@@ -34,6 +34,7 @@
     InFlight, // server
     QueriesInFlight, // route
     RelayWork, // kind
+    PacedServers,
     Claims, // state
     Leader, // log shard; 1 while this process leads it
     LogBehind, // log shard
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -1,6 +1,7 @@
 #include "Relay/Engine.h"
 
 #include "Observe/EventLog.h"
+#include "Relay/AdmissionSlots.h"
 #include "Relay/EnginePrivate.h"
 
 #include <algorithm>
@@ -39,9 +40,10 @@
             part.group, [&](GroupState& state) { return Limits::waitersAhead(state.waiting, query.route->name); });
         if (!ahead)
             continue;
-        double slots = static_cast<double>(serversOf(part.group)->size())
-            * static_cast<double>(connectionsOf(*query.table, part.group).value());
-        Limits::Backlog backlog { ahead, false, std::max(slots, 1.0), service };
+        const Routes::Group* group = Routes::findGroup(*query.table, part.group);
+        double slots = admissionSlots(*serversOf(part.group), connectionsOf(*query.table, part.group),
+            group ? group->warmupRate : Common::RequestRate(0), service, now);
+        Limits::Backlog backlog { ahead, false, slots, service };
         late += now + Limits::estimatedTime(backlog) > query.times.objective ? 1 : 0;
     }
     if (late <= allowed)
@@ -201,6 +203,8 @@
 
 void Engine::setTable(Routes::TablePtr table)
 {
+    m_private->hasWarmupRates = std::any_of(table->groups.begin(), table->groups.end(),
+        [](const Routes::Group& group) { return group.warmupRate > Common::RequestRate(0); });
     std::lock_guard lock(m_private->viewMutex);
     m_private->table = std::move(table);
     m_private->updateGatherers();
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -74,6 +74,7 @@
     Roster::Peer self;
     Common::Incarnation incarnation;
     double processorShare { 1 }; // Of a core, of each instance.
+    bool usesPace { false }; // Servers that have just started or recovered get requests at an adaptive pace.
     Limits::RetryBudgetRule retryBudget;
     // Subtracted from the caller's time limit to leave time for returning the answer.
     Common::Milliseconds returnMargin { 10 };
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -109,6 +109,7 @@
 struct GroupState {
     Limits::WaitQueue waiting;
     Limits::WindowRetryBudget budget;
+    TimePoint wakeAt; // Of the timer that serves the waiters, if it is still to come.
 };
 
 // Assumed until the control instances have reported the number of instances.
@@ -175,7 +176,8 @@
     Common::ShardedMap<GroupName, GroupState> groups;
     Common::ShardedMap<GroupName, Limits::LoadShedder> shedders; // Keyed by the first group of the fan-out.
     Common::ShardedMap<Common::RouteName, Routing::LatencyStats> latencies; // Of sub-requests.
-    ServerPool pool;
+    ServerPool pool { options.usesPace ? ServerPool::Pace::Adaptive : ServerPool::Pace::Unlimited };
+    std::atomic<bool> hasWarmupRates { false }; // Of the table.
 
     void relay(const CallPtr&, Done);
     void forward(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
@@ -224,6 +226,11 @@
     bool refuseIfSuspect(const ActiveCallPtr&, const AttemptKey&, Purpose, const GroupName&);
     bool refuseIfClosed(const ActiveCallPtr&, const Limits::Waiter&, const GroupName&);
     void serveWaiters(const GroupName&);
+    std::optional<Milliseconds> nextSendIn(const ActiveCall&, const std::vector<Common::BackendServerId>& avoid,
+        const Targets&, TimePoint now);
+    void serveWaitersIn(const GroupName&, Milliseconds, TimePoint now);
+    void recordPace(const ActiveCall&, const InFlightRequest&, const Outcome&, TimePoint now);
+    void logPace(const Common::BackendServerId&, const GroupName&, PaceChange);
     void logAnswer(Observe::Event event, const Relay::Call&, const Routes::Table&, const Routes::Route&, const Answer&,
         Milliseconds took, const std::string& what);
     void recordEnd(const ActiveCall&, const Answer&);
@@ -236,6 +243,7 @@
 
     std::shared_ptr<const std::vector<Roster::EligibleServer>> serversOf(const GroupName&) const;
     Targets targetsOf(const GroupName&, TimePoint now);
+    Common::RequestRate warmupRateOf(const GroupName&) const;
     RateAccess rateAccess(const GroupName&, const Roster::EligibleServer&, TimePoint now) const;
     void askKeeper(const Targets&, size_t index, const GroupName&);
     Connections connectionsOf(const Routes::Table&, const GroupName&) const;
--- a/Source/Core/Relay/EngineRates.cpp
+++ b/Source/Core/Relay/EngineRates.cpp
@@ -2,8 +2,12 @@
 
 #include "Observe/EventLog.h"
 
+#include <algorithm>
+
 namespace Relay {
 
+using Common::RequestRate;
+
 namespace {
 
     // An instance that has heard of no control instance for this long does not know who keeps a server's tokens. Longer
@@ -16,22 +20,37 @@
 Targets Engine::Private::targetsOf(const GroupName& group, TimePoint now)
 {
     Targets targets { serversOf(group), {} };
-    if (!pool.hasNamedRates())
+    RequestRate coldRate = hasWarmupRates ? warmupRateOf(group) : RequestRate(0);
+    auto isLimitedAsCold
+        = [&](const Roster::EligibleServer& server) { return coldRate > RequestRate(0) && server.warmAt > now; };
+    bool hasCold = std::any_of(targets.servers->begin(), targets.servers->end(), isLimitedAsCold);
+    if (!pool.hasNamedRates() && !hasCold)
         return targets;
     targets.access.resize(targets.servers->size());
     for (size_t i = 0; i < targets.access.size(); ++i) {
         const Roster::EligibleServer& server = (*targets.servers)[i];
-        if (pool.namedRate(server.server, server.incarnation))
-            targets.access[i] = rateAccess(group, server, now);
+        if (!isLimitedAsCold(server) && !pool.namedRate(server.server, server.incarnation))
+            continue;
+        targets.access[i] = rateAccess(group, server, now);
+        if (isLimitedAsCold(server))
+            targets.access[i].cold = { coldRate, server.warmAt };
     }
     return targets;
 }
 
+// 0 if the group's cold servers have no limit.
+RequestRate Engine::Private::warmupRateOf(const GroupName& name) const
+{
+    std::lock_guard lock(viewMutex);
+    const Routes::Group* group = table ? Routes::findGroup(*table, name) : nullptr;
+    return group ? group->warmupRate : RequestRate(0);
+}
+
 RateAccess Engine::Private::rateAccess(
     const GroupName& group, const Roster::EligibleServer& server, TimePoint now) const
 {
     std::lock_guard lock(viewMutex);
-    RateAccess access { Limits::RateRole::Alone, {}, std::max(instances.size(), assumedInstances) };
+    RateAccess access { Limits::RateRole::Alone, {}, std::max(instances.size(), assumedInstances), {} };
     if (now - viewConfirmedAt > viewLifetime)
         return access;
     auto it = partitionOfGroup.find(group);
@@ -67,7 +86,7 @@
 Limits::RateGrant Engine::grant(const Limits::RateClaim& claim)
 {
     auto now = Clock::now();
-    auto role = Limits::RateRole::Alone;
+    RateAccess access;
     std::shared_ptr<const ServersByGroup> servers;
     {
         std::lock_guard lock(m_private->viewMutex);
@@ -76,10 +95,14 @@
     for (auto& [group, list] : *servers) {
         auto it = std::lower_bound(list.begin(), list.end(), claim.server,
             [](const Roster::EligibleServer& server, const Common::BackendServerId& id) { return server.server < id; });
-        if (it != list.end() && it->server == claim.server)
-            role = m_private->rateAccess(group, *it, now).role;
+        if (it == list.end() || it->server != claim.server)
+            continue;
+        access = m_private->rateAccess(group, *it, now);
+        RequestRate coldRate = m_private->hasWarmupRates ? m_private->warmupRateOf(group) : RequestRate(0);
+        if (coldRate > RequestRate(0) && it->warmAt > now && it->incarnation == claim.incarnation)
+            access.cold = { coldRate, it->warmAt };
     }
-    return m_private->pool.grant(claim, role, now);
+    return m_private->pool.grant(claim, access.role, now, access.cold);
 }
 
 } // namespace Relay
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -116,7 +116,8 @@
         return;
     }
     auto targets = targetsOf(group, now);
-    if (!pool.hasOpenServer(targets, send.avoid, now)) {
+    bool mayWait = send.purpose != Purpose::Hedge && nextSendIn(*active, send.avoid, targets, now);
+    if (!mayWait && !pool.hasOpenServer(targets, send.avoid, now)) {
         if (auto reopens = pool.reopensIn(targets, now))
             retryAfter = Limits::spreadReturn(*reopens, localRandom().unit());
         fail(Reason::Unavailable,
@@ -186,6 +187,8 @@
             auto hedgeDelay = send.purpose == Purpose::First ? hedgeDelayOf(active->query, now) : std::nullopt;
             isWanted = sent(active->query, key.attempt, usable[i].server, now, hedgeDelay);
         }
+        if (lease->hasEnteredPace)
+            logPace(usable[i].server, group, PaceChange::Entered);
         if (!isWanted) {
             pool.release(usable[i].server, lease->connection, now, { Outcome::Kind::Cancelled, Milliseconds(0) }, now);
             return true;
@@ -234,7 +237,9 @@
         recordNotice(*inFlight, answer, now);
         if (provesSurvival(answer))
             recordSurvival(*active->call, *inFlight, answer.status, now);
-        pool.release(inFlight->server, inFlight->connection, inFlight->sentAt, { kindOf(answer.outcome), took }, now);
+        Outcome outcome { kindOf(answer.outcome), took };
+        recordPace(*active, *inFlight, outcome, now);
+        pool.release(inFlight->server, inFlight->connection, inFlight->sentAt, outcome, now);
         if (answer.outcome == SubAnswer::Outcome::Success) {
             latencies.withValue(
                 active->query.route->name, [&](Routing::LatencyStats& stats) { Routing::record(stats, took); });
@@ -251,8 +256,9 @@
     }
     const Common::Error& error = result.error();
     bool isCancelled = error.reason == Reason::Cancelled;
-    pool.release(inFlight->server, inFlight->connection, inFlight->sentAt,
-        { isCancelled ? Outcome::Kind::Cancelled : Outcome::Kind::Unreachable, took }, now);
+    Outcome outcome { isCancelled ? Outcome::Kind::Cancelled : Outcome::Kind::Unreachable, took };
+    recordPace(*active, *inFlight, outcome, now);
+    pool.release(inFlight->server, inFlight->connection, inFlight->sentAt, outcome, now);
     if (!isCancelled) {
         Observe::logEvent(Observe::Part::Relay, Observe::Event::SendFailed,
             { { "request", active->call->id.value() }, { "server", inFlight->server.value() },
@@ -335,6 +341,8 @@
 {
     auto now = Clock::now();
     auto targets = targetsOf(group, now);
+    if (nextSendIn(*active, waiter.avoidServers, targets, now))
+        return false;
     auto reopens = pool.reopensIn(targets, now);
     if (!reopens || pool.hasOpenServer(targets, waiter.avoidServers, now))
         return false;
@@ -346,6 +354,53 @@
     return true;
 }
 
+// How long until a server that is held back by its pace or as a cold server may get the request; empty if there is none,
+// or not within the latency objective of the call.
+std::optional<Milliseconds> Engine::Private::nextSendIn(
+    const ActiveCall& active, const std::vector<Common::BackendServerId>& avoid, const Targets& targets, TimePoint now)
+{
+    if (!options.usesPace && targets.access.empty())
+        return std::nullopt;
+    auto wait = pool.nextSendIn(targets, avoid, now);
+    return wait && now + *wait < active.query.times.objective ? wait : std::nullopt;
+}
+
+void Engine::Private::serveWaitersIn(const GroupName& group, Milliseconds wait, TimePoint now)
+{
+    bool isScheduled = groups.withValue(group, [&](GroupState& state) {
+        bool isEarlier = state.wakeAt > now && state.wakeAt <= now + wait;
+        if (!isEarlier)
+            state.wakeAt = now + wait;
+        return isEarlier;
+    });
+    if (isScheduled)
+        return;
+    timers.after(wait, [weak = weak_from_this(), group] {
+        if (auto self = weak.lock())
+            self->serveWaiters(group);
+    });
+}
+
+void Engine::Private::recordPace(
+    const ActiveCall& active, const InFlightRequest& request, const Outcome& outcome, TimePoint now)
+{
+    if (!options.usesPace)
+        return;
+    auto change = pool.recordPace(*serversOf(request.group),
+        { request.server, request.incarnation, active.query.route->name, request.sentAt, outcome },
+        connectionsOf(*active.query.table, request.group), now);
+    logPace(request.server, request.group, change);
+}
+
+void Engine::Private::logPace(const Common::BackendServerId& server, const GroupName& group, PaceChange change)
+{
+    if (change == PaceChange::None)
+        return;
+    Observe::logEvent(Observe::Part::Relay,
+        change == PaceChange::Entered ? Observe::Event::ServerPaced : Observe::Event::ServerPaceEnded,
+        { { "server", server.value() }, { "group", group.value() } });
+}
+
 // Sends the queued requests of the group while its servers have free connections.
 void Engine::Private::serveWaiters(const GroupName& group)
 {
@@ -371,6 +426,9 @@
         if (refuseIfClosed(active, *waiter, group))
             continue;
         groups.withValue(group, [&](GroupState& state) { Limits::push(state.waiting, *waiter); });
+        auto now = Clock::now();
+        if (auto wait = nextSendIn(*active, waiter->avoidServers, targetsOf(group, now), now))
+            serveWaitersIn(group, *wait, now);
         return;
     }
 }
--- a/Source/Core/Relay/EngineSweep.cpp
+++ b/Source/Core/Relay/EngineSweep.cpp
@@ -80,10 +80,11 @@
     size_t waiting = 0;
     groups.forEach([&](const GroupName&, GroupState& state) { waiting += Limits::size(state.waiting); });
     metrics.set(Observe::Gauge::RelayWork, static_cast<double>(waiting), "waiting");
-    auto [connections, slots] = pool.usage();
+    auto [connections, slots, paced] = pool.usage();
     metrics.set(Observe::Gauge::RelayWork, static_cast<double>(connections), "connections");
     metrics.set(Observe::Gauge::RelayWork, static_cast<double>(slots), "slots");
     metrics.set(Observe::Gauge::RelayWork, static_cast<double>(timers.size()), "timers");
+    metrics.set(Observe::Gauge::PacedServers, static_cast<double>(paced));
 }
 
 } // namespace Relay
--- a/Source/Core/Relay/ServerPool.cpp
+++ b/Source/Core/Relay/ServerPool.cpp
@@ -25,6 +25,35 @@
         return targets.access.empty() ? RateAccess {} : targets.access[index];
     }
 
+    void applyCold(Limits::ServerRate& rate, Common::Incarnation incarnation,
+        const std::optional<Limits::ColdRate>& cold, TimePoint now)
+    {
+        if (cold || rate.cold)
+            Limits::setCold(rate, incarnation, cold, now);
+    }
+
+    Limits::PaceSample sampleOf(const Outcome& outcome, std::optional<Milliseconds> usual)
+    {
+        switch (outcome.kind) {
+        case Outcome::Kind::Answered:
+            return Limits::sampleOf(outcome.took, usual);
+        case Outcome::Kind::Cancelled: {
+            // The time taken is a lower bound.
+            auto sample = Limits::sampleOf(outcome.took, usual);
+            return sample == Limits::PaceSample::Slow ? sample : Limits::PaceSample::None;
+        }
+        case Outcome::Kind::Failed:
+        case Outcome::Kind::Shed:
+        case Outcome::Kind::Unusable:
+            return Limits::PaceSample::Refused;
+        case Outcome::Kind::Unreachable:
+            return Limits::PaceSample::Unreachable;
+        case Outcome::Kind::Misdirected:
+            return Limits::PaceSample::None;
+        }
+        return Limits::PaceSample::None;
+    }
+
 } // namespace
 
 std::vector<Routing::Candidate> ServerPool::candidates(const std::vector<Roster::EligibleServer>& servers,
@@ -42,6 +71,11 @@
             candidate.inFlight = static_cast<int64_t>(server.load.inFlight.size());
             candidate.latency = expectedLatency(server.load, now);
             candidate.paused = server.load.pausedUntil > now;
+            if (m_pace == Pace::Unlimited)
+                return;
+            Limits::observe(server.pace, usable.incarnation, candidate.cold);
+            if (Limits::paceOpensIn(server.pace, server.load.inFlight.size(), now))
+                candidate.paused = true;
         });
         if (usable.domain != own)
             candidate.latency += otherDomainCost / static_cast<double>(candidate.inFlight + 1);
@@ -60,17 +94,28 @@
         if (static_cast<int64_t>(inFlight) >= limit.value()
             || !Limits::mayReceive(server.notices, usable.incarnation, inFlight, now))
             return std::nullopt;
+        bool hasEnteredPace = false;
+        if (m_pace == Pace::Adaptive) {
+            Limits::observe(server.pace, usable.incarnation, usable.warmAt > now);
+            if (Limits::paceOpensIn(server.pace, inFlight, now))
+                return std::nullopt;
+            hasEnteredPace = server.pace.isPaced && !server.isPaceReported;
+        }
+        applyCold(server.rate, usable.incarnation, access.cold, now);
         auto role = Limits::roleOf(server.rate, access.role, now);
         if (!Limits::tryTakeToken(server.rate, usable.incarnation, role, access.instances, now))
             return std::nullopt;
         begin(server.load, now);
+        Limits::paceStarted(server.pace, now);
+        server.isPaceReported = server.pace.isPaced;
         while (!server.idle.empty()) {
             ConnectionPtr connection = std::move(server.idle.back());
             server.idle.pop_back();
             if (connection->isOpen())
-                return Lease { std::move(connection), false };
+                return Lease { std::move(connection), false, hasEnteredPace };
         }
-        return Lease { std::make_shared<Http::Connection>(usable.address, Http::Reuse::Allowed, requestBound), true };
+        return Lease { std::make_shared<Http::Connection>(usable.address, Http::Reuse::Allowed, requestBound), true,
+            hasEnteredPace };
     });
 }
 
@@ -85,6 +130,58 @@
     });
 }
 
+// Other servers that are paced themselves count only if there are no others.
+ServerPool::UsualTime ServerPool::usualTimeOf(
+    const std::vector<Roster::EligibleServer>& servers, const PacedRequest& request)
+{
+    struct Times {
+        std::vector<Milliseconds> longTerm;
+        std::vector<Milliseconds> recent;
+    };
+    Times steady;
+    Times paced;
+    std::optional<Milliseconds> own;
+    for (const Roster::EligibleServer& other : servers) {
+        m_servers.ifPresent(other.server, [&](Server& server) {
+            auto longTerm = Limits::longTermTime(server.usual, request.route);
+            auto recent = Limits::recentTime(server.usual, request.route);
+            if (other.server == request.server) {
+                own = longTerm;
+            } else if (longTerm && recent) {
+                Times& times = server.pace.isPaced ? paced : steady;
+                times.longTerm.push_back(*longTerm);
+                times.recent.push_back(*recent);
+            }
+        });
+    }
+    Times& others = steady.recent.empty() ? paced : steady;
+    UsualTime usual { Limits::medianTime(std::move(others.longTerm)), Limits::medianTime(std::move(others.recent)) };
+    if (!usual.longTerm)
+        usual.longTerm = own;
+    return usual;
+}
+
+PaceChange ServerPool::recordPace(const std::vector<Roster::EligibleServer>& servers, const PacedRequest& request,
+    Connections limit, TimePoint now)
+{
+    if (m_pace == Pace::Unlimited)
+        return PaceChange::None;
+    auto usual = usualTimeOf(servers, request);
+    Limits::PacedEnd ended { request.incarnation, sampleOf(request.outcome, usual.longTerm),
+        sampleOf(request.outcome, usual.recent) == Limits::PaceSample::Slow, request.outcome.took, request.sentAt };
+    auto change = PaceChange::None;
+    m_servers.ifPresent(request.server, [&](Server& server) {
+        if (request.outcome.kind == Outcome::Kind::Answered)
+            Limits::recordAnswer(server.usual, request.route, request.outcome.took);
+        Limits::paceEnded(server.pace, ended, limit, now);
+        if (server.pace.isPaced == server.isPaceReported)
+            return;
+        server.isPaceReported = server.pace.isPaced;
+        change = server.pace.isPaced ? PaceChange::Entered : PaceChange::Left;
+    });
+    return change;
+}
+
 bool ServerPool::record(const Common::BackendServerId& id, Common::Incarnation incarnation,
     const Limits::ServerNotice& notice, bool isServed, bool hasRun, TimePoint now)
 {
@@ -112,6 +209,7 @@
     RateAccess access = accessOf(targets, index);
     std::optional<Limits::RateClaim> claim;
     m_servers.ifPresent(usable.server, [&](Server& server) {
+        applyCold(server.rate, usable.incarnation, access.cold, now);
         if (Limits::roleOf(server.rate, access.role, now) == Limits::RateRole::Asker)
             claim = Limits::ask(server.rate, usable.server, usable.incarnation, wanted, now);
     });
@@ -124,11 +222,16 @@
     m_servers.ifPresent(id, [&](Server& server) { Limits::answerAsk(server.rate, answer, now); });
 }
 
-Limits::RateGrant ServerPool::grant(const Limits::RateClaim& claim, Limits::RateRole role, TimePoint now)
+Limits::RateGrant ServerPool::grant(
+    const Limits::RateClaim& claim, Limits::RateRole role, TimePoint now, const std::optional<Limits::ColdRate>& cold)
 {
-    m_hasNamedRates = true;
-    return m_servers.withValue(
-        claim.server, [&](Server& server) { return Limits::grant(server.rate, claim, role, now); });
+    // A claim without a rate is for a cold server.
+    if (claim.rate > Common::RequestRate(0))
+        m_hasNamedRates = true;
+    return m_servers.withValue(claim.server, [&](Server& server) {
+        applyCold(server.rate, claim.incarnation, cold, now);
+        return Limits::grant(server.rate, claim, role, now);
+    });
 }
 
 bool ServerPool::hasOpenServer(const Targets& targets, const std::vector<Common::BackendServerId>& avoid, TimePoint now)
@@ -140,6 +243,7 @@
         bool isOpen = true;
         RateAccess access = accessOf(targets, i);
         m_servers.ifPresent(usable.server, [&](Server& server) {
+            applyCold(server.rate, usable.incarnation, access.cold, now);
             auto role = Limits::roleOf(server.rate, access.role, now);
             isOpen = Limits::mayReceive(server.notices, usable.incarnation, 0, now)
                 && Limits::isWithinRate(server.rate, usable.incarnation, role, access.instances, now);
@@ -157,6 +261,7 @@
         const Roster::EligibleServer& usable = (*targets.servers)[i];
         RateAccess access = accessOf(targets, i);
         m_servers.ifPresent(usable.server, [&](Server& server) {
+            applyCold(server.rate, usable.incarnation, access.cold, now);
             auto role = Limits::roleOf(server.rate, access.role, now);
             auto closed = Limits::reopensIn(server.notices, usable.incarnation, now);
             auto limited = Limits::rateReopensIn(server.rate, usable.incarnation, role, access.instances, now);
@@ -169,11 +274,41 @@
     return first;
 }
 
+std::optional<Milliseconds> ServerPool::nextSendIn(
+    const Targets& targets, const std::vector<Common::BackendServerId>& avoid, TimePoint now)
+{
+    std::optional<Milliseconds> first;
+    for (size_t i = 0; i < targets.servers->size(); ++i) {
+        const Roster::EligibleServer& usable = (*targets.servers)[i];
+        if (std::find(avoid.begin(), avoid.end(), usable.server) != avoid.end())
+            continue;
+        RateAccess access = accessOf(targets, i);
+        m_servers.ifPresent(usable.server, [&](Server& server) {
+            if (!Limits::mayReceive(server.notices, usable.incarnation, 0, now))
+                return;
+            applyCold(server.rate, usable.incarnation, access.cold, now);
+            std::optional<Milliseconds> wait;
+            if (m_pace == Pace::Adaptive)
+                wait = Limits::paceOpensIn(server.pace, server.load.inFlight.size(), now);
+            auto role = Limits::roleOf(server.rate, access.role, now);
+            auto limited = Limits::rateReopensIn(server.rate, usable.incarnation, role, access.instances, now);
+            if (limited && Limits::isCold(server.rate, usable.incarnation, now))
+                wait = std::max(wait.value_or(*limited), *limited);
+            else if (limited)
+                wait.reset(); // A limit that the server names: its end is no reason to wait.
+            if (wait)
+                first = std::min(first.value_or(*wait), *wait);
+        });
+    }
+    return first;
+}
+
 ServerPool::Usage ServerPool::usage()
 {
     Usage usage;
     m_servers.forEach([&](const Common::BackendServerId&, Server& server) {
         usage.slots += server.load.inFlight.size();
+        usage.paced += server.isPaceReported ? 1 : 0;
         usage.connections += server.load.inFlight.size() + server.idle.size();
     });
     return usage;
--- a/Source/Core/Roster/Records.h
+++ b/Source/Core/Roster/Records.h
@@ -20,6 +20,10 @@
 // "serving", "leaving", "lost".
 const char* statusName(ServerStatus);
 
+// Whether followers need to know that a cold phase ends at another time than the known one. A heartbeat that a pause of
+// the server delayed moves the time by less than `maximumDelay` in Records.cpp.
+bool isWarmAtChanged(Common::TimePoint known, Common::TimePoint reported, Common::TimePoint now);
+
 // What a backend server reports of itself with each heartbeat.
 struct Report {
     Common::BackendServerId server;
--- a/Source/Core/Roster/Registry.cpp
+++ b/Source/Core/Roster/Registry.cpp
@@ -21,7 +21,8 @@
         return report.sequence <= known.sequence;
     }
 
-    // Whether followers need the report. The sequence and the remaining warm-up time change without being reported.
+    // Whether followers need the report. The sequence and the remaining warm-up time change with each
+    // heartbeat; a cold phase that ends at another time is checked by isWarmAtChanged().
     bool isRelevantChange(const Report& report, const Report& known)
     {
         Report same = report;
@@ -42,7 +43,11 @@
     bool sameIncarnation = !isNew && report.incarnation == entry.report.incarnation;
     if (sameIncarnation && entry.report.status == ServerStatus::Leaving)
         next.status = ServerStatus::Leaving;
-    bool isChanged = isNew || isRelevantChange(next, entry.report);
+    TimePoint warmAt = now + next.warmupLeft;
+    bool isWarmthChanged = !sameIncarnation || isWarmAtChanged(entry.warmAt, warmAt, now);
+    if (isWarmthChanged)
+        entry.warmAt = warmAt;
+    bool isChanged = isNew || isWarmthChanged || isRelevantChange(next, entry.report);
     entry.report = next;
     entry.receivedAt = now;
     if (isChanged)
@@ -98,7 +103,7 @@
     if (changes.whole)
         registry.entries.clear();
     for (const Report& report : changes.reports)
-        registry.entries[report.server] = { report, now, changes.revision };
+        registry.entries[report.server] = { report, now, changes.revision, now + report.warmupLeft };
     registry.revision = changes.revision;
 }
 
--- a/Source/Core/Roster/Registry.h
+++ b/Source/Core/Roster/Registry.h
@@ -13,6 +13,7 @@
         Report report;
         Common::TimePoint receivedAt;
         Common::Revision changedAt;
+        Common::TimePoint warmAt {}; // As followers know it.
     };
 
     std::unordered_map<Common::BackendServerId, Entry> entries;
--- a/Source/Core/Roster/ServerView.cpp
+++ b/Source/Core/Roster/ServerView.cpp
@@ -47,17 +47,22 @@
         }
         ServerStatus before = statusOf(server);
         bool isNewIncarnation = isNew || report.incarnation > server.report.incarnation;
+        bool isWarmthChanged = false;
         if (isNewIncarnation)
             replace(server, report, now);
-        else if (report.sequence > server.report.sequence)
+        else if (report.sequence > server.report.sequence) {
             server.report = report;
+            isWarmthChanged = isWarmAtChanged(server.warmAt, now + report.warmupLeft, now);
+            if (isWarmthChanged)
+                server.warmAt = now + report.warmupLeft;
+        }
         if (report.status == ServerStatus::Serving)
             server.reportedBy.insert(source);
         else
             server.reportedBy.erase(source);
         server.isLeaving = server.isLeaving || report.status == ServerStatus::Leaving;
         ServerStatus after = statusOf(server);
-        if (!isNewIncarnation && before == after)
+        if (!isNewIncarnation && !isWarmthChanged && before == after)
             return std::nullopt;
         server.changedAt = now;
         return StatusChange { report.server, server.report.group, server.report.incarnation, after };
--- a/Source/Core/Roster/ServerView.h
+++ b/Source/Core/Roster/ServerView.h
@@ -33,7 +33,7 @@
     Common::TimePoint warmAt;
 };
 
-// A server's status after a merge that changed it, or a departure that changed nothing.
+// A server's status after a merge that changed it or the end of its cold phase, or a departure that changed nothing.
 struct StatusChange {
     Common::BackendServerId server;
     Common::GroupName group;
--- a/Source/Core/Routes/Table.cpp
+++ b/Source/Core/Routes/Table.cpp
@@ -36,6 +36,15 @@
         return Common::success();
     }
 
+    Result<void> checkWarmup(const Group& group)
+    {
+        auto isUsable = [](double value) { return value >= 0 && std::isfinite(value); };
+        if (isUsable(group.warmup.value()) && isUsable(group.warmupRate.value()))
+            return Common::success();
+        return Common::makeError(Reason::InvalidInput, "validate-routes",
+            "group '" + group.name.value() + "': warm-up time and rate must be finite and not negative");
+    }
+
     Result<void> checkTarget(const Route& route)
     {
         if (route.fanOut)
@@ -67,6 +76,9 @@
         BOOST_OUTCOME_TRYV(checkTarget(route));
         BOOST_OUTCOME_TRYV(checkGroups(table, route));
     }
+    for (const Group& group : table.groups) {
+        BOOST_OUTCOME_TRYV(checkWarmup(group));
+    }
     return validateTenants(table);
 }
 
--- a/Source/Core/Routes/Table.h
+++ b/Source/Core/Routes/Table.h
@@ -51,6 +51,8 @@
 struct Group {
     Common::GroupName name;
     Common::Connections connectionLimit { 1 }; // Per server, over all instances.
+    Common::Milliseconds warmup; // How long a cold phase of a server usually lasts.
+    Common::RequestRate warmupRate; // That a cold server takes from all instances together; 0: no limit.
 };
 
 struct CallerLimits {
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -148,6 +148,7 @@
         relay.retryRatio = Common::Ratio(section.number("repeat_ratio", relay.retryRatio.value(), 0, 1));
         relay.retryMinimum = section.number("repeat_minimum", relay.retryMinimum, 0, 1e6);
         relay.retryWindow = readDuration(section, "repeat_window_ms", relay.retryWindow, 100);
+        relay.pace = section.flag("pace", relay.pace);
         section.rejectUnknownFields();
     }
 
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -69,6 +69,7 @@
     Common::Ratio retryRatio { 0.1 };
     double retryMinimum { 20 };
     Common::Milliseconds retryWindow { 10'000 };
+    bool pace { false }; // Servers that have just started or recovered get requests at an adaptive pace.
 };
 
 // The roster of backend servers on a control instance.
