--- a/Source/Core/Limits/ServerPace.cpp
+++ b/Source/Core/Limits/ServerPace.cpp
@@ -40,6 +40,7 @@
             return;
         pace.halvedAt = now;
         pace.inFlight = std::max(minimumPace, pace.inFlight / 2);
+        pace.slowFrom = std::max(1.0, pace.inFlight);
         if (pace.inFlight >= 1)
             return;
         Milliseconds pause = std::max(end.took, shortestPause) * (1 / pace.inFlight - 1);
@@ -49,13 +50,16 @@
     void raise(ServerPace& pace, Common::Connections limit)
     {
         // From below 1 to one request at a time, not above: the first usual answer after failures proves little.
-        pace.inFlight = pace.inFlight < 1 ? 1 : pace.inFlight + 1;
+        bool isSlowRise = pace.slowFrom > 0 && pace.inFlight >= pace.slowFrom;
+        pace.inFlight = pace.inFlight < 1 ? 1 : pace.inFlight + (isSlowRise ? 1 / pace.inFlight : 1);
         ++pace.usualInARow;
         auto most = static_cast<double>(limit.value());
         bool isAtEnd = pace.inFlight >= most || static_cast<double>(pace.usualInARow) >= most;
         pace.inFlight = std::min(pace.inFlight, std::max(most, 1.0));
         // A cold server is easily overloaded until it is warm.
         pace.isPaced = !isAtEnd || pace.isCold;
+        if (!pace.isPaced)
+            pace.slowFrom = 0;
     }
 
     void countInARow(ServerPace& pace, const PacedEnd& end)
@@ -89,8 +93,11 @@
     if (incarnation < pace.incarnation)
         return;
     if (incarnation > pace.incarnation) {
+        // A server that was lost at some pace is not brought to it again as fast after its restart.
+        double slowFrom = pace.isPaced ? pace.slowFrom : 0;
         pace = {};
         pace.incarnation = incarnation;
+        pace.slowFrom = slowFrom;
         begin(pace);
     } else if (isCold && !pace.isCold)
         begin(pace);
--- a/Source/Core/Limits/ServerPace.h
+++ b/Source/Core/Limits/ServerPace.h
@@ -32,6 +32,9 @@
     bool isPaced { false };
     bool isCold { false }; // The server was last known as cold.
     double inFlight { 1 }; // Requests in flight that the pace permits; below 1 it is a duty cycle.
+    // From here on it rises by one with each round of answers, not with each answer: the server was lost or slow at
+    // twice this pace. 0: not yet.
+    double slowFrom { 0 };
     size_t usualInARow { 0 };
     size_t refusedInARow { 0 };
     size_t slowInARow { 0 };
@@ -60,7 +63,8 @@
     Common::TimePoint sentAt;
 };
 
-// Adapts the pace. The paced state does not end while the server is cold. limit: requests in flight that this instance may have at the server without a pace.
+// Adapts the pace. The paced state does not end while the server is cold. limit: requests in flight that this instance
+// may have at the server without a pace.
 void paceEnded(ServerPace&, const PacedEnd&, Common::Connections limit, Common::TimePoint now);
 
 } // namespace Limits
--- a/Source/Core/Limits/ServerRate.h
+++ b/Source/Core/Limits/ServerRate.h
@@ -73,8 +73,8 @@
 // The role, given who keeps the server's tokens: a keeper that did not answer is left alone for a while.
 RateRole roleOf(const ServerRate&, RateRole intended, Common::TimePoint now);
 
-// Takes a token. True for a server that has no rate. An instance that is alone gets none for a cold server: a quarter of
-// the rate, sent by instances that don't know of each other, is not bounded by the cold rate.
+// Takes a token. True for a server that has no rate. An instance that is alone gets none for a cold server: a quarter
+// of the rate, sent by instances that don't know of each other, is not bounded by the cold rate.
 bool tryTakeToken(ServerRate&, Common::Incarnation, RateRole, size_t instances, Common::TimePoint now);
 // Whether a request could be sent now or after asking the keeper.
 bool isWithinRate(const ServerRate&, Common::Incarnation, RateRole, size_t instances, Common::TimePoint now);
--- a/Source/Core/Limits/UsualTime.cpp
+++ b/Source/Core/Limits/UsualTime.cpp
@@ -11,12 +11,15 @@
     constexpr size_t maximumRoutes = 16;
     constexpr double recentWindow = 12; // Answers.
     constexpr double longTermWindow = 400;
-    constexpr double outlierRatio = 4; // A sample counts as at most this multiple of the average.
+    // A sample counts as at most this multiple of the average.
+    constexpr double recentBound = 4;
+    // Lower, so that a second of overload does not make slow answers usual.
+    constexpr double longTermBound = 1.5;
     constexpr size_t minimumAnswers = 3;
 
-    void average(Milliseconds& value, Milliseconds sample, double window)
+    void average(Milliseconds& value, Milliseconds sample, double bound, double window)
     {
-        value += (std::min(sample, value * outlierRatio) - value) / window;
+        value += (std::min(sample, value * bound) - value) / window;
     }
 
     const UsualTimes::Entry* find(const UsualTimes& times, const Common::RouteName& route)
@@ -39,8 +42,8 @@
         return;
     }
     ++it->answers;
-    average(it->recent, took, recentWindow);
-    average(it->longTerm, took, std::min(static_cast<double>(it->answers), longTermWindow));
+    average(it->recent, took, recentBound, recentWindow);
+    average(it->longTerm, took, longTermBound, std::min(static_cast<double>(it->answers), longTermWindow));
 }
 
 std::optional<Milliseconds> recentTime(const UsualTimes& times, const Common::RouteName& route)
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -226,8 +226,8 @@
     bool refuseIfSuspect(const ActiveCallPtr&, const AttemptKey&, Purpose, const GroupName&);
     bool refuseIfClosed(const ActiveCallPtr&, const Limits::Waiter&, const GroupName&);
     void serveWaiters(const GroupName&);
-    std::optional<Milliseconds> nextSendIn(const ActiveCall&, const std::vector<Common::BackendServerId>& avoid,
-        const Targets&, TimePoint now);
+    std::optional<Milliseconds> nextSendIn(
+        const ActiveCall&, const std::vector<Common::BackendServerId>& avoid, const Targets&, TimePoint now);
     void serveWaitersIn(const GroupName&, Milliseconds, TimePoint now);
     void recordPace(const ActiveCall&, const InFlightRequest&, const Outcome&, TimePoint now);
     void logPace(const Common::BackendServerId&, const GroupName&, PaceChange);
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -116,8 +116,9 @@
         return;
     }
     auto targets = targetsOf(group, now);
-    bool mayWait = send.purpose != Purpose::Hedge && nextSendIn(*active, send.avoid, targets, now);
-    if (!mayWait && !pool.hasOpenServer(targets, send.avoid, now)) {
+    auto mayWait
+        = [&] { return send.purpose != Purpose::Hedge && nextSendIn(*active, send.avoid, targets, now).has_value(); };
+    if (!pool.hasOpenServer(targets, send.avoid, now) && !mayWait()) {
         if (auto reopens = pool.reopensIn(targets, now))
             retryAfter = Limits::spreadReturn(*reopens, localRandom().unit());
         fail(Reason::Unavailable,
@@ -354,8 +355,8 @@
     return true;
 }
 
-// How long until a server that is held back by its pace or as a cold server may get the request; empty if there is none,
-// or not within the latency objective of the call.
+// How long until a server that is held back by its pace or as a cold server may get the request; empty if there is
+// none, or not within the latency objective of the call.
 std::optional<Milliseconds> Engine::Private::nextSendIn(
     const ActiveCall& active, const std::vector<Common::BackendServerId>& avoid, const Targets& targets, TimePoint now)
 {
--- a/Source/Core/Relay/ServerPool.cpp
+++ b/Source/Core/Relay/ServerPool.cpp
@@ -156,13 +156,13 @@
     }
     Times& others = steady.recent.empty() ? paced : steady;
     UsualTime usual { Limits::medianTime(std::move(others.longTerm)), Limits::medianTime(std::move(others.recent)) };
-    if (!usual.longTerm)
-        usual.longTerm = own;
+    if (own)
+        usual.longTerm = std::max(usual.longTerm.value_or(*own), *own);
     return usual;
 }
 
-PaceChange ServerPool::recordPace(const std::vector<Roster::EligibleServer>& servers, const PacedRequest& request,
-    Connections limit, TimePoint now)
+PaceChange ServerPool::recordPace(
+    const std::vector<Roster::EligibleServer>& servers, const PacedRequest& request, Connections limit, TimePoint now)
 {
     if (m_pace == Pace::Unlimited)
         return PaceChange::None;
--- a/Source/Core/Relay/ServerPool.h
+++ b/Source/Core/Relay/ServerPool.h
@@ -124,7 +124,8 @@
 
     // How long a request of a route usually takes.
     struct UsualTime {
-        std::optional<Common::Milliseconds> longTerm; // At the other servers, or else at the server itself.
+        // At the other servers or at the server itself, whichever is longer: the speeds of servers differ.
+        std::optional<Common::Milliseconds> longTerm;
         std::optional<Common::Milliseconds> recent; // At the other servers.
     };
     UsualTime usualTimeOf(const std::vector<Roster::EligibleServer>&, const PacedRequest&);
--- a/Source/UnitTests/Platform/CodecTest.cpp
+++ b/Source/UnitTests/Platform/CodecTest.cpp
@@ -83,6 +83,27 @@
     EXPECT_EQ(Routes::findGroup(table.value(), Common::GroupName("s"))->connectionLimit, Common::Connections(26));
 }
 
+TEST(Configuration, HasTheRateOfColdServers)
+{
+    std::string document = documentOf(validRoute);
+    const std::string field = "\"max_conns\":26";
+    ASSERT_NE(document.find(field), std::string::npos);
+    auto table = Platform::decodeConfiguration(document);
+    ASSERT_TRUE(table);
+    EXPECT_EQ(Routes::findGroup(table.value(), Common::GroupName("s"))->warmupRate, Common::RequestRate(0));
+    auto with = [&](const std::string& text) {
+        std::string changed = document;
+        changed.replace(changed.find(field), field.size(), field + text);
+        return Platform::decodeConfiguration(changed);
+    };
+    table = with(",\"warmup_s\":2.5,\"warmup_per_s\":12");
+    ASSERT_TRUE(table);
+    EXPECT_EQ(Routes::findGroup(table.value(), Common::GroupName("s"))->warmup, Milliseconds(2'500));
+    EXPECT_EQ(Routes::findGroup(table.value(), Common::GroupName("s"))->warmupRate, Common::RequestRate(12));
+    for (const char* invalid : { ",\"warmup_per_s\":-1", ",\"warmup_s\":-1", ",\"warmup_per_s\":\"x\"" })
+        EXPECT_FALSE(with(invalid)) << invalid;
+}
+
 TEST(Configuration, IsRejectedWithAnInvalidField)
 {
     const std::string invalid[] = { "", "{", "[]", documentOf(validRoute).substr(0, 100),
--- a/Source/UnitTests/Roster/RosterTest.cpp
+++ b/Source/UnitTests/Roster/RosterTest.cpp
@@ -61,6 +61,39 @@
     EXPECT_TRUE(Roster::changesSince(registry, first).reports.empty());
 }
 
+// The relays would send a server that became cold again its full load.
+TEST(Registry, ReportsThatAServerIsColdAgain)
+{
+    Roster::Registry registry;
+    auto renewed = [&](uint64_t sequence, double warmupLeft, double now) {
+        Revision before = registry.revision;
+        Report next = report("s", 1, sequence);
+        next.warmupLeft = Milliseconds(warmupLeft);
+        Roster::renew(registry, next, at(now));
+        return registry.revision != before;
+    };
+    EXPECT_TRUE(renewed(1, 3'000, 0));
+    EXPECT_FALSE(renewed(2, 2'000, 1'000)) << "as expected";
+    EXPECT_FALSE(renewed(3, 840, 2'150)) << "delayed by a pause of the server";
+    EXPECT_FALSE(renewed(4, 0, 3'200));
+    EXPECT_TRUE(renewed(5, 3'000, 4'200)) << "cold again";
+    EXPECT_TRUE(renewed(6, 0, 5'200)) << "warm earlier";
+    EXPECT_FALSE(renewed(7, 0, 6'200));
+}
+
+TEST(ServerView, AHeartbeatThatSaysColdAgainIsInForceAtOnce)
+{
+    Roster::ServerView view;
+    Report warm = report("s", 1, 1);
+    Roster::merge(view, InstanceId("c1"), changes({ warm }), at(0));
+    Report cold = report("s", 1, 2);
+    cold.warmupLeft = Milliseconds(3'000);
+    EXPECT_EQ(Roster::merge(view, InstanceId("c1"), changes({ cold }), at(1'000)).size(), 1u) << "it is published";
+    EXPECT_EQ(Roster::eligibleServers(view)[GroupName("g")].front().warmAt, at(4'000));
+    Roster::merge(view, InstanceId("c2"), changes({ warm }), at(1'100));
+    EXPECT_EQ(Roster::eligibleServers(view)[GroupName("g")].front().warmAt, at(4'000)) << "an earlier heartbeat";
+}
+
 TEST(Registry, KeepsALeavingServerLeavingForItsIncarnation)
 {
     Roster::Registry registry;
