--- a/Source/Core/Relay/ServerPool.cpp
+++ b/Source/Core/Relay/ServerPool.cpp
@@ -156,8 +156,8 @@
     }
     Times& others = steady.recent.empty() ? paced : steady;
     UsualTime usual { Limits::medianTime(std::move(others.longTerm)), Limits::medianTime(std::move(others.recent)) };
-    if (own)
-        usual.longTerm = std::max(usual.longTerm.value_or(*own), *own);
+    if (!usual.longTerm)
+        usual.longTerm = own;
     return usual;
 }
 
--- a/Source/Core/Relay/ServerPool.h
+++ b/Source/Core/Relay/ServerPool.h
@@ -124,8 +124,7 @@
 
     // How long a request of a route usually takes.
     struct UsualTime {
-        // At the other servers or at the server itself, whichever is longer: the speeds of servers differ.
-        std::optional<Common::Milliseconds> longTerm;
+        std::optional<Common::Milliseconds> longTerm; // At the other servers, or without any at the server itself.
         std::optional<Common::Milliseconds> recent; // At the other servers.
     };
     UsualTime usualTimeOf(const std::vector<Roster::EligibleServer>&, const PacedRequest&);
--- a/Source/UnitTests/Relay/ServerPoolTest.cpp
+++ b/Source/UnitTests/Relay/ServerPoolTest.cpp
@@ -116,3 +116,58 @@
     EXPECT_FALSE(pool.hasOpenServer(targets, {}, later));
     EXPECT_TRUE(pool.hasOpenServer(targets, {}, later + Milliseconds(80)));
 }
+
+// The group's rate for cold servers applies like a rate that the server names, until it is warm.
+TEST(ServerPool, AColdServerNeedsTokens)
+{
+    Relay::ServerPool pool;
+    Roster::EligibleServer cold = server(1);
+    cold.warmAt = now + Milliseconds(3'000);
+    auto targets = targetsOf(cold);
+    targets.access = { { Limits::RateRole::Keeper, {}, 1, Limits::ColdRate { Common::RequestRate(10), cold.warmAt } } };
+    EXPECT_FALSE(pool.acquire(targets, 0, Connections(9), now)) << "there are no tokens at the beginning";
+    EXPECT_FALSE(pool.hasOpenServer(targets, {}, now));
+    auto next = pool.nextSendIn(targets, {}, now);
+    ASSERT_TRUE(next);
+    EXPECT_NEAR(next->value(), 1'000 / 9.0, 1) << "a request can wait for it";
+    EXPECT_FALSE(pool.nextSendIn(targets, { cold.server }, now));
+    EXPECT_TRUE(pool.acquire(targets, 0, Connections(9), now + Milliseconds(112)));
+    EXPECT_FALSE(pool.acquire(targets, 0, Connections(9), now + Milliseconds(113)));
+    targets.access.clear();
+    EXPECT_TRUE(pool.acquire(targets, 0, Connections(9), cold.warmAt));
+    EXPECT_FALSE(pool.hasNamedRates());
+}
+
+// The view may report an earlier end of the cold phase; the former rate must not stay in force.
+TEST(ServerPool, AServerThatIsWarmEarlierNeedsNoToken)
+{
+    Relay::ServerPool pool;
+    Roster::EligibleServer cold = server(1);
+    cold.warmAt = now + Milliseconds(3'000);
+    auto targets = targetsOf(cold);
+    targets.access = { { Limits::RateRole::Keeper, {}, 1, Limits::ColdRate { Common::RequestRate(10), cold.warmAt } } };
+    EXPECT_FALSE(pool.acquire(targets, 0, Connections(9), now));
+    EXPECT_TRUE(pool.acquire(targetsOf(server(1)), 0, Connections(9), now));
+}
+
+TEST(ServerPool, ReportsThePacedStateOnce)
+{
+    Relay::ServerPool pool(Relay::ServerPool::Pace::Adaptive);
+    auto targets = targetsOf(server(1));
+    auto lease = pool.acquire(targets, 0, Connections(2), now);
+    ASSERT_TRUE(lease);
+    EXPECT_TRUE(lease->hasEnteredPace);
+    EXPECT_EQ(pool.usage().paced, 1u);
+    EXPECT_FALSE(pool.acquire(targets, 0, Connections(2), now)) << "one request at a time";
+    EXPECT_TRUE(pool.candidates(*targets.servers, Connections(2), {}, now).front().paused);
+    Relay::Outcome outcome { Relay::Outcome::Kind::Answered, Milliseconds(5) };
+    auto later = now + Milliseconds(5);
+    EXPECT_EQ(pool.recordPace(*targets.servers,
+                  { server(1).server, Incarnation(1), Common::RouteName("r"), now, outcome }, Connections(2), later),
+        Relay::PaceChange::Left);
+    pool.release(server(1).server, lease->connection, now, outcome, later);
+    EXPECT_EQ(pool.usage().paced, 0u);
+    lease = pool.acquire(targets, 0, Connections(2), later);
+    ASSERT_TRUE(lease);
+    EXPECT_FALSE(lease->hasEnteredPace);
+}
--- a/Source/UnitTests/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -33,6 +33,8 @@
     EXPECT_EQ(result.value().instance, Common::InstanceId("entry-1"));
     EXPECT_TRUE(result.value().isEntry);
     EXPECT_EQ(result.value().control.lease, Common::Milliseconds(4000));
+    EXPECT_FALSE(result.value().relay.pace);
+    EXPECT_TRUE(Settings::parse("a.yaml", validSettings + "relay: {pace: true}\n").value().relay.pace);
 }
 
 // Operators find the mistake by the file, line and field in the message.
