Process test of cold servers

Cause: the rate of cold servers was tested in virtual time only. Change: three relays send to servers whose heartbeats report a cold phase of a start that was warm before.

--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -116,6 +116,7 @@
         self.stops_when_closed = False  # It ends its work on a request when the connection closes.
         self.worked = {}  # By request: when its work began and ended.
         self.says_leaving = False  # In its answers.
+        self.warmup_ms = 0  # That its heartbeats report.
         self.limit = None  # The requests a second that it names in its answers.
         self.crashes_on, self.down_seconds = None, 2.0  # It ends when it gets a path with this end.
         self.crashes_on_id, self.crash_delay = None, 0.0  # Or a request whose id begins so, after that time.
@@ -251,7 +252,7 @@
     def send_heartbeat(self, control, state=None):
         self.seq += 1
         body = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 2,
-                "state": state or self.state, "warmup_left_ms": 0, "seq": self.seq, "born": self.born}
+                "state": state or self.state, "warmup_left_ms": self.warmup_ms, "seq": self.seq, "born": self.born}
         return call(control, "PUT", f"/-/instances/{self.id}", json.dumps(body), timeout=1)[0]
 
     def send_leave(self, control):
