--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -1,6 +1,7 @@
 #include "Relay/Engine.h"
 
 #include "Observe/EventLog.h"
+#include "Relay/AdmissionSlots.h"
 #include "Relay/EnginePrivate.h"
 
 #include <algorithm>
@@ -51,9 +52,10 @@
             [&](GroupState& state) { return Limits::waitersAhead(state.waiting, query.route->name, caller); });
         if (!ahead)
             continue;
-        double slots = static_cast<double>(serversOf(part.group)->size())
-            * static_cast<double>(connectionsOf(*query.table, part.group).value());
-        Limits::Backlog backlog { ahead, false, std::max(slots, 1.0), service };
+        const Routes::Group* group = Routes::findGroup(*query.table, part.group);
+        double slots = admissionSlots(*serversOf(part.group), connectionsOf(*query.table, part.group),
+            group ? group->warmupRate : Common::RequestRate(0), service, now);
+        Limits::Backlog backlog { ahead, false, slots, service };
         Milliseconds over = now + Limits::estimatedTime(backlog) - query.times.objective;
         if (over > Milliseconds(0))
             excess.push_back(over);
@@ -228,6 +230,8 @@
 
 void Engine::setTable(Routes::TablePtr table)
 {
+    m_private->hasWarmupRates = std::any_of(table->groups.begin(), table->groups.end(),
+        [](const Routes::Group& group) { return group.warmupRate > Common::RequestRate(0); });
     std::lock_guard lock(m_private->viewMutex);
     m_private->table = std::move(table);
     if (!m_private->tableKnownAt)
--- a/Source/Core/Relay/EngineSends.cpp
+++ b/Source/Core/Relay/EngineSends.cpp
@@ -116,7 +116,9 @@
         return;
     }
     auto targets = targetsOf(group, now);
-    if (!pool.hasOpenServer(targets, send.avoid, now)) {
+    auto mayWait
+        = [&] { return send.purpose != Purpose::Hedge && nextSendIn(*active, send.avoid, targets, now).has_value(); };
+    if (!pool.hasOpenServer(targets, send.avoid, now) && !mayWait()) {
         if (auto reopens = pool.reopensIn(targets, now))
             retryAfter = Limits::spreadReturn(*reopens, localRandom().unit());
         fail(Reason::Unavailable,
@@ -194,6 +196,8 @@
             auto hedgeDelay = send.purpose == Purpose::First ? hedgeDelayOf(active->query, now) : std::nullopt;
             isWanted = sent(active->query, key.attempt, usable[i].server, now, hedgeDelay);
         }
+        if (lease->hasEnteredPace)
+            logPace(usable[i].server, group, PaceChange::Entered);
         if (!isWanted) {
             pool.release(usable[i].server, lease->connection, now, { Outcome::Kind::Cancelled, Milliseconds(0) }, now);
             return true;
@@ -242,7 +246,9 @@
         recordNotice(*inFlight, answer, now);
         if (provesSurvival(answer))
             recordSurvival(*active->call, *inFlight, answer.status, now);
-        pool.release(inFlight->server, inFlight->connection, inFlight->sentAt, { kindOf(answer.outcome), took }, now);
+        Outcome outcome { kindOf(answer.outcome), took };
+        recordPace(*active, *inFlight, outcome, now);
+        pool.release(inFlight->server, inFlight->connection, inFlight->sentAt, outcome, now);
         if (answer.outcome == SubAnswer::Outcome::Success) {
             latencies.withValue(
                 active->query.route->name, [&](Routing::LatencyStats& stats) { Routing::record(stats, took); });
@@ -259,8 +265,9 @@
     }
     const Common::Error& error = result.error();
     bool isCancelled = error.reason == Reason::Cancelled;
-    pool.release(inFlight->server, inFlight->connection, inFlight->sentAt,
-        { isCancelled ? Outcome::Kind::Cancelled : Outcome::Kind::Unreachable, took }, now);
+    Outcome outcome { isCancelled ? Outcome::Kind::Cancelled : Outcome::Kind::Unreachable, took };
+    recordPace(*active, *inFlight, outcome, now);
+    pool.release(inFlight->server, inFlight->connection, inFlight->sentAt, outcome, now);
     if (!isCancelled) {
         Observe::logEvent(Observe::Part::Relay, Observe::Event::SendFailed,
             { { "request", active->call->id.value() }, { "server", inFlight->server.value() },
@@ -343,6 +350,8 @@
 {
     auto now = Clock::now();
     auto targets = targetsOf(group, now);
+    if (nextSendIn(*active, waiter.avoidServers, targets, now))
+        return false;
     auto reopens = pool.reopensIn(targets, now);
     if (!reopens || pool.hasOpenServer(targets, waiter.avoidServers, now))
         return false;
@@ -392,6 +401,65 @@
     return trySend(active, { waiter.query, waiter.attempt }, send, group) || refuseIfClosed(active, waiter, group);
 }
 
+// How long until a server that is held back by its pace or as a cold server may get the request; empty if there is
+// none, or not within the latency objective of the call.
+std::optional<Milliseconds> Engine::Private::nextSendIn(
+    const ActiveCall& active, const std::vector<Common::BackendServerId>& avoid, const Targets& targets, TimePoint now)
+{
+    if (!options.usesPace && targets.access.empty())
+        return std::nullopt;
+    auto wait = pool.nextSendIn(targets, avoid, now);
+    return wait && now + *wait < active.query.times.objective ? wait : std::nullopt;
+}
+
+void Engine::Private::serveWaitersIn(const GroupName& group, Milliseconds wait, TimePoint now)
+{
+    bool isScheduled = groups.withValue(group, [&](GroupState& state) {
+        bool isEarlier = state.wakeAt > now && state.wakeAt <= now + wait;
+        if (!isEarlier)
+            state.wakeAt = now + wait;
+        return isEarlier;
+    });
+    if (isScheduled)
+        return;
+    timers.after(wait, [weak = weak_from_this(), group] {
+        if (auto self = weak.lock())
+            self->serveWaiters(group);
+    });
+}
+
+// Wakes a queued request when a server that is held back may get it.
+void Engine::Private::serveWaitersOnceOpen(const Limits::Waiter& waiter, const GroupName& group)
+{
+    ActiveCallPtr active;
+    queries.ifPresent(waiter.query, [&](ActiveCallPtr& found) { active = found; });
+    if (!active)
+        return;
+    auto now = Clock::now();
+    if (auto wait = nextSendIn(*active, waiter.avoidServers, targetsOf(group, now), now))
+        serveWaitersIn(group, *wait, now);
+}
+
+void Engine::Private::recordPace(
+    const ActiveCall& active, const InFlightRequest& request, const Outcome& outcome, TimePoint now)
+{
+    if (!options.usesPace)
+        return;
+    auto change = pool.recordPace(*serversOf(request.group),
+        { request.server, request.incarnation, active.query.route->name, request.sentAt, outcome },
+        connectionsOf(*active.query.table, request.group), now);
+    logPace(request.server, request.group, change);
+}
+
+void Engine::Private::logPace(const Common::BackendServerId& server, const GroupName& group, PaceChange change)
+{
+    if (change == PaceChange::None)
+        return;
+    Observe::logEvent(Observe::Part::Relay,
+        change == PaceChange::Entered ? Observe::Event::ServerPaced : Observe::Event::ServerPaceEnded,
+        { { "server", server.value() }, { "group", group.value() } });
+}
+
 // Sends the queued requests of the group while its servers have free connections.
 void Engine::Private::serveWaiters(const GroupName& group)
 {
@@ -405,6 +473,7 @@
             break;
         if (trySendWaiter(*waiter, group))
             continue;
+        serveWaitersOnceOpen(*waiter, group);
         bool isFull = waiter->avoidServers.empty();
         unsent.push_back(std::move(*waiter));
         if (isFull)
--- a/Source/Core/Roster/ServerView.cpp
+++ b/Source/Core/Roster/ServerView.cpp
@@ -23,13 +23,20 @@
         server.warmAt = now + report.warmupLeft;
     }
 
-    void renew(ServerView::Server& server, const Report& report, TimePoint now)
+    // Returns whether the time until which the server is cold has changed.
+    bool renew(ServerView::Server& server, const Report& report, TimePoint now)
     {
         server.report = report;
-        if (!server.coldSince || report.sequence <= *server.coldSince)
-            return;
-        server.warmAt = now + report.warmupLeft;
+        TimePoint warmAt = now + report.warmupLeft;
+        // A report from before the cancellation of an evacuation does not say how long the server is cold now.
+        if (server.coldSince && report.sequence <= *server.coldSince)
+            return false;
+        bool isFirstSince = server.coldSince.has_value();
         server.coldSince.reset();
+        if (!isFirstSince && !isWarmAtChanged(server.warmAt, warmAt, now))
+            return false;
+        server.warmAt = warmAt;
+        return true;
     }
 
     ServerStatus statusOf(const ServerView::Server& server)
@@ -56,17 +63,18 @@
         }
         ServerStatus before = statusOf(server);
         bool isNewIncarnation = isNew || report.incarnation > server.report.incarnation;
+        bool isWarmthChanged = false;
         if (isNewIncarnation)
             replace(server, report, now);
         else if (report.sequence > server.report.sequence)
-            renew(server, report, now);
+            isWarmthChanged = renew(server, report, now);
         if (report.status == ServerStatus::Serving)
             server.reportedBy.insert(source);
         else
             server.reportedBy.erase(source);
         server.isLeaving = server.isLeaving || report.status == ServerStatus::Leaving;
         ServerStatus after = statusOf(server);
-        if (!isNewIncarnation && before == after)
+        if (!isNewIncarnation && !isWarmthChanged && before == after)
             return std::nullopt;
         server.changedAt = now;
         return StatusChange { report.server, server.report.group, server.report.incarnation, after };
