Base the rate that a server names on a library for shared rates

Cause: the quota of a tenant and the pace of a cold server need the token bucket at a keeper that exists for the rate that a server names, with other shares, depths and reserves. Change: Limits/SharedRate has the bucket, the claims and a reserve; SharedRateRule holds what differs. Limits/ServerRate adds the named rate and keeps its interface. Clock::sinceBoot() reads CLOCK_BOOTTIME for leases.

--- a/Source/Core/Common/Clock.cpp
+++ b/Source/Core/Common/Clock.cpp
@@ -1,5 +1,9 @@
 #include "Common/Clock.h"
 
+#include "Common/Assert.h"
+
+#include <ctime>
+
 namespace Common {
 
 namespace {
@@ -14,6 +18,15 @@
     return TimePoint(Milliseconds(DoubleMilliseconds(sinceEpoch).count()));
 }
 
+TimePoint Clock::sinceBoot()
+{
+    timespec time {};
+    int result = ::clock_gettime(CLOCK_BOOTTIME, &time);
+    CORIANDERLOCK_INVARIANT(!result, "the boot clock can be read");
+    auto sinceEpoch = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    return TimePoint(Milliseconds(DoubleMilliseconds(sinceEpoch).count()));
+}
+
 Milliseconds Clock::wallClock()
 {
     auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
--- a/Source/Core/Common/Clock.h
+++ b/Source/Core/Common/Clock.h
@@ -35,6 +35,8 @@
 class Clock {
 public:
     static TimePoint now();
+    // A clock of its own that goes on while the machine is suspended. For leases, which others let expire meanwhile.
+    static TimePoint sinceBoot();
     // Wall clock time, in milliseconds since 1970. For display and for the timeline only.
     static Milliseconds wallClock();
     static std::chrono::microseconds toChrono(Milliseconds);
--- a/Source/Core/Limits/ServerRate.cpp
+++ b/Source/Core/Limits/ServerRate.cpp
@@ -14,49 +14,29 @@
     // Below the minimum a server would get no request whose answer could end the limit.
     constexpr RequestRate minimumRate { 0.2 };
     constexpr RequestRate maximumRate { 1'000'000 };
-    constexpr double keeperShare = 0.9;
-    // Of all instances that reach no keeper together.
-    constexpr double aloneShare = 0.25;
     // The bucket holds what is given out in this time, for requests that come unevenly.
     constexpr Milliseconds burst { 250 };
-    constexpr Milliseconds tokenLifetime { 500 };
-    constexpr Milliseconds keeperPause { 1'000 };
-    constexpr Milliseconds shortestDenial { 20 };
-    constexpr Milliseconds longestDenial { 5'000 };
-    constexpr size_t maximumWanted { 8 };
     constexpr double millisecondsPerSecond = 1'000;
+    // Two keepers stay within one and a half times the rate. The instances without one send a quarter of it together.
+    constexpr SharedRateRule rule { 0.9, 0.25, 0, Milliseconds(0), 8 };
+    constexpr Milliseconds notTheKeeper { 20 };
 
     RequestRate bounded(RequestRate rate) { return std::clamp(rate, minimumRate, maximumRate); }
 
-    RequestRate ownRate(RequestRate named, RateRole role, size_t instances)
+    // What this instance may give out or use itself.
+    RateLimit limitOf(RequestRate named, RateRole role, size_t instances)
     {
-        if (role == RateRole::Keeper)
-            return named * keeperShare;
-        return named * aloneShare / static_cast<double>(std::max<size_t>(instances, 1));
+        double share = role == RateRole::Keeper ? rule.keeperShare
+                                                : rule.aloneShare / static_cast<double>(std::max<size_t>(instances, 1));
+        RequestRate own = named * share;
+        return { own, own.value() * burst.value() / millisecondsPerSecond };
     }
 
     // Tokens accrue from the answer that named the rate, or from the last request.
-    double tokensAt(const ServerRate& server, RequestRate rate, TimePoint now)
+    RateBucket bucketOf(const ServerRate& server)
     {
-        const RateBucket& bucket = server.bucket;
-        TimePoint since = bucket.filledAt == TimePoint() ? server.named.at : bucket.filledAt;
-        double depth = std::max(1.0, rate.value() * burst.value() / millisecondsPerSecond);
-        double added = rate.value() * (now - since).value() / millisecondsPerSecond;
-        return std::min(depth, bucket.tokens + std::max(0.0, added));
-    }
-
-    size_t take(ServerRate& server, RequestRate rate, size_t wanted, TimePoint now)
-    {
-        double tokens = tokensAt(server, rate, now);
-        auto taken = std::min(wanted, static_cast<size_t>(tokens));
-        server.bucket = { tokens - static_cast<double>(taken), now };
-        return taken;
-    }
-
-    Milliseconds untilToken(const ServerRate& server, RequestRate rate, TimePoint now)
-    {
-        double missing = 1 - tokensAt(server, rate, now);
-        return Milliseconds(std::max(0.0, missing) * millisecondsPerSecond / rate.value());
+        const RateBucket& bucket = server.shared.bucket;
+        return bucket.filledAt == TimePoint() ? RateBucket { bucket.tokens, server.named.at } : bucket;
     }
 
 } // namespace
@@ -90,7 +70,7 @@
 
 RateRole roleOf(const ServerRate& rate, RateRole intended, TimePoint now)
 {
-    return intended == RateRole::Asker && now < rate.keeperSilentUntil ? RateRole::Alone : intended;
+    return intended == RateRole::Asker && now < rate.shared.keeperSilentUntil ? RateRole::Alone : intended;
 }
 
 bool tryTakeToken(ServerRate& rate, Incarnation incarnation, RateRole role, size_t instances, TimePoint now)
@@ -98,12 +78,10 @@
     auto named = rateOf(rate.named, incarnation);
     if (!named)
         return true;
-    if (role != RateRole::Asker)
-        return take(rate, ownRate(*named, role, instances), 1, now) == 1;
-    if (!rate.granted || now >= rate.grantedUntil)
-        return false;
-    --rate.granted;
-    return true;
+    if (role == RateRole::Asker)
+        return takeGrantedToken(rate.shared, now);
+    rate.shared.bucket = bucketOf(rate);
+    return takeTokens(rate.shared.bucket, limitOf(*named, role, instances), 1, now) == 1;
 }
 
 bool isWithinRate(const ServerRate& rate, Incarnation incarnation, RateRole role, size_t instances, TimePoint now)
@@ -117,10 +95,10 @@
     auto named = rateOf(rate.named, incarnation);
     if (!named)
         return std::nullopt;
-    Milliseconds wait = rate.deniedUntil - now;
+    Milliseconds wait = rate.shared.deniedUntil - now;
     if (role != RateRole::Asker)
-        wait = untilToken(rate, ownRate(*named, role, instances), now);
-    else if (rate.granted && now < rate.grantedUntil)
+        wait = untilToken(bucketOf(rate), limitOf(*named, role, instances), now);
+    else if (hasGrantedToken(rate.shared, now))
         return std::nullopt;
     return wait > Milliseconds(0) ? std::optional(wait) : std::nullopt;
 }
@@ -129,26 +107,21 @@
     ServerRate& rate, const Common::BackendServerId& server, Incarnation incarnation, size_t wanted, TimePoint now)
 {
     auto named = rateOf(rate.named, incarnation);
-    bool hasToken = rate.granted && now < rate.grantedUntil;
-    if (!named || rate.isAsking || hasToken || now < rate.deniedUntil)
+    auto tokens = named ? ask(rate.shared, rule, wanted, now) : std::nullopt;
+    if (!tokens)
         return std::nullopt;
-    rate.isAsking = true;
-    return RateClaim { server, incarnation, *named, now - rate.named.at, std::clamp<size_t>(wanted, 1, maximumWanted) };
+    return RateClaim { server, incarnation, *named, now - rate.named.at, *tokens };
 }
 
+// The incarnation in a grant is of no use here: two keepers at once are within the limit.
 void answerAsk(ServerRate& rate, const std::optional<RateGrant>& answer, TimePoint now)
 {
-    rate.isAsking = false;
-    if (!answer) {
-        rate.keeperSilentUntil = now + keeperPause;
-        return;
-    }
-    if (answer->tokens) {
-        rate.granted = std::min(answer->tokens, maximumWanted);
-        rate.grantedUntil = now + tokenLifetime;
-        return;
+    auto fromKeeper = answer;
+    if (fromKeeper) {
+        fromKeeper->isKeeper = true;
+        fromKeeper->incarnation = {};
     }
-    rate.deniedUntil = now + std::clamp(answer->retryIn, shortestDenial, longestDenial);
+    answerAsk(rate.shared, rule, {}, fromKeeper, now);
 }
 
 RateGrant grant(ServerRate& rate, const RateClaim& claim, RateRole role, TimePoint now)
@@ -156,11 +129,11 @@
     mergeRate(rate.named, claim.incarnation, claim.rate, now - std::max(claim.age, Milliseconds(0)));
     auto named = rateOf(rate.named, claim.incarnation);
     if (role != RateRole::Keeper || claim.incarnation < rate.named.incarnation)
-        return { 0, shortestDenial };
+        return { 0, notTheKeeper, notTheKeeper };
     // The keeper may know that the limit has ended; the asker learns it from the answer to its next request.
-    RequestRate own = ownRate(named.value_or(bounded(claim.rate)), role, 1);
-    size_t tokens = take(rate, own, std::min(claim.wanted, maximumWanted), now);
-    return { tokens, tokens ? Milliseconds(0) : untilToken(rate, own, now) };
+    RateLimit limit = limitOf(named.value_or(bounded(claim.rate)), role, 1);
+    rate.shared.bucket = bucketOf(rate);
+    return grant(rate.shared, rule, limit, role, claim.wanted, now);
 }
 
 } // namespace Limits
--- a/Source/Core/Limits/ServerRate.h
+++ b/Source/Core/Limits/ServerRate.h
@@ -4,13 +4,13 @@
 #include "Common/Ids.h"
 #include "Common/Units.h"
 #include "Limits/ServerNotice.h"
+#include "Limits/SharedRate.h"
 
 #include <cstddef>
 #include <optional>
 
-// Keeps the requests to a server within the rate that it names for all instances together. One instance, the keeper of
-// the server, has a token bucket; the others ask it for a token before each request. So the rate is used by whoever has
-// the callers, however unevenly they are spread, and an instance that does not know the others sends less.
+// Keeps the requests to a server within the rate that it names for all instances together, as a shared rate. An instance
+// that does not know the others sends less.
 //
 // Answers the load of servers that name less than they get. What holds when instances disagree on the keeper: a keeper
 // gives out nine tenths of the rate, so two of them, for as long as 2.5 s of any 4 s, stay within one and a half times
@@ -32,28 +32,10 @@
 // Empty if this incarnation has named no rate.
 std::optional<Common::RequestRate> rateOf(const NamedRate&, Common::Incarnation);
 
-// How this instance gets the right to send a request to the server.
-enum class RateRole {
-    Keeper, // It gives out the tokens.
-    Asker, // It asks the keeper.
-    Alone, // It reaches no keeper, or does not know the other instances.
-};
-
-// Tokens of this instance, one for each request.
-struct RateBucket {
-    double tokens { 0 };
-    Common::TimePoint filledAt; // Empty before its first use.
-};
-
 // What this instance may send to one server. Plain data: the caller keeps it under a lock.
 struct ServerRate {
     NamedRate named;
-    RateBucket bucket; // As the keeper, or alone.
-    size_t granted { 0 }; // Tokens from the keeper.
-    Common::TimePoint grantedUntil; // Later they are void: the keeper counts a token when it gives it out.
-    bool isAsking { false };
-    Common::TimePoint deniedUntil; // By the keeper.
-    Common::TimePoint keeperSilentUntil;
+    SharedRate shared;
 };
 
 // The role, given who keeps the server's tokens: a keeper that did not answer is left alone for a while.
@@ -67,7 +49,7 @@
 std::optional<Common::Milliseconds> rateReopensIn(
     const ServerRate&, Common::Incarnation, RateRole, size_t instances, Common::TimePoint now);
 
-// A question to the keeper, and its answer.
+// A question to the keeper.
 struct RateClaim {
     Common::BackendServerId server;
     Common::Incarnation incarnation;
@@ -76,11 +58,6 @@
     size_t wanted { 1 };
 };
 
-struct RateGrant {
-    size_t tokens { 0 };
-    Common::Milliseconds retryIn; // If there are none.
-};
-
 // Starts a question; empty if no rate is named, a token is left, a question is under way, or the keeper has just
 // denied.
 std::optional<RateClaim> ask(
