--- a/Source/Core/Limits/ServerRate.cpp
+++ b/Source/Core/Limits/ServerRate.cpp
@@ -18,7 +18,7 @@
     constexpr Milliseconds burst { 250 };
     constexpr double millisecondsPerSecond = 1'000;
     // Two keepers stay within one and a half times the rate. The instances without one send a quarter of it together.
-    constexpr SharedRateRule rule { 0.9, 0.25, 0, Milliseconds(0), 8 };
+    constexpr SharedRateRule rule { 0.9, 0.25, 0, Milliseconds(0), 8, Milliseconds(500) };
     constexpr Milliseconds notTheKeeper { 20 };
 
     RequestRate bounded(RequestRate rate) { return std::clamp(rate, minimumRate, maximumRate); }
--- a/Source/Core/Limits/SharedRate.cpp
+++ b/Source/Core/Limits/SharedRate.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-    constexpr Milliseconds tokenLifetime { 500 };
     constexpr Milliseconds keeperPause { 1'000 };
     constexpr Milliseconds shortestDenial { 20 };
     constexpr Milliseconds longestDenial { 5'000 };
@@ -74,7 +73,7 @@
     if (role == RateRole::Settling || role == RateRole::Substitute)
         return grantReserve(rate, rule, wanted, now);
     if (role != RateRole::Keeper)
-        return { 0, shortestDenial, shortestDenial, false, {} };
+        return { 0, keeperPause, keeperPause, false, {} };
     RateGrant given;
     given.tokens = takeTokens(rate.bucket, limit, wanted, now);
     if (given.tokens == wanted)
@@ -96,26 +95,28 @@
     return std::clamp<size_t>(wanted, 1, rule.largestClaim);
 }
 
-void answerAsk(SharedRate& rate, const SharedRateRule& rule, const Common::Address& from,
+void answerAsk(SharedRate& rate, const SharedRateRule& rule, const RateGrantor& from,
     const std::optional<RateGrant>& answer, TimePoint now)
 {
     rate.isAsking = false;
-    bool isEarlier = answer && from == rate.grantedBy && answer->incarnation < rate.grantorIncarnation;
+    rate.granted = 0;
+    TimePoint& pausedUntil = from.isSubstitute ? rate.substituteClosedUntil : rate.keeperSilentUntil;
+    bool isEarlier
+        = answer && from.address == rate.grantedBy && answer->incarnation < rate.grantorIncarnation;
     if (!answer || isEarlier) {
-        rate.keeperSilentUntil = now + keeperPause;
+        pausedUntil = now + keeperPause;
         return;
     }
-    rate.grantedBy = from;
+    rate.grantedBy = from.address;
     rate.grantorIncarnation = answer->incarnation;
-    if (answer->tokens) {
-        rate.granted = std::min(answer->tokens, rule.largestClaim);
-        rate.grantedUntil = rate.askedAt + tokenLifetime;
+    rate.granted = std::min(answer->tokens, rule.largestClaim);
+    rate.grantedUntil = rate.askedAt + rule.tokenLifetime;
+    if (rate.granted && answer->closedFor <= Milliseconds(0))
         return;
-    }
     if (answer->isKeeper)
         rate.deniedUntil = now + std::clamp(answer->closedFor, shortestDenial, longestDenial);
     else
-        rate.keeperSilentUntil = now + std::clamp(answer->closedFor, shortestDenial, keeperPause);
+        pausedUntil = now + std::clamp(answer->closedFor, shortestDenial, keeperPause);
 }
 
 bool hasGrantedToken(const SharedRate& rate, TimePoint now) { return rate.granted && now < rate.grantedUntil; }
@@ -134,7 +135,7 @@
         = rate.reserveTakenAt.empty() || rate.reserveTakenAt.back() + rule.reserveWindow < now;
     bool isFull = tokensAt(rate.bucket, limit, now) >= depthOf(limit);
     return isFull && isReserveFull && !rate.isAsking && !hasGrantedToken(rate, now) && now >= rate.deniedUntil
-        && now >= rate.keeperSilentUntil && now >= rate.promisedUntil;
+        && now >= rate.keeperSilentUntil && now >= rate.substituteClosedUntil && now >= rate.promisedUntil;
 }
 
 } // namespace Limits
--- a/Source/Core/Limits/SharedRate.h
+++ b/Source/Core/Limits/SharedRate.h
@@ -29,6 +29,7 @@
     size_t reserveTokens { 0 }; // Given out by one instance in any window, as a substitute or while it settles.
     Common::Milliseconds reserveWindow;
     size_t largestClaim { 1 }; // Tokens.
+    Common::Milliseconds tokenLifetime { 500 }; // Of a grant, from the claim.
 };
 
 // A bucket with at least one token: without it, a limit would admit nothing.
@@ -56,6 +57,13 @@
     Common::TimePoint askedAt;
     Common::TimePoint deniedUntil; // By the keeper.
     Common::TimePoint keeperSilentUntil;
+    Common::TimePoint substituteClosedUntil; // It has no token or did not answer.
+};
+
+// Whom a claim is sent to.
+struct RateGrantor {
+    Common::Address address;
+    bool isSubstitute { false };
 };
 
 // The answer to a claim.
@@ -82,7 +90,7 @@
 std::optional<size_t> ask(SharedRate&, const SharedRateRule&, size_t wanted, Common::TimePoint now);
 // Ends the claim; the answer is empty if none came. Grants expire by the time at which the claim was sent, since the
 // time at which they were issued is not known.
-void answerAsk(SharedRate&, const SharedRateRule&, const Common::Address& from, const std::optional<RateGrant>&,
+void answerAsk(SharedRate&, const SharedRateRule&, const RateGrantor&, const std::optional<RateGrant>&,
     Common::TimePoint now);
 bool hasGrantedToken(const SharedRate&, Common::TimePoint now);
 bool takeGrantedToken(SharedRate&, Common::TimePoint now);
