Admit the calls of tenants by their quotas

Cause: quotas of tenants were read and encoded, but nothing counted their calls. The follower of the roster notes the boot-clock time of each watch request, which renews the keeper's lease.

--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -70,6 +70,7 @@
     options.self = { settings.peer.listen, settings.failureDomain };
     options.returnMargin = settings.relay.returnMargin;
     options.retryBudget = { settings.relay.retryRatio, settings.relay.retryMinimum, settings.relay.retryWindow };
+    options.quotaBounds = { settings.relay.quotaWindow, settings.relay.quotaOverrun, settings.relay.quotaSlack };
     return options;
 }
 
@@ -102,6 +103,13 @@
                 done(result ? Wire::decodeRateGrant(result.value()) : Result<Limits::RateGrant>(result.error()));
             });
     };
+    peers.claimTenantRate
+        = [&client](const Address& to, const Relay::TenantRateClaim& claim, Milliseconds timeout, auto done) {
+              client.call(to, Peer::Service::Relay, Wire::encode(claim), timeout,
+                  [done = std::move(done)](const Result<std::string>& result) {
+                      done(result ? Wire::decodeRateGrant(result.value()) : Result<Limits::RateGrant>(result.error()));
+                  });
+          };
     return peers;
 }
 
@@ -117,9 +125,12 @@
         if (auto self = weak.lock())
             self->engine.setInstances(std::move(instances));
     };
-    hooks.viewConfirmed = [weak] {
-        if (auto self = weak.lock())
-            self->engine.confirmView();
+    hooks.viewConfirmed = [weak](Common::TimePoint sentAt) {
+        auto self = weak.lock();
+        if (!self)
+            return;
+        self->engine.confirmView();
+        self->engine.confirmContact(sentAt);
     };
     hooks.newerTablesReported = [weak](const std::vector<Roster::TableReport>& reports) {
         if (auto self = weak.lock())
@@ -236,6 +247,10 @@
         reply(Wire::encode(m_private->engine.grant(*claim)));
         return;
     }
+    if (auto claim = std::get_if<Relay::TenantRateClaim>(&request.value())) {
+        reply(Wire::encode(m_private->engine.grant(*claim)));
+        return;
+    }
     m_private->engine.gather(
         std::get<Relay::BundleRequest>(request.value()), [reply](const Result<Relay::BundleAnswer>& answer) {
             if (answer)
@@ -250,6 +265,7 @@
 void RelayRole::drain()
 {
     m_private->draining = true;
+    m_private->engine.setLeaving();
     m_private->rosterFollower.setLeaving();
 }
 
--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -71,9 +71,9 @@
     void followChosenControls();
     std::vector<Address> chooseControls() const;
     void sendWatch(const Address&);
-    void handleReply(const Address&, const Result<std::string>&);
+    void handleReply(const Address&, Common::TimePoint sentAt, const Result<std::string>&);
     void handleFailure(const Address&, const Common::Error&);
-    void applyReply(const Address&, const Roster::WatchReply&);
+    void applyReply(const Address&, Common::TimePoint sentAt, const Roster::WatchReply&);
     void takeSuspects(const Address&, const Roster::WatchReply&);
     void reportSuspects();
     void reportSuspectsTo(const Address&);
@@ -139,8 +139,8 @@
         request.suspects = suspectsExchanges[address].received;
     }
     dependencies.peers.call(address, Peer::Service::Roster, Wire::encode(Roster::Request(request)), requestTimeout,
-        [self = shared_from_this(), address](
-            const Result<std::string>& result) { self->handleReply(address, result); });
+        [self = shared_from_this(), address, sentAt = Clock::sinceBoot()](
+            const Result<std::string>& result) { self->handleReply(address, sentAt, result); });
 }
 
 void RosterFollower::Private::scheduleWatch(const Address& address, Milliseconds pause)
@@ -160,14 +160,15 @@
         sendWatch(address);
 }
 
-void RosterFollower::Private::handleReply(const Address& address, const Result<std::string>& result)
+void RosterFollower::Private::handleReply(
+    const Address& address, Common::TimePoint sentAt, const Result<std::string>& result)
 {
     auto reply = result ? Wire::decodeWatchReply(result.value()) : Result<Roster::WatchReply>(result.error());
     if (!reply) {
         handleFailure(address, reply.error());
         return;
     }
-    applyReply(address, reply.value());
+    applyReply(address, sentAt, reply.value());
     takeSuspects(address, reply.value());
     std::vector<Roster::TableReport> newerTables;
     {
@@ -194,7 +195,8 @@
     scheduleWatch(address, retryDelay);
 }
 
-void RosterFollower::Private::applyReply(const Address& address, const Roster::WatchReply& reply)
+void RosterFollower::Private::applyReply(
+    const Address& address, Common::TimePoint sentAt, const Roster::WatchReply& reply)
 {
     std::vector<Roster::StatusChange> statusChanges;
     std::optional<std::vector<Roster::Peer>> newInstances;
@@ -245,7 +247,7 @@
                 { "standing", Roster::statusName(change.status) }, { "from", address.value() } });
     if (newInstances)
         hooks.instances(std::move(*newInstances));
-    hooks.viewConfirmed();
+    hooks.viewConfirmed(sentAt);
     bool isViewChanged = std::any_of(statusChanges.begin(), statusChanges.end(),
         [](const Roster::StatusChange& change) { return !change.isIgnored; });
     if (isViewChanged || isNewlyReachable)
--- a/Source/Core/Limits/RateKeeper.h
+++ b/Source/Core/Limits/RateKeeper.h
@@ -39,7 +39,6 @@
     Common::TimePoint settledAt; // If this is the keeper: its bucket is empty at that time.
 };
 
-RateKeepers keepersOf(
-    const KeeperView&, std::string_view subject, const Common::Address& self, Common::TimePoint now);
+RateKeepers keepersOf(const KeeperView&, std::string_view subject, const Common::Address& self, Common::TimePoint now);
 
 } // namespace Limits
--- a/Source/Core/Limits/ServerRate.h
+++ b/Source/Core/Limits/ServerRate.h
@@ -9,8 +9,8 @@
 #include <cstddef>
 #include <optional>
 
-// Keeps the requests to a server within the rate that it names for all instances together, as a shared rate. An instance
-// that does not know the others sends less.
+// Keeps the requests to a server within the rate that it names for all instances together, as a shared rate. An
+// instance that does not know the others sends less.
 //
 // Answers the load of servers that name less than they get. What holds when instances disagree on the keeper: a keeper
 // gives out nine tenths of the rate, so two of them, for as long as 2.5 s of any 4 s, stay within one and a half times
--- a/Source/Core/Limits/SharedRate.cpp
+++ b/Source/Core/Limits/SharedRate.cpp
@@ -30,8 +30,8 @@
         given.tokens = std::min(wanted, left);
         rate.reserveTakenAt.insert(rate.reserveTakenAt.end(), given.tokens, now);
         if (given.tokens < wanted) {
-            Milliseconds wait = rate.reserveTakenAt.empty() ? keeperPause
-                                                            : rate.reserveTakenAt.front() + rule.reserveWindow - now;
+            Milliseconds wait
+                = rate.reserveTakenAt.empty() ? keeperPause : rate.reserveTakenAt.front() + rule.reserveWindow - now;
             given.retryIn = std::clamp(wait, shortestDenial, keeperPause);
             given.closedFor = given.retryIn;
         }
@@ -66,8 +66,8 @@
     return Milliseconds(std::max(0.0, missing) * millisecondsPerSecond / limit.rate.value());
 }
 
-RateGrant grant(SharedRate& rate, const SharedRateRule& rule, const RateLimit& limit, RateRole role, size_t wanted,
-    TimePoint now)
+RateGrant grant(
+    SharedRate& rate, const SharedRateRule& rule, const RateLimit& limit, RateRole role, size_t wanted, TimePoint now)
 {
     wanted = std::min(wanted, rule.largestClaim);
     if (role == RateRole::Settling || role == RateRole::Substitute)
@@ -101,8 +101,7 @@
     rate.isAsking = false;
     rate.granted = 0;
     TimePoint& pausedUntil = from.isSubstitute ? rate.substituteClosedUntil : rate.keeperSilentUntil;
-    bool isEarlier
-        = answer && from.address == rate.grantedBy && answer->incarnation < rate.grantorIncarnation;
+    bool isEarlier = answer && from.address == rate.grantedBy && answer->incarnation < rate.grantorIncarnation;
     if (!answer || isEarlier) {
         pausedUntil = now + keeperPause;
         return;
@@ -131,8 +130,7 @@
 
 bool isAtRest(const SharedRate& rate, const SharedRateRule& rule, const RateLimit& limit, TimePoint now)
 {
-    bool isReserveFull
-        = rate.reserveTakenAt.empty() || rate.reserveTakenAt.back() + rule.reserveWindow < now;
+    bool isReserveFull = rate.reserveTakenAt.empty() || rate.reserveTakenAt.back() + rule.reserveWindow < now;
     bool isFull = tokensAt(rate.bucket, limit, now) >= depthOf(limit);
     return isFull && isReserveFull && !rate.isAsking && !hasGrantedToken(rate, now) && now >= rate.deniedUntil
         && now >= rate.keeperSilentUntil && now >= rate.substituteClosedUntil && now >= rate.promisedUntil;
--- a/Source/Core/Limits/SharedRate.h
+++ b/Source/Core/Limits/SharedRate.h
@@ -90,8 +90,8 @@
 std::optional<size_t> ask(SharedRate&, const SharedRateRule&, size_t wanted, Common::TimePoint now);
 // Ends the claim; the answer is empty if none came. Grants expire by the time at which the claim was sent, since the
 // time at which they were issued is not known.
-void answerAsk(SharedRate&, const SharedRateRule&, const RateGrantor&, const std::optional<RateGrant>&,
-    Common::TimePoint now);
+void answerAsk(
+    SharedRate&, const SharedRateRule&, const RateGrantor&, const std::optional<RateGrant>&, Common::TimePoint now);
 bool hasGrantedToken(const SharedRate&, Common::TimePoint now);
 bool takeGrantedToken(SharedRate&, Common::TimePoint now);
 
--- a/Source/Core/Observe/EventLog.cpp
+++ b/Source/Core/Observe/EventLog.cpp
@@ -62,6 +62,10 @@
         return "rate-changed";
     case Event::KeeperSilent:
         return "keeper-silent";
+    case Event::QuotaRefused:
+        return "quota-refused";
+    case Event::QuotaKeeperSilent:
+        return "quota-keeper-silent";
     case Event::GathererPassedBy:
         return "gatherer-passed-by";
     case Event::ServerChanged:
--- a/Source/Core/Observe/EventLog.h
+++ b/Source/Core/Observe/EventLog.h
@@ -24,6 +24,8 @@
     ServerNotice,
     RateChanged,
     KeeperSilent,
+    QuotaRefused,
+    QuotaKeeperSilent,
     ServerChanged,
     ServerLearned,
     DepartureIgnored,
--- a/Source/Core/Observe/MetricNames.cpp
+++ b/Source/Core/Observe/MetricNames.cpp
@@ -21,6 +21,8 @@
         { "corianderlock_overdue_calls_total", "Calls that outlived their deadline, which is a fault.", "what" },
         { "corianderlock_limited_sends_total", "Requests to servers that name a limit.", "purpose" },
         { "corianderlock_unusable_limits_total", "Answers with a limit that can't be read.", "group" },
+        { "corianderlock_tenant_admitted_total", "Calls admitted by the quotas of tenants.", "tenant" },
+        { "corianderlock_tenant_refused_total", "Calls refused for the quotas of tenants.", "tenant" },
         { "corianderlock_gossip_sent_bytes_total", "Bytes of gossip sent.", "" },
         { "corianderlock_gossip_received_bytes_total", "Bytes of gossip received.", "" },
         { "corianderlock_gossip_messages_total", "Gossip messages, sent and received.", "direction" },
--- a/Source/Core/Observe/MetricNames.h
+++ b/Source/Core/Observe/MetricNames.h
@@ -21,6 +21,8 @@
     OverdueCalls, // what
     LimitedSends, // purpose
     UnusableLimits, // group
+    TenantAdmitted, // tenant
+    TenantRefused, // tenant
     GossipBytesSent,
     GossipBytesReceived,
     GossipMessages, // direction
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -93,7 +93,11 @@
         return;
     }
     CallPtr admitted = routes->tenants ? identified(*call, tenant.value(), backendCodec.tenantHeaders) : call;
-    forward(admitted, routes, *route, timesOf(*admitted, *route, now), std::move(done));
+    Times times = timesOf(*admitted, *route, now);
+    if (tenant.value() && tenant.value()->quota)
+        admitByQuota(admitted, routes, *route, { *tenant.value()->quota, routes->number }, times, done);
+    else
+        forward(admitted, routes, *route, times, std::move(done));
 }
 
 void Engine::Private::forward(
@@ -233,7 +237,12 @@
 
 void Engine::setInstances(std::vector<Roster::Peer> instances)
 {
+    std::vector<Common::Address> addresses;
+    for (const Roster::Peer& peer : instances)
+        addresses.push_back(peer.address);
     std::lock_guard lock(m_private->viewMutex);
+    Limits::setInstances(
+        m_private->changeKeeperView(), std::move(addresses), m_private->options.self.address, Clock::sinceBoot());
     m_private->instances = std::move(instances);
     m_private->updateGatherers();
 }
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -7,6 +7,7 @@
 #include "Relay/Call.h"
 #include "Relay/Delegation.h"
 #include "Relay/Gatherers.h"
+#include "Relay/TenantQuotas.h"
 #include "Roster/ServerView.h"
 #include "Routes/Table.h"
 #include "Suspects/Board.h"
@@ -68,6 +69,10 @@
     std::function<void(const Common::Address&, const Limits::RateClaim&, Common::Milliseconds timeout,
         std::function<void(Common::Result<Limits::RateGrant>)> done)>
         claimRate;
+    // Asks the keeper of a tenant's quota, or its substitute, for tokens.
+    std::function<void(const Common::Address&, const TenantRateClaim&, Common::Milliseconds timeout,
+        std::function<void(Common::Result<Limits::RateGrant>)> done)>
+        claimTenantRate;
 };
 
 struct EngineOptions {
@@ -75,6 +80,7 @@
     Common::Incarnation incarnation;
     double processorShare { 1 }; // Of a core, of each instance.
     Limits::RetryBudgetRule retryBudget;
+    QuotaBounds quotaBounds;
     // Subtracted from the caller's time limit to leave time for returning the answer.
     Common::Milliseconds returnMargin { 10 };
     // An abandoned request may finish within this time. Then its connection is closed.
@@ -98,6 +104,11 @@
     void setInstances(std::vector<Roster::Peer>);
     // A control instance has just confirmed the view of instances and servers.
     void confirmView();
+    // A control instance has answered a request that was sent at this time of the boot clock. For some time after it,
+    // this instance may keep the quotas of tenants.
+    void confirmContact(Common::TimePoint sentAt);
+    // Gives out no more tokens of tenants to others.
+    void setLeaving();
 
     // done is called exactly once, on any thread. NotFound: no route matches. Unavailable: no route table has been
     // received yet.
@@ -108,6 +119,7 @@
     void cancel(const CancelBundle&);
     // Answers another instance that asks for tokens of a server.
     Limits::RateGrant grant(const Limits::RateClaim&);
+    Limits::RateGrant grant(const TenantRateClaim&);
     size_t inFlight() const;
 
 private:
--- a/Source/Core/Relay/EngineGather.cpp
+++ b/Source/Core/Relay/EngineGather.cpp
@@ -115,17 +115,32 @@
     return true;
 }
 
-// Gathers the groups in bundles, each from one failure domain that has servers of all its groups.
-void Engine::Private::gather(
-    const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
+// Refuses a call for reasons that are known before anything is done for it.
+bool Engine::Private::refuseAtOnce(
+    const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Done& done)
 {
+    if (!route.fanOut) {
+        auto verdicts = suspects->verdictsOn(call->keys, Clock::now());
+        bool maySendAny = std::any_of(route.weightedGroups.begin(), route.weightedGroups.end(),
+            [&](const Routes::WeightedGroup& group) { return Suspects::maySend(verdicts, group.group, true); });
+        if (!maySendAny)
+            refuse(call, routes, Reason::Quarantined, quarantineText, Suspects::remainingOf(verdicts), done);
+        return !maySendAny;
+    }
     size_t unserved = unservedGroups(*route.fanOut);
     if (unserved > allowedMissing(*route.fanOut, route.fanOut->groups.size())) {
         refuse(call, routes, Reason::Unavailable, std::to_string(unserved) + " groups have no known server",
             unservedRetryAfter, done);
-        return;
+        return true;
     }
-    if (refuseIfQuarantined(call, routes, *route.fanOut, done))
+    return refuseIfQuarantined(call, routes, *route.fanOut, done);
+}
+
+// Gathers the groups in bundles, each from one failure domain that has servers of all its groups.
+void Engine::Private::gather(
+    const CallPtr& call, const Routes::TablePtr& routes, const Routes::Route& route, const Times& times, Done done)
+{
+    if (refuseAtOnce(call, routes, route, done))
         return;
     const GroupName shedKey = route.fanOut->groups.front();
     double chance = localRandom().unit();
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -10,6 +10,7 @@
 #include "Relay/Engine.h"
 #include "Relay/Query.h"
 #include "Relay/ServerPool.h"
+#include "Relay/TenantQuotas.h"
 #include "Routing/LatencyStats.h"
 
 #include <atomic>
@@ -159,6 +160,7 @@
     std::map<GroupName, Limits::SenderHistory> retrySenders; // Of the groups in the table.
     std::map<GroupName, size_t> partitionOfGroup; // Of the groups of all fan-out routes.
     TimePoint viewConfirmedAt;
+    std::shared_ptr<const Limits::KeeperView> keeperView { std::make_shared<const Limits::KeeperView>() };
     std::optional<TimePoint> viewSince; // When the table and the instances were first known.
     GathererHealth health;
 
@@ -176,9 +178,19 @@
     Common::ShardedMap<GroupName, Limits::LoadShedder> shedders; // Keyed by the first group of the fan-out.
     Common::ShardedMap<Common::RouteName, Routing::LatencyStats> latencies; // Of sub-requests.
     ServerPool pool;
+    TenantQuotas quotas;
+    TimePoint quotasSweptAt; // On the boot clock.
 
     void relay(const CallPtr&, Done);
     void forward(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
+    void admitByQuota(
+        const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const NumberedQuota&, const Times&, const Done&);
+    void refuseByQuota(const CallPtr&, const Routes::TablePtr&, const QuotaEffects::Refusal&,
+        const Limits::RateGrantor& deniedBy, const Done&);
+    void claimTokens(const Common::TenantName&, const QuotaEffects::Claim&);
+    QuotaContext quotaContext(const Common::TenantName&, TimePoint now) const;
+    Limits::KeeperView& changeKeeperView();
+    bool refuseAtOnce(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Done&);
     void run(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const LocalRequest&, const Times&, Done);
     void gather(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
     void startBundle(const GatheringPtr&, size_t index);
@@ -229,6 +241,7 @@
     void recordEnd(const ActiveCall&, const Answer&);
     void scheduleSweep();
     void sweep();
+    void sweepQuotas();
     void endOverdueQueries(TimePoint now);
     void endOverdueGatherings(TimePoint now);
     void reportOverdue(const Relay::Call&, const Times&, const char* what);
--- a/Source/Core/Relay/EngineSweep.cpp
+++ b/Source/Core/Relay/EngineSweep.cpp
@@ -26,8 +26,9 @@
     auto now = Clock::now();
     endOverdueQueries(now);
     endOverdueGatherings(now);
+    sweepQuotas();
     updateGauges();
-    bool hasWork = queries.size() || gatherings.size() || inFlightRequests.size();
+    bool hasWork = quotas.size() || queries.size() || gatherings.size() || inFlightRequests.size();
     if (hasWork)
         workedAt = now;
     TimePoint last = workedAt;
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -148,6 +148,10 @@
         relay.retryRatio = Common::Ratio(section.number("repeat_ratio", relay.retryRatio.value(), 0, 1));
         relay.retryMinimum = section.number("repeat_minimum", relay.retryMinimum, 0, 1e6);
         relay.retryWindow = readDuration(section, "repeat_window_ms", relay.retryWindow, 100);
+        relay.quotaWindow = Milliseconds(1'000
+            * section.number("quota_window_s", relay.quotaWindow.value() / 1'000, 0.1, maximumDurationMs / 1'000));
+        relay.quotaOverrun = section.number("quota_overrun", relay.quotaOverrun, 0, 10);
+        relay.quotaSlack = section.number("quota_slack", relay.quotaSlack, 0, 1e6);
         section.rejectUnknownFields();
     }
 
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -69,6 +69,11 @@
     Common::Ratio retryRatio { 0.1 };
     double retryMinimum { 20 };
     Common::Milliseconds retryWindow { 10'000 };
+    // All instances together start no more than (rate x window + burst) x (1 + overrun) + slack calls of a tenant with
+    // a quota in any window.
+    Common::Milliseconds quotaWindow { 5'000 };
+    double quotaOverrun { 0.1 };
+    double quotaSlack { 20 };
 };
 
 // The roster of backend servers on a control instance.
--- a/Source/Core/Wire/Relay.capnp
+++ b/Source/Core/Wire/Relay.capnp
@@ -40,6 +40,7 @@
     resume @2 :Resume;
     rate @4 :RateClaim;
     cancel @5 :Cancel;
+    tenantRate @6 :TenantRateClaim;
   }
   asker @3 :Text; # Address of the requesting instance.
 }
@@ -57,6 +58,18 @@
   formatVersion @0 :UInt32;
   tokens @1 :UInt16;
   retryInMs @2 :Float64;
+  closedForMs @3 :Float64 = -1; # As retryInMs from instances that do not send it.
+  isKeeper @4 :Bool = true; # Settled.
+  incarnation @5 :UInt64; # Of the granting instance.
+}
+
+# Asks the keeper of a tenant's quota, or its substitute, for the right to admit calls.
+struct TenantRateClaim {
+  tenant @0 :Text;
+  tableNumber @1 :UInt64; # Of the table that the quota is from.
+  perSecond @2 :Float64;
+  burst @3 :Float64;
+  wanted @4 :UInt16;
 }
 
 struct Missing {
--- a/Source/Core/Wire/Relay.capnp.h
+++ b/Source/Core/Wire/Relay.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(c7e1a0f5544608d9);
 CAPNP_DECLARE_SCHEMA(a140d21f07837ef4);
 CAPNP_DECLARE_SCHEMA(bccddc73db0761eb);
+CAPNP_DECLARE_SCHEMA(91a7bd7c55272f9a);
 CAPNP_DECLARE_SCHEMA(db6ff64f4bdb5857);
 CAPNP_DECLARE_SCHEMA(87db365c9858a7eb);
 CAPNP_DECLARE_SCHEMA(b90805ee8ddc0c37);
@@ -75,6 +76,7 @@
     RESUME,
     RATE,
     CANCEL,
+    TENANT_RATE,
   };
 
   struct _capnpPrivate {
@@ -108,7 +110,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bccddc73db0761eb, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(bccddc73db0761eb, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TenantRateClaim {
+  TenantRateClaim() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91a7bd7c55272f9a, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -553,6 +570,10 @@
   inline bool hasCancel() const;
   inline  ::Wire::RelaySchema::Cancel::Reader getCancel() const;
 
+  inline bool isTenantRate() const;
+  inline bool hasTenantRate() const;
+  inline  ::Wire::RelaySchema::TenantRateClaim::Reader getTenantRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -624,6 +645,14 @@
   inline void adoptCancel(::capnp::Orphan< ::Wire::RelaySchema::Cancel>&& value);
   inline ::capnp::Orphan< ::Wire::RelaySchema::Cancel> disownCancel();
 
+  inline bool isTenantRate();
+  inline bool hasTenantRate();
+  inline  ::Wire::RelaySchema::TenantRateClaim::Builder getTenantRate();
+  inline void setTenantRate( ::Wire::RelaySchema::TenantRateClaim::Reader value);
+  inline  ::Wire::RelaySchema::TenantRateClaim::Builder initTenantRate();
+  inline void adoptTenantRate(::capnp::Orphan< ::Wire::RelaySchema::TenantRateClaim>&& value);
+  inline ::capnp::Orphan< ::Wire::RelaySchema::TenantRateClaim> disownTenantRate();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -774,6 +803,12 @@
 
   inline double getRetryInMs() const;
 
+  inline double getClosedForMs() const;
+
+  inline bool getIsKeeper() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -811,6 +846,15 @@
   inline double getRetryInMs();
   inline void setRetryInMs(double value);
 
+  inline double getClosedForMs();
+  inline void setClosedForMs(double value);
+
+  inline bool getIsKeeper();
+  inline void setIsKeeper(bool value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -837,6 +881,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class TenantRateClaim::Reader {
+public:
+  typedef TenantRateClaim Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant() const;
+  inline  ::capnp::Text::Reader getTenant() const;
+
+  inline  ::uint64_t getTableNumber() const;
+
+  inline double getPerSecond() const;
+
+  inline double getBurst() const;
+
+  inline  ::uint16_t getWanted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TenantRateClaim::Builder {
+public:
+  typedef TenantRateClaim Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant();
+  inline  ::capnp::Text::Builder getTenant();
+  inline void setTenant( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTenant(unsigned int size);
+  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+
+  inline  ::uint64_t getTableNumber();
+  inline void setTableNumber( ::uint64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline double getBurst();
+  inline void setBurst(double value);
+
+  inline  ::uint16_t getWanted();
+  inline void setWanted( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TenantRateClaim::Pipeline {
+public:
+  typedef TenantRateClaim Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Missing::Reader {
 public:
   typedef Missing Reads;
@@ -2227,6 +2372,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Request::Reader::isTenantRate() const {
+  return which() == Request::TENANT_RATE;
+}
+inline bool Request::Builder::isTenantRate() {
+  return which() == Request::TENANT_RATE;
+}
+inline bool Request::Reader::hasTenantRate() const {
+  if (which() != Request::TENANT_RATE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasTenantRate() {
+  if (which() != Request::TENANT_RATE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Wire::RelaySchema::TenantRateClaim::Reader Request::Reader::getTenantRate() const {
+  KJ_IREQUIRE((which() == Request::TENANT_RATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::TenantRateClaim>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Wire::RelaySchema::TenantRateClaim::Builder Request::Builder::getTenantRate() {
+  KJ_IREQUIRE((which() == Request::TENANT_RATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::TenantRateClaim>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setTenantRate( ::Wire::RelaySchema::TenantRateClaim::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::TENANT_RATE);
+  ::capnp::_::PointerHelpers< ::Wire::RelaySchema::TenantRateClaim>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Wire::RelaySchema::TenantRateClaim::Builder Request::Builder::initTenantRate() {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::TENANT_RATE);
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::TenantRateClaim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::adoptTenantRate(
+    ::capnp::Orphan< ::Wire::RelaySchema::TenantRateClaim>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, Request::TENANT_RATE);
+  ::capnp::_::PointerHelpers< ::Wire::RelaySchema::TenantRateClaim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Wire::RelaySchema::TenantRateClaim> Request::Builder::disownTenantRate() {
+  KJ_IREQUIRE((which() == Request::TENANT_RATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Wire::RelaySchema::TenantRateClaim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool RateClaim::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2359,6 +2558,138 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline double RateGrant::Reader::getClosedForMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+
+inline double RateGrant::Builder::getClosedForMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+inline void RateGrant::Builder::setClosedForMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
+}
+
+inline bool RateGrant::Reader::getIsKeeper() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS, true);
+}
+
+inline bool RateGrant::Builder::getIsKeeper() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS, true);
+}
+inline void RateGrant::Builder::setIsKeeper(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS, value, true);
+}
+
+inline  ::uint64_t RateGrant::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateGrant::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RateGrant::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TenantRateClaim::Reader::hasTenant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TenantRateClaim::Builder::hasTenant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TenantRateClaim::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TenantRateClaim::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TenantRateClaim::Builder::setTenant( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TenantRateClaim::Builder::initTenant(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TenantRateClaim::Builder::adoptTenant(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TenantRateClaim::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TenantRateClaim::Reader::getTableNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TenantRateClaim::Builder::getTableNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TenantRateClaim::Builder::setTableNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double TenantRateClaim::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double TenantRateClaim::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TenantRateClaim::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double TenantRateClaim::Reader::getBurst() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double TenantRateClaim::Builder::getBurst() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TenantRateClaim::Builder::setBurst(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TenantRateClaim::Reader::getWanted() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TenantRateClaim::Builder::getWanted() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void TenantRateClaim::Builder::setWanted( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t Missing::Reader::getPlace() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Core/Wire/RelayCodec.cpp
+++ b/Source/Core/Wire/RelayCodec.cpp
@@ -4,6 +4,8 @@
 #include "Wire/FlatMessage.h"
 #include "Wire/Relay.capnp.h"
 
+#include <cmath>
+
 namespace Wire {
 
 namespace {
@@ -104,6 +106,16 @@
             refusal.getHasNotRun(), Milliseconds(refusal.getRetryAfterMs()) };
     }
 
+    Relay::TenantRateClaim read(Schema::TenantRateClaim::Reader in)
+    {
+        Routes::Quota quota { Common::RequestRate(in.getPerSecond()), in.getBurst() };
+        bool isValid = std::isfinite(quota.rate.value()) && quota.rate.value() > 0 && std::isfinite(quota.burst)
+            && quota.burst >= 0;
+        require(isValid, "the quota is no positive rate");
+        return { fromText<Common::TenantName>(in.getTenant()), { quota, Common::TableNumber(in.getTableNumber()) },
+            in.getWanted() };
+    }
+
     Relay::BundleRequest readBundleRequest(Schema::Request::Reader in)
     {
         Relay::BundleRequest request;
@@ -162,6 +174,8 @@
                 { Common::Incarnation(cancel.getIncarnation()), cancel.getBundle() },
                 fromText<Common::RequestId>(cancel.getCall()) };
         }
+        if (in.isTenantRate())
+            return read(in.getTenantRate());
         if (!in.isRate())
             return readBundleRequest(in);
         auto claim = in.getRate();
@@ -185,6 +199,20 @@
     return serializeFlat(message);
 }
 
+std::string encode(const Relay::TenantRateClaim& claim)
+{
+    capnp::MallocMessageBuilder message;
+    auto request = message.initRoot<Schema::Request>();
+    request.setFormatVersion(formatVersion);
+    auto out = request.initTenantRate();
+    out.setTenant(toText(claim.tenant));
+    out.setTableNumber(claim.quota.table.value());
+    out.setPerSecond(claim.quota.quota.rate.value());
+    out.setBurst(claim.quota.quota.burst);
+    out.setWanted(static_cast<uint16_t>(claim.wanted));
+    return serializeFlat(message);
+}
+
 std::string encode(const Limits::RateGrant& grant)
 {
     capnp::MallocMessageBuilder message;
@@ -192,13 +220,18 @@
     out.setFormatVersion(formatVersion);
     out.setTokens(static_cast<uint16_t>(grant.tokens));
     out.setRetryInMs(grant.retryIn.value());
+    out.setClosedForMs(grant.closedFor.value());
+    out.setIsKeeper(grant.isKeeper);
+    out.setIncarnation(grant.incarnation.value());
     return serializeFlat(message);
 }
 
 Common::Result<Limits::RateGrant> decodeRateGrant(std::string_view bytes)
 {
     return readFlatMessage<Schema::RateGrant>(bytes, [](Schema::RateGrant::Reader in) {
-        return Limits::RateGrant { in.getTokens(), Milliseconds(in.getRetryInMs()) };
+        double closedFor = in.getClosedForMs() >= 0 ? in.getClosedForMs() : in.getRetryInMs();
+        return Limits::RateGrant { in.getTokens(), Milliseconds(in.getRetryInMs()), Milliseconds(closedFor),
+            in.getIsKeeper(), Common::Incarnation(in.getIncarnation()) };
     });
 }
 
--- a/Source/Core/Wire/RelayCodec.h
+++ b/Source/Core/Wire/RelayCodec.h
@@ -10,10 +10,11 @@
 namespace Wire {
 
 // What instances ask of each other.
-using RelayRequest = std::variant<Relay::BundleRequest, Relay::CancelBundle, Limits::RateClaim>;
+using RelayRequest = std::variant<Relay::BundleRequest, Relay::CancelBundle, Limits::RateClaim, Relay::TenantRateClaim>;
 std::string encode(const Relay::BundleRequest&);
 std::string encode(const Relay::CancelBundle&);
 std::string encode(const Limits::RateClaim&);
+std::string encode(const Relay::TenantRateClaim&);
 Common::Result<RelayRequest> decodeRelayRequest(std::string_view);
 
 std::string encode(const Limits::RateGrant&);
--- a/Source/UnitTests/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -69,3 +69,17 @@
     expectError(text, "field data_folder is absent");
     expectError(text, "field instance is 'entry-1', expected one of control.members");
 }
+
+// The platform names the window in seconds.
+TEST(Settings, BoundsOfQuotas)
+{
+    auto defaults = Settings::parse("a.yaml", validSettings);
+    ASSERT_TRUE(defaults);
+    EXPECT_EQ(defaults.value().relay.quotaWindow, Common::Milliseconds(5'000));
+    auto given = Settings::parse(
+        "a.yaml", std::string(validSettings) + "relay: {quota_window_s: 2.5, quota_overrun: 0.2, quota_slack: 8}\n");
+    ASSERT_TRUE(given);
+    EXPECT_EQ(given.value().relay.quotaWindow, Common::Milliseconds(2'500));
+    EXPECT_EQ(given.value().relay.quotaOverrun, 0.2);
+    EXPECT_EQ(given.value().relay.quotaSlack, 8);
+}
--- a/Source/UnitTests/Wire/RelayCodecTest.cpp
+++ b/Source/UnitTests/Wire/RelayCodecTest.cpp
@@ -91,3 +91,25 @@
     EXPECT_EQ(grant.value().tokens, 2u);
     EXPECT_EQ(grant.value().retryIn, Milliseconds(45));
 }
+
+TEST(RelayCodec, ClaimsForTenantsAndTheirGrantsRoundTrip)
+{
+    Relay::TenantRateClaim claim { Common::TenantName("t"), { { Common::RequestRate(2.5), 7 }, Common::TableNumber(9) },
+        12 };
+    auto decoded = Wire::decodeRelayRequest(Wire::encode(claim));
+    ASSERT_TRUE(decoded);
+    auto read = std::get_if<Relay::TenantRateClaim>(&decoded.value());
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->tenant, claim.tenant);
+    EXPECT_EQ(read->quota.quota, claim.quota.quota);
+    EXPECT_EQ(read->quota.table, claim.quota.table);
+    EXPECT_EQ(read->wanted, claim.wanted);
+    auto grant = Wire::decodeRateGrant(
+        Wire::encode(Limits::RateGrant { 2, Milliseconds(45), Milliseconds(30), false, Incarnation(8) }));
+    ASSERT_TRUE(grant);
+    EXPECT_EQ(grant.value().closedFor, Milliseconds(30));
+    EXPECT_FALSE(grant.value().isKeeper);
+    EXPECT_EQ(grant.value().incarnation, Incarnation(8));
+    claim.quota.quota.rate = Common::RequestRate(0);
+    EXPECT_FALSE(Wire::decodeRelayRequest(Wire::encode(claim))) << "no time could be computed from it";
+}
