--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -238,6 +238,7 @@
 void Engine::setInstances(std::vector<Roster::Peer> instances)
 {
     std::vector<Common::Address> addresses;
+    addresses.reserve(instances.size());
     for (const Roster::Peer& peer : instances)
         addresses.push_back(peer.address);
     std::lock_guard lock(m_private->viewMutex);
--- a/Source/Core/Relay/TenantQuotas.cpp
+++ b/Source/Core/Relay/TenantQuotas.cpp
@@ -225,7 +225,7 @@
 
 // The states and the functions of waiting calls are in two maps, since a function must not run under a lock. An
 // admission that ends is taken from the second one by whoever ends it, so it ends once.
-std::optional<QuotaEffects::Claim> TenantQuotas::perform(QuotaEffects effects)
+std::optional<QuotaEffects::Claim> TenantQuotas::perform(const QuotaEffects& effects)
 {
     for (AdmissionId id : effects.admitted) {
         if (auto done = m_waiting.take(id))
@@ -253,7 +253,7 @@
     QuotaEffects effects;
     m_tenants.ifPresent(
         name, [&](TenantQuota& tenant) { effects = Relay::answerClaim(tenant, context, from, answer, now); });
-    return perform(std::move(effects));
+    return perform(effects);
 }
 
 bool TenantQuotas::withdraw(const TenantName& name, AdmissionId id)
--- a/Source/Core/Relay/TenantQuotas.h
+++ b/Source/Core/Relay/TenantQuotas.h
@@ -131,7 +131,7 @@
     void sweep(const Limits::SharedRateRule&, const Routes::Table*, Common::TimePoint now);
 
 private:
-    std::optional<QuotaEffects::Claim> perform(QuotaEffects);
+    std::optional<QuotaEffects::Claim> perform(const QuotaEffects&);
 
     std::atomic<uint64_t> m_nextId { 1 };
     Common::ShardedMap<Common::TenantName, TenantQuota> m_tenants;
--- a/Source/UnitTests/Relay/EngineQuotasTest.cpp
+++ b/Source/UnitTests/Relay/EngineQuotasTest.cpp
@@ -56,6 +56,7 @@
         m_engine->setTable(table);
         std::vector<Address> others { Address("b:1"), Address("c:1"), Address("d:1") };
         std::vector<Roster::Peer> instances;
+        instances.reserve(others.size());
         for (const Address& address : others)
             instances.push_back({ address, Common::FailureDomain("a") });
         Limits::KeeperView view;
--- a/Source/UnitTests/Relay/TenantQuotasTest.cpp
+++ b/Source/UnitTests/Relay/TenantQuotasTest.cpp
@@ -205,6 +205,22 @@
     }
 }
 
+// Guards against the quota of an earlier table at a keeper that has not got the later one, or at an asker.
+TEST(TenantQuotas, TheQuotaOfTheLaterTableCounts)
+{
+    Relay::TenantQuota tenant;
+    Relay::QuotaContext context { Relay::quotaRule({}), { Limits::RateRole::Keeper, {}, {}, {} }, {}, {} };
+    auto earlier = quotaOf(20, 40);
+    Relay::NumberedQuota later { { Common::RequestRate(2), 2 }, Common::TableNumber(2) };
+    Common::TimePoint now { Common::Milliseconds(startOfTime) };
+    const Common::TenantName name("t");
+    EXPECT_EQ(Relay::grant(tenant, context, { name, later, 64 }, earlier, now).tokens, 2u);
+    EXPECT_EQ(
+        Relay::grant(tenant, context, { name, earlier, 64 }, earlier, now + Common::Milliseconds(500)).tokens, 1u);
+    EXPECT_EQ(
+        Relay::grant(tenant, context, { name, earlier, 64 }, later, now + Common::Milliseconds(1'000)).tokens, 1u);
+}
+
 // Guards against refusals that a single fault causes below the quota: fewer than 1 in 100.
 TEST(TenantQuotas, FewCallsAreRefusedBelowTheQuotaWithOneFault)
 {
