--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -80,9 +80,9 @@
     void followChosenControls();
     std::vector<Address> chooseControls() const;
     void sendWatch(const Address&);
-    void handleReply(const Address&, const Result<std::string>&);
+    void handleReply(const Address&, Common::TimePoint sentAt, const Result<std::string>&);
     void handleFailure(const Address&, const Common::Error&);
-    void applyReply(const Address&, const Roster::WatchReply&);
+    void applyReply(const Address&, TimePoint sentAt, const Roster::WatchReply&);
     bool noteEvacuationsKnown(const Roster::FollowedControl&, TimePoint now);
     void reportEvacuations(const Address&, const Roster::Evacuations&);
     void takeSuspects(const Address&, const Roster::WatchReply&);
@@ -154,8 +154,8 @@
         request.suspects = suspectsExchanges[address].received;
     }
     dependencies.peers.call(address, Peer::Service::Roster, Wire::encode(Roster::Request(request)), requestTimeout,
-        [self = shared_from_this(), address](
-            const Result<std::string>& result) { self->handleReply(address, result); });
+        [self = shared_from_this(), address, sentAt = Clock::sinceBoot()](
+            const Result<std::string>& result) { self->handleReply(address, sentAt, result); });
 }
 
 void RosterFollower::Private::scheduleWatch(const Address& address, Milliseconds pause)
@@ -175,14 +175,15 @@
         sendWatch(address);
 }
 
-void RosterFollower::Private::handleReply(const Address& address, const Result<std::string>& result)
+void RosterFollower::Private::handleReply(
+    const Address& address, Common::TimePoint sentAt, const Result<std::string>& result)
 {
     auto reply = result ? Wire::decodeWatchReply(result.value()) : Result<Roster::WatchReply>(result.error());
     if (!reply) {
         handleFailure(address, reply.error());
         return;
     }
-    applyReply(address, reply.value());
+    applyReply(address, sentAt, reply.value());
     takeSuspects(address, reply.value());
     std::vector<Roster::TableReport> newerTables;
     {
@@ -211,7 +212,8 @@
     scheduleWatch(address, pause);
 }
 
-void RosterFollower::Private::applyReply(const Address& address, const Roster::WatchReply& reply)
+void RosterFollower::Private::applyReply(
+    const Address& address, Common::TimePoint sentAt, const Roster::WatchReply& reply)
 {
     std::vector<Roster::StatusChange> statusChanges;
     std::optional<std::vector<Roster::Peer>> newInstances;
@@ -269,7 +271,7 @@
         reportEvacuations(address, *newEvacuations);
     if (newInstances)
         hooks.instances(std::move(*newInstances));
-    hooks.viewConfirmed();
+    hooks.viewConfirmed(sentAt);
     bool isViewChanged = std::any_of(statusChanges.begin(), statusChanges.end(),
         [](const Roster::StatusChange& change) { return !change.isIgnored; });
     if (isViewChanged || isNewlyReachable || newEvacuations || isFirstKnown)
--- a/Source/Core/Limits/ServerRate.cpp
+++ b/Source/Core/Limits/ServerRate.cpp
@@ -14,55 +14,36 @@
     // Below the minimum a server would get no request whose answer could end the limit.
     constexpr RequestRate minimumRate { 0.2 };
     constexpr RequestRate maximumRate { 1'000'000 };
-    constexpr double keeperShare = 0.9;
-    // Of all instances that reach no keeper together.
-    constexpr double aloneShare = 0.25;
     // The bucket holds what is given out in this time, for requests that come unevenly.
     constexpr Milliseconds burst { 250 };
     // Of a cold server: tokens that are given out over their lifetime, this and 1 s of nine tenths of the rate stay
     // within one and a half times the rate.
     constexpr Milliseconds coldBurst { 125 };
-    constexpr Milliseconds tokenLifetime { 500 };
-    constexpr Milliseconds keeperPause { 1'000 };
-    constexpr Milliseconds shortestDenial { 20 };
-    constexpr Milliseconds longestDenial { 5'000 };
-    constexpr size_t maximumWanted { 8 };
     constexpr double millisecondsPerSecond = 1'000;
+    // Two keepers stay within one and a half times the rate. The instances without one send a quarter of it together.
+    constexpr SharedRateRule rule { 0.9, 0.25, 0, Milliseconds(0), 8, Milliseconds(500) };
+    constexpr Milliseconds notTheKeeper { 20 };
 
     RequestRate bounded(RequestRate rate) { return std::clamp(rate, minimumRate, maximumRate); }
 
-    RequestRate ownRate(RequestRate named, RateRole role, size_t instances)
+    // What this instance may give out or use itself.
+    RateLimit limitOf(RequestRate inForce, RateRole role, size_t instances, Milliseconds window)
     {
-        if (role == RateRole::Keeper)
-            return named * keeperShare;
-        return named * aloneShare / static_cast<double>(std::max<size_t>(instances, 1));
+        double share = role == RateRole::Keeper ? rule.keeperShare
+                                                : rule.aloneShare / static_cast<double>(std::max<size_t>(instances, 1));
+        RequestRate own = inForce * share;
+        return { own, own.value() * window.value() / millisecondsPerSecond };
     }
 
     bool isColdAt(const ServerRate& server, TimePoint now) { return server.cold && now < server.cold->until; }
 
-    // Tokens accrue from the answer that named the rate, or from the last request.
-    double tokensAt(const ServerRate& server, RequestRate rate, TimePoint now)
-    {
-        const RateBucket& bucket = server.bucket;
-        TimePoint since = bucket.filledAt == TimePoint() ? server.named.at : bucket.filledAt;
-        Milliseconds window = isColdAt(server, now) ? coldBurst : burst;
-        double depth = std::max(1.0, rate.value() * window.value() / millisecondsPerSecond);
-        double added = rate.value() * (now - since).value() / millisecondsPerSecond;
-        return std::min(depth, bucket.tokens + std::max(0.0, added));
-    }
-
-    size_t take(ServerRate& server, RequestRate rate, size_t wanted, TimePoint now)
-    {
-        double tokens = tokensAt(server, rate, now);
-        auto taken = std::min(wanted, static_cast<size_t>(tokens));
-        server.bucket = { tokens - static_cast<double>(taken), now };
-        return taken;
-    }
+    Milliseconds burstOf(const ServerRate& server, TimePoint now) { return isColdAt(server, now) ? coldBurst : burst; }
 
-    Milliseconds untilToken(const ServerRate& server, RequestRate rate, TimePoint now)
+    // Tokens accrue from the answer that named the rate, or from the last request.
+    RateBucket bucketOf(const ServerRate& server)
     {
-        double missing = 1 - tokensAt(server, rate, now);
-        return Milliseconds(std::max(0.0, missing) * millisecondsPerSecond / rate.value());
+        const RateBucket& bucket = server.shared.bucket;
+        return bucket.filledAt == TimePoint() ? RateBucket { bucket.tokens, server.named.at } : bucket;
     }
 
 } // namespace
@@ -103,8 +84,8 @@
     rate.cold = cold;
     if (wasCold || !isCold(rate, incarnation, now))
         return;
-    rate.bucket = { 0, now };
-    rate.granted = 0;
+    rate.shared.bucket = { 0, now };
+    rate.shared.granted = 0;
 }
 
 bool isCold(const ServerRate& rate, Incarnation incarnation, TimePoint now)
@@ -123,7 +104,7 @@
 
 RateRole roleOf(const ServerRate& rate, RateRole intended, TimePoint now)
 {
-    return intended == RateRole::Asker && now < rate.keeperSilentUntil ? RateRole::Alone : intended;
+    return intended == RateRole::Asker && now < rate.shared.keeperSilentUntil ? RateRole::Alone : intended;
 }
 
 bool tryTakeToken(ServerRate& rate, Incarnation incarnation, RateRole role, size_t instances, TimePoint now)
@@ -131,14 +112,13 @@
     auto inForce = rateInForce(rate, incarnation, now);
     if (!inForce)
         return true;
-    if (role == RateRole::Alone && isCold(rate, incarnation, now))
-        return false;
-    if (role != RateRole::Asker)
-        return take(rate, ownRate(*inForce, role, instances), 1, now) == 1;
-    if (!rate.granted || now >= rate.grantedUntil)
+    bool mayUseRate = role == RateRole::Keeper || role == RateRole::Asker;
+    if (!mayUseRate && isCold(rate, incarnation, now))
         return false;
-    --rate.granted;
-    return true;
+    if (role == RateRole::Asker)
+        return takeGrantedToken(rate.shared, now);
+    rate.shared.bucket = bucketOf(rate);
+    return takeTokens(rate.shared.bucket, limitOf(*inForce, role, instances, burstOf(rate, now)), 1, now) == 1;
 }
 
 bool isWithinRate(const ServerRate& rate, Incarnation incarnation, RateRole role, size_t instances, TimePoint now)
@@ -152,14 +132,14 @@
     auto inForce = rateInForce(rate, incarnation, now);
     if (!inForce)
         return std::nullopt;
-    Milliseconds wait = rate.deniedUntil - now;
+    Milliseconds wait = rate.shared.deniedUntil - now;
     if (role == RateRole::Alone && isCold(rate, incarnation, now)) {
         wait = rate.cold->until - now;
-        if (now < rate.keeperSilentUntil)
-            wait = std::min(wait, rate.keeperSilentUntil - now);
+        if (now < rate.shared.keeperSilentUntil)
+            wait = std::min(wait, rate.shared.keeperSilentUntil - now);
     } else if (role != RateRole::Asker)
-        wait = untilToken(rate, ownRate(*inForce, role, instances), now);
-    else if (rate.granted && now < rate.grantedUntil)
+        wait = untilToken(bucketOf(rate), limitOf(*inForce, role, instances, burstOf(rate, now)), now);
+    else if (hasGrantedToken(rate.shared, now))
         return std::nullopt;
     return wait > Milliseconds(0) ? std::optional(wait) : std::nullopt;
 }
@@ -168,27 +148,22 @@
     ServerRate& rate, const Common::BackendServerId& server, Incarnation incarnation, size_t wanted, TimePoint now)
 {
     auto inForce = rateInForce(rate, incarnation, now);
-    bool hasToken = rate.granted && now < rate.grantedUntil;
-    if (!inForce || rate.isAsking || hasToken || now < rate.deniedUntil)
+    auto tokens = inForce ? ask(rate.shared, rule, wanted, now) : std::nullopt;
+    if (!tokens)
         return std::nullopt;
-    rate.isAsking = true;
     RequestRate named = rateOf(rate.named, incarnation).value_or(RequestRate(0));
-    return RateClaim { server, incarnation, named, now - rate.named.at, std::clamp<size_t>(wanted, 1, maximumWanted) };
+    return RateClaim { server, incarnation, named, now - rate.named.at, *tokens };
 }
 
+// The incarnation in a grant is of no use here: two keepers at once are within the limit.
 void answerAsk(ServerRate& rate, const std::optional<RateGrant>& answer, TimePoint now)
 {
-    rate.isAsking = false;
-    if (!answer) {
-        rate.keeperSilentUntil = now + keeperPause;
-        return;
-    }
-    if (answer->tokens) {
-        rate.granted = std::min(answer->tokens, maximumWanted);
-        rate.grantedUntil = now + tokenLifetime;
-        return;
+    auto fromKeeper = answer;
+    if (fromKeeper) {
+        fromKeeper->isKeeper = true;
+        fromKeeper->incarnation = {};
     }
-    rate.deniedUntil = now + std::clamp(answer->retryIn, shortestDenial, longestDenial);
+    answerAsk(rate.shared, rule, {}, fromKeeper, now);
 }
 
 RateGrant grant(ServerRate& rate, const RateClaim& claim, RateRole role, TimePoint now)
@@ -198,11 +173,11 @@
         mergeRate(rate.named, claim.incarnation, claim.rate, now - std::max(claim.age, Milliseconds(0)));
     auto inForce = rateInForce(rate, claim.incarnation, now);
     if (role != RateRole::Keeper || claim.incarnation < rate.named.incarnation || (!isNamed && !inForce))
-        return { 0, shortestDenial };
+        return { 0, notTheKeeper, notTheKeeper };
     // The keeper may know that the limit has ended; the asker learns it from the answer to its next request.
-    RequestRate own = ownRate(inForce.value_or(bounded(claim.rate)), role, 1);
-    size_t tokens = take(rate, own, std::min(claim.wanted, maximumWanted), now);
-    return { tokens, tokens ? Milliseconds(0) : untilToken(rate, own, now) };
+    RateLimit limit = limitOf(inForce.value_or(bounded(claim.rate)), role, 1, burstOf(rate, now));
+    rate.shared.bucket = bucketOf(rate);
+    return grant(rate.shared, rule, limit, role, claim.wanted, now);
 }
 
 } // namespace Limits
--- a/Source/Core/Observe/EventLog.cpp
+++ b/Source/Core/Observe/EventLog.cpp
@@ -66,6 +66,10 @@
         return "server-paced";
     case Event::ServerPaceEnded:
         return "server-pace-ended";
+    case Event::QuotaRefused:
+        return "quota-refused";
+    case Event::QuotaKeeperSilent:
+        return "quota-keeper-silent";
     case Event::GathererPassedBy:
         return "gatherer-passed-by";
     case Event::ServerChanged:
--- a/Source/Core/Observe/EventLog.h
+++ b/Source/Core/Observe/EventLog.h
@@ -26,6 +26,8 @@
     KeeperSilent,
     ServerPaced,
     ServerPaceEnded,
+    QuotaRefused,
+    QuotaKeeperSilent,
     ServerChanged,
     ServerLearned,
     DepartureIgnored,
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -120,7 +120,11 @@
     if (mayHold && shouldWaitForServers(*route, arrived) && holdCall(call, route->latencyObjective, arrived, done))
         return;
     CallPtr admitted = routes->tenants ? identified(*call, tenant.value(), backendCodec.tenantHeaders) : call;
-    forward(admitted, routes, *route, timesOf(*admitted, *route, arrived), std::move(done));
+    Times times = timesOf(*admitted, *route, arrived);
+    if (tenant.value() && tenant.value()->quota)
+        admitByQuota(admitted, routes, *route, { *tenant.value()->quota, routes->number }, times, done);
+    else
+        forward(admitted, routes, *route, times, std::move(done));
 }
 
 void Engine::Private::forward(
@@ -269,7 +273,13 @@
 
 void Engine::setInstances(std::vector<Roster::Peer> instances)
 {
+    std::vector<Common::Address> addresses;
+    addresses.reserve(instances.size());
+    for (const Roster::Peer& peer : instances)
+        addresses.push_back(peer.address);
     std::lock_guard lock(m_private->viewMutex);
+    Limits::setInstances(
+        m_private->changeKeeperView(), std::move(addresses), m_private->options.self.address, Clock::sinceBoot());
     m_private->instances = std::move(instances);
     m_private->updateGatherers();
 }
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -12,6 +12,7 @@
 #include "Relay/HeldCalls.h"
 #include "Relay/Query.h"
 #include "Relay/ServerPool.h"
+#include "Relay/TenantQuotas.h"
 #include "Routing/LatencyStats.h"
 
 #include <atomic>
@@ -172,6 +173,7 @@
     std::map<GroupName, size_t> partitionOfGroup; // Of the groups of all fan-out routes.
     std::map<GroupName, std::set<int>> prioritiesOver; // Of the fan-out routes, by their first group.
     TimePoint viewConfirmedAt;
+    std::shared_ptr<const Limits::KeeperView> keeperView { std::make_shared<const Limits::KeeperView>() };
     std::optional<TimePoint> viewSince; // When the table and the instances were first known.
     GathererHealth health;
     std::optional<TimePoint> tableKnownAt; // Guarded by viewMutex too.
@@ -201,6 +203,8 @@
     Common::ShardedMap<Common::RouteName, Routing::LatencyStats> latencies; // Of sub-requests.
     ServerPool pool { options.usesPace ? ServerPool::Pace::Adaptive : ServerPool::Pace::Unlimited };
     std::atomic<bool> hasWarmupRates { false }; // Of the table.
+    TenantQuotas quotas;
+    TimePoint quotasSweptAt; // On the boot clock.
 
     void relay(const CallPtr&, Done);
     void admit(const CallPtr&, TimePoint arrived, bool mayHold, Done);
@@ -211,6 +215,14 @@
     void scheduleOverdueCheck();
     void reviewHeldCalls();
     void forward(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
+    void admitByQuota(
+        const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const NumberedQuota&, const Times&, const Done&);
+    void refuseByQuota(const CallPtr&, const Routes::TablePtr&, const QuotaEffects::Refusal&,
+        const Limits::RateGrantor& deniedBy, const Done&);
+    void claimTokens(const Common::TenantName&, const QuotaEffects::Claim&);
+    QuotaContext quotaContext(const Common::TenantName&, TimePoint now) const;
+    Limits::KeeperView& changeKeeperView();
+    bool refuseAtOnce(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Done&);
     void run(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const LocalRequest&, const Times&, Done);
     void gather(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
     void startBundle(const GatheringPtr&, size_t index);
@@ -271,6 +283,7 @@
     void recordEnd(const ActiveCall&, const Answer&);
     void scheduleSweep();
     void sweep();
+    void sweepQuotas();
     void endOverdueQueries(TimePoint now);
     void endOverdueGatherings(TimePoint now);
     void reportOverdue(const Relay::Call&, const Times&, const char* what);
