Renew a keeper's lease only by control instances that are not behind

Cause: a failure domain that is cut off together with a control instance kept its leases; after 12 s both sides of the partition would have had a keeper of each quota. Two tests met each other's parts: a call without any known server is held at the start, and a later report may say that a server became cold again. Change: contactConfirmed is called for replies of control instances that are not behind. EngineQuotasTest knows a cold server; EvacuationsTest checks a report that repeats the time, and one that says that the server became cold again.

--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -127,12 +127,13 @@
         if (auto self = weak.lock())
             self->engine.setInstances(std::move(instances));
     };
-    hooks.viewConfirmed = [weak](Common::TimePoint sentAt) {
-        auto self = weak.lock();
-        if (!self)
-            return;
-        self->engine.confirmView();
-        self->engine.confirmContact(sentAt);
+    hooks.viewConfirmed = [weak] {
+        if (auto self = weak.lock())
+            self->engine.confirmView();
+    };
+    hooks.contactConfirmed = [weak](Common::TimePoint sentAt) {
+        if (auto self = weak.lock())
+            self->engine.confirmContact(sentAt);
     };
     hooks.newerTablesReported = [weak](const std::vector<Roster::TableReport>& reports) {
         if (auto self = weak.lock())
--- a/Source/Core/Daemon/RosterFollower.cpp
+++ b/Source/Core/Daemon/RosterFollower.cpp
@@ -218,6 +218,7 @@
     std::vector<Roster::StatusChange> statusChanges;
     std::optional<std::vector<Roster::Peer>> newInstances;
     bool isNewlyReachable = false;
+    bool isLogBehind = false;
     bool isNewlyBehind = false;
     std::optional<Roster::Evacuations> newEvacuations;
     bool isFirstKnown = false;
@@ -231,7 +232,8 @@
         control.hasFailed = false;
         control.isRosterBehind = false;
         bool wasLogBehind = std::exchange(control.isLogBehind, reply.logBehind > logBehindThreshold);
-        isNewlyBehind = control.isLogBehind && !wasLogBehind;
+        isLogBehind = control.isLogBehind;
+        isNewlyBehind = isLogBehind && !wasLogBehind;
         for (const Roster::SourceState& state : reply.sources) {
             control.isRosterBehind = control.isRosterBehind || state.silentFor > staleThreshold;
             if (Roster::isFromEarlierEpoch(sources, state, now))
@@ -271,7 +273,10 @@
         reportEvacuations(address, *newEvacuations);
     if (newInstances)
         hooks.instances(std::move(*newInstances));
-    hooks.viewConfirmed(sentAt);
+    hooks.viewConfirmed();
+    // A control instance without a leader may be on the smaller side of a partition, whose relays the others drop.
+    if (!isLogBehind)
+        hooks.contactConfirmed(sentAt);
     bool isViewChanged = std::any_of(statusChanges.begin(), statusChanges.end(),
         [](const Roster::StatusChange& change) { return !change.isIgnored; });
     if (isViewChanged || isNewlyReachable || newEvacuations || isFirstKnown)
--- a/Source/Core/Daemon/RosterFollower.h
+++ b/Source/Core/Daemon/RosterFollower.h
@@ -27,8 +27,9 @@
 struct RosterFollowerHooks {
     std::function<void(std::map<Common::GroupName, std::vector<Roster::EligibleServer>>)> servers;
     std::function<void(std::vector<Roster::Peer>)> instances;
-    // By a reply of a control instance, with or without changes, to a request sent at this time of the boot clock.
-    std::function<void(Common::TimePoint sentAt)> viewConfirmed;
+    std::function<void()> viewConfirmed; // By a reply of a control instance, with or without changes.
+    // The same by a control instance that is not behind. The request was sent at this time of the boot clock.
+    std::function<void(Common::TimePoint sentAt)> contactConfirmed;
     // These control instances have later route tables than the one in force here.
     std::function<void(const std::vector<Roster::TableReport>&)> newerTablesReported;
 };
--- a/Source/UnitTests/Relay/EngineQuotasTest.cpp
+++ b/Source/UnitTests/Relay/EngineQuotasTest.cpp
@@ -47,13 +47,22 @@
         route.allowsAnonymous = true;
         route.weightedGroups = { { Common::GroupName("g"), 1 } };
         table->routes.push_back(route);
-        table->groups.push_back({ Common::GroupName("g"), Common::Connections(100) });
+        Routes::Group group { Common::GroupName("g"), Common::Connections(100) };
+        group.warmupRate = Common::RequestRate(1);
+        table->groups.push_back(group);
         Routes::Tenant limited { Common::TenantName("limited"), { Routes::digestOfKey("k1") }, {},
             Routes::Quota { Common::RequestRate(5), 5 } };
         Routes::Tenant unlimited { Common::TenantName("unlimited"), { Routes::digestOfKey("k2") }, {}, {} };
         table->tenants = { limited, unlimited };
         Routes::index(*table);
         m_engine->setTable(table);
+        // The only server is known, so calls are not held, and cold, so that nothing is sent to it.
+        Roster::EligibleServer server;
+        server.server = Common::BackendServerId("i-1");
+        server.warmAt = Common::Clock::now() + Milliseconds(3'600'000);
+        auto servers = std::make_shared<Relay::ServersByGroup>();
+        (*servers)[Common::GroupName("g")] = { server };
+        m_engine->setServers(servers);
         std::vector<Address> others { Address("b:1"), Address("c:1"), Address("d:1") };
         std::vector<Roster::Peer> instances;
         instances.reserve(others.size());
--- a/Source/UnitTests/Roster/EvacuationsTest.cpp
+++ b/Source/UnitTests/Roster/EvacuationsTest.cpp
@@ -104,8 +104,10 @@
     merge(view, source, { false, Revision(3), { report("s1", "a", 2, 0), report("s3", "a", 2, 500) } }, at(1'500));
     EXPECT_EQ(warmAt(view, "s1"), at(1'500)) << "it reports that it is warm";
     EXPECT_EQ(warmAt(view, "s3"), at(2'000));
-    merge(view, source, { false, Revision(4), { report("s3", "a", 3, 700) } }, at(1'600));
-    EXPECT_EQ(warmAt(view, "s3"), at(2'000)) << "only the first report after it counts";
+    merge(view, source, { false, Revision(4), { report("s3", "a", 3, 400) } }, at(1'600));
+    EXPECT_EQ(warmAt(view, "s3"), at(2'000)) << "it reports the same time";
+    merge(view, source, { false, Revision(5), { report("s3", "a", 4, 2'000) } }, at(1'700));
+    EXPECT_EQ(warmAt(view, "s3"), at(3'700)) << "it became cold again";
 }
 
 // Guards against relays that disagree because replies arrive in different orders, or twice.
