--- a/Source/Core/Json/Reader.cpp
+++ b/Source/Core/Json/Reader.cpp
@@ -10,8 +10,11 @@
     const Value nothing = Value::object();
     constexpr size_t maximumQuoteLength = 60;
 
+    // Lists and objects are not quoted: they may contain values that must not appear in error messages.
     std::string quoteValue(const Value& value)
     {
+        if (value.is_object() || value.is_array())
+            return value.is_object() ? "an object" : "a list";
         std::string text = value.serialize();
         if (text.size() > maximumQuoteLength)
             text = text.substr(0, maximumQuoteLength) + "...";
@@ -45,6 +48,8 @@
     m_problem->text = "field " + name + " is " + found + ", expected " + expected;
 }
 
+std::string Reader::quote(const Value& value) const { return m_isSecret ? "invalid" : quoteValue(value); }
+
 bool Reader::has(const std::string& field) { return find(field); }
 
 std::string Reader::text(const std::string& field)
@@ -63,7 +68,7 @@
         return fallback;
     if (value->is_string())
         return value->as_string();
-    reportProblem(field, quoteValue(*value), "a text");
+    reportProblem(field, quote(*value), "a text");
     return fallback;
 }
 
@@ -81,7 +86,7 @@
         return fallback;
     if (value->is_number())
         return value->as_double();
-    reportProblem(field, quoteValue(*value), "a number");
+    reportProblem(field, quote(*value), "a number");
     return fallback;
 }
 
@@ -89,7 +94,7 @@
 {
     if (value.is_number() && value.as_number().is_uint64() && value.as_number().to_uint64() <= limit)
         return value.as_number().to_uint64();
-    reportProblem(field, quoteValue(value), "a whole number from 0 to " + std::to_string(limit));
+    reportProblem(field, quote(value), "a whole number from 0 to " + std::to_string(limit));
     return 0;
 }
 
@@ -115,17 +120,19 @@
         return fallback;
     if (value->is_boolean())
         return value->as_bool();
-    reportProblem(field, quoteValue(*value), "true or false");
+    reportProblem(field, quote(*value), "true or false");
     return fallback;
 }
 
 Reader Reader::object(const std::string& field)
 {
     const Value* value = find(field);
-    if (value && !value->is_object())
-        reportProblem(field, quoteValue(*value), "an object");
-    return { value && value->is_object() ? *value : nothing, m_path.empty() ? field : m_path + "." + field,
-        *m_problem };
+    bool isObject = value && value->is_object();
+    if (value && !isObject)
+        reportProblem(field, quote(*value), "an object");
+    Reader reader(isObject ? *value : nothing, m_path.empty() ? field : m_path + "." + field, *m_problem);
+    reader.m_isSecret = m_isSecret;
+    return reader;
 }
 
 std::vector<Reader> Reader::objects(const std::string& field)
@@ -135,19 +142,28 @@
     if (!value)
         return readers;
     if (!value->is_array()) {
-        reportProblem(field, quoteValue(*value), "a list");
+        reportProblem(field, quote(*value), "a list");
         return readers;
     }
     size_t i = 0;
     for (const Value& item : value->as_array()) {
         std::string name = field + "[" + std::to_string(i++) + "]";
         if (!item.is_object())
-            reportProblem(name, quoteValue(item), "an object");
+            reportProblem(name, quote(item), "an object");
         readers.emplace_back(item, m_path.empty() ? name : m_path + "." + name, *m_problem);
+        readers.back().m_isSecret = m_isSecret;
     }
     return readers;
 }
 
+std::vector<Reader> Reader::secretObjects(const std::string& field)
+{
+    m_requestedFields.push_back(field);
+    Reader secret(*this);
+    secret.m_isSecret = true;
+    return secret.objects(field);
+}
+
 std::vector<std::string> Reader::texts(const std::string& field)
 {
     std::vector<std::string> values;
@@ -155,14 +171,14 @@
     if (!value)
         return values;
     if (!value->is_array()) {
-        reportProblem(field, quoteValue(*value), "a list");
+        reportProblem(field, quote(*value), "a list");
         return values;
     }
     for (const Value& item : value->as_array()) {
         if (item.is_string())
             values.push_back(item.as_string());
         else
-            reportProblem(field, quoteValue(item), "texts");
+            reportProblem(field, quote(item), "texts");
     }
     return values;
 }
@@ -188,7 +204,7 @@
     if (!value)
         return values;
     if (!value->is_array()) {
-        reportProblem(field, quoteValue(*value), "a list of whole numbers");
+        reportProblem(field, quote(*value), "a list of whole numbers");
         return values;
     }
     for (const Value& item : value->as_array())
@@ -212,7 +228,9 @@
         Value value = Value::parse(text);
         if (value.is_object())
             return value;
-        return Common::makeError(reason, step, "the body is " + quoteValue(value) + ", expected a JSON object");
+        return Common::makeError(reason, step,
+            std::string("the body is ") + (value.is_array() ? "a list" : "a single value")
+                + ", expected a JSON object");
     } catch (const std::exception& e) {
         return Common::makeError(reason, step, std::string("the body is not JSON: ") + e.what());
     }
--- a/Source/Core/Json/Reader.h
+++ b/Source/Core/Json/Reader.h
@@ -37,6 +37,8 @@
     bool flag(const std::string& field, bool fallback);
     Reader object(const std::string& field);
     std::vector<Reader> objects(const std::string& field);
+    // The same for objects with values that must not appear in error messages.
+    std::vector<Reader> secretObjects(const std::string& field);
     std::vector<std::string> texts(const std::string& field);
     // The same for values that must not appear in error messages.
     std::vector<std::string> secretTexts(const std::string& field);
@@ -47,12 +49,14 @@
 
 private:
     const Value* find(const std::string& field);
+    std::string quote(const Value&) const;
     uint64_t toInteger(const Value&, const std::string& field, uint64_t limit);
 
     const Value* m_value;
     std::string m_path;
     Problem* m_problem;
     std::vector<std::string> m_requestedFields;
+    bool m_isSecret { false }; // Errors don't quote values.
 };
 
 // Parses an object. Errors carry the given reason and step.
--- a/Source/UnitTests/Platform/TenantsTest.cpp
+++ b/Source/UnitTests/Platform/TenantsTest.cpp
@@ -61,6 +61,21 @@
         EXPECT_EQ(table.error().reason, Common::Reason::InvalidInput);
         EXPECT_EQ(table.error().message.find("secret"), std::string::npos) << table.error();
     }
+    const char* const misplaced[] = { R"("tenants":"secret")", R"("tenants":["secret"])",
+        R"("tenants":{"a":{"api_keys":["secret"]}})", R"("tenants":[["secret"]])",
+        R"("tenants":[{"name":["secret"],"api_keys":[]}])", R"("tenants":[{"name":"a","priority":"secret"}])",
+        R"("tenants":[{"name":"a","rate_per_s":{"api_keys":["secret"]}}])",
+        R"("limits":[{"name":"a","api_keys":["secret"]}])", R"("tenants":[{"name":"a","api_keys":["secret",}])" };
+    for (const char* text : misplaced) {
+        auto table = Platform::decodeConfiguration(documentOf(text));
+        ASSERT_FALSE(table) << text;
+        EXPECT_EQ(table.error().message.find("secret"), std::string::npos) << table.error();
+    }
+    for (const char* document : { R"([{"api_keys":["secret"]}])", R"(["secret"])", R"("secret")" }) {
+        auto table = Platform::decodeConfiguration(document);
+        ASSERT_FALSE(table) << document;
+        EXPECT_EQ(table.error().message.find("secret"), std::string::npos) << table.error();
+    }
 }
 
 TEST(Credentials, AreASingleBearerKeyInAnySpellingOfTheHeader)
