Review: say what a relay does with limits of 0 and a coverage above 1

Cause: the messages promised more than the code does: a coverage above 1 is treated as 1, and a head timeout of 0 refuses only heads that arrive in several pieces.

--- a/Source/Core/Review/Review.cpp
+++ b/Source/Core/Review/Review.cpp
@@ -110,7 +110,7 @@
     {
         if (minimum > 1)
             notes.add(Field::MinimumCoverage,
-                "is " + textOf(minimum) + ", above 1: it can't be reached, and the answers of all groups are needed");
+                "is " + textOf(minimum) + ", above 1: it is treated as 1, so the answers of all groups are needed");
         if (minimum < 0)
             notes.add(Field::MinimumCoverage, "is " + textOf(minimum) + ", below 0: one group suffices");
     }
@@ -221,9 +221,9 @@
         if (limits.head.value() < 1)
             notes.add(Field::HeadLimit, "is 0: each call is refused");
         if (limits.headTimeout <= Milliseconds(0))
-            notes.add(Field::HeadTimeout, "is not positive: connections are closed before a call is read");
+            notes.add(Field::HeadTimeout, "is not positive: a call whose head arrives in several pieces is refused");
         if (limits.idleTimeout <= Milliseconds(0))
-            notes.add(Field::IdleTimeout, "is not positive: connections are closed before a call is read");
+            notes.add(Field::IdleTimeout, "is not positive: a connection is closed once it is open");
         // The first byte of a head replaces the idle timeout by the head timeout.
         else if (limits.headTimeout > limits.idleTimeout)
             notes.add(Field::HeadTimeout,
