--- a/Source/Core/Daemon/RelayRole.cpp
+++ b/Source/Core/Daemon/RelayRole.cpp
@@ -70,6 +70,7 @@
     options.processorShare = settings.relay.processorShare.value();
     options.self = { settings.peer.listen, settings.failureDomain };
     options.returnMargin = settings.relay.returnMargin;
+    options.usesPriorities = settings.relay.priorities;
     options.usesPace = settings.relay.pace;
     options.retryBudget = { settings.relay.retryRatio, settings.relay.retryMinimum, settings.relay.retryWindow };
     options.quotaBounds = { settings.relay.quotaWindow, settings.relay.quotaOverrun, settings.relay.quotaSlack };
--- a/Source/Core/Relay/Engine.cpp
+++ b/Source/Core/Relay/Engine.cpp
@@ -26,8 +26,11 @@
 
 std::string toText(Milliseconds time) { return std::to_string(std::lround(time.value())); }
 
-Limits::CallerClass callerClassOf(const Relay::Call& call, const Routes::Table& table, const Routes::Route& route)
+Limits::CallerClass Engine::Private::callerClassOf(
+    const Relay::Call& call, const Routes::Table& table, const Routes::Route& route) const
 {
+    if (!options.usesPriorities)
+        return {};
     const Routes::Tenant* tenant = call.tenant ? Routes::findTenant(table, *call.tenant) : nullptr;
     return { Routes::priorityOf(route, tenant), call.tenant };
 }
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -79,6 +79,8 @@
     Roster::Peer self;
     Common::Incarnation incarnation;
     double processorShare { 1 }; // Of a core, of each instance.
+    // Calls of more urgent routes and tenants go first where capacity is short. Otherwise all calls are alike.
+    bool usesPriorities { false };
     bool usesPace { false }; // Servers that have just started or recovered get requests at an adaptive pace.
     Limits::RetryBudgetRule retryBudget;
     QuotaBounds quotaBounds;
--- a/Source/Core/Relay/EnginePrivate.h
+++ b/Source/Core/Relay/EnginePrivate.h
@@ -126,8 +126,6 @@
     Milliseconds capacityIn; // When the request is expected to be admitted.
 };
 
-// The priority and the tenant of a call that was identified under this table.
-Limits::CallerClass callerClassOf(const Relay::Call&, const Routes::Table&, const Routes::Route&);
 Common::Random& localRandom();
 std::string toText(Milliseconds);
 
@@ -214,6 +212,8 @@
     void dropHeld(HeldCallId);
     void scheduleOverdueCheck();
     void reviewHeldCalls();
+    // The priority and the tenant of a call that was identified under this table.
+    Limits::CallerClass callerClassOf(const Relay::Call&, const Routes::Table&, const Routes::Route&) const;
     void forward(const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const Times&, Done);
     void admitByQuota(
         const CallPtr&, const Routes::TablePtr&, const Routes::Route&, const NumberedQuota&, const Times&, const Done&);
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -148,6 +148,7 @@
         relay.retryRatio = Common::Ratio(section.number("repeat_ratio", relay.retryRatio.value(), 0, 1));
         relay.retryMinimum = section.number("repeat_minimum", relay.retryMinimum, 0, 1e6);
         relay.retryWindow = readDuration(section, "repeat_window_ms", relay.retryWindow, 100);
+        relay.priorities = section.flag("priorities", relay.priorities);
         relay.pace = section.flag("pace", relay.pace);
         relay.quotaWindow = Milliseconds(1'000
             * section.number("quota_window_s", relay.quotaWindow.value() / 1'000, 0.1, maximumDurationMs / 1'000));
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -69,6 +69,7 @@
     Common::Ratio retryRatio { 0.1 };
     double retryMinimum { 20 };
     Common::Milliseconds retryWindow { 10'000 };
+    bool priorities { false }; // Calls of more urgent routes and tenants go first where capacity is short.
     bool pace { false }; // Servers that have just started or recovered get requests at an adaptive pace.
     // All instances together start no more than (rate x window + burst) x (1 + overrun) + slack calls of a tenant with
     // a quota in any window.
--- a/Source/UnitTests/Relay/WaitingRequestsTest.cpp
+++ b/Source/UnitTests/Relay/WaitingRequestsTest.cpp
@@ -95,12 +95,19 @@
     return route;
 }
 
+Relay::EngineOptions withPriorities()
+{
+    Relay::EngineOptions options;
+    options.usesPriorities = true;
+    return options;
+}
+
 // An engine with one connection to the only server of a group.
 class WaitingRequests : public testing::Test {
 protected:
     WaitingRequests()
-        : m_engine(std::make_unique<Relay::Engine>(Relay::EngineOptions {}, codec(), Relay::Peers {}, m_timers,
-            m_metrics, std::make_shared<Suspects::Board>()))
+        : m_engine(std::make_unique<Relay::Engine>(
+            withPriorities(), codec(), Relay::Peers {}, m_timers, m_metrics, std::make_shared<Suspects::Board>()))
     {
         auto table = std::make_shared<Routes::Table>();
         table->routes = { route("patient", 1), route("urgent", 0) };
--- a/Source/UnitTests/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Settings/SettingsTest.cpp
@@ -42,6 +42,8 @@
     EXPECT_EQ(result.value().instance, Common::InstanceId("entry-1"));
     EXPECT_TRUE(result.value().isEntry);
     EXPECT_EQ(result.value().control.lease, Common::Milliseconds(4000));
+    EXPECT_FALSE(result.value().relay.priorities);
+    EXPECT_TRUE(Settings::parse("a.yaml", validSettings + "relay: {priorities: true}\n").value().relay.priorities);
     EXPECT_FALSE(result.value().relay.pace);
     EXPECT_TRUE(Settings::parse("a.yaml", validSettings + "relay: {pace: true}\n").value().relay.pace);
 }
