--- a/Source/UnitTests/Processes/platform_cluster.py
+++ b/Source/UnitTests/Processes/platform_cluster.py
@@ -170,7 +170,7 @@
         request = handler.headers["X-Request-Id"]
         with self.lock:
             self.arrived.append((time.monotonic(), request, handler.command, handler.path, body,
-                                 handler.headers.get("X-Deadline-Ms")))
+                                 handler.headers.get("X-Deadline-Ms"), handler.headers.items()))
         if handler.headers.get("X-Expect-Instance") != self.id:
             return self.reply(handler, 421, b"", {"X-Request-Id": request})
         if self.crashes_on and handler.path.partition("?")[0].endswith(self.crashes_on):
