Send more valid calls in soaks with tenants

Change: fewer calls have invalid credentials or belong to the tenant with the quota, and 4 threads send instead of 3. The check of the recovery stays as it is.

--- a/Source/UnitTests/Processes/platform_soak.py
+++ b/Source/UnitTests/Processes/platform_soak.py
@@ -3,8 +3,8 @@
 
 The faults overlap as the seed determines: kills, pauses, restarts, stops and wiped disks of control instances and
 relays, faults, drains and limits of backend servers, callers that leave, changes of the configuration, and, as the seed
-determines, either a request that crashes servers or groups that hang and fail together. Half of the seeds have tenants, and half of
-them evacuate and restore a failure domain. At most two control instances are down at a time, as the settings tolerate.
+determines, either a request that crashes servers or groups that hang and fail together. Half of the seeds have tenants, and half
+evacuate and restore a failure domain. At most two control instances are down at a time, as the settings tolerate.
 Prints the seed; --keep leaves the logs.
 """
 import argparse
@@ -83,7 +83,8 @@
     def document(self):
         document = json.loads(configuration(self.version, SHARDS, "one", "book"))
         if self.has_tenants:
-            document["tenants"] = [{"name": name, "api_keys": [self.key(name), self.key(name, self.version % ROTATED_KEYS)]}
+            rotated = self.version % ROTATED_KEYS
+            document["tenants"] = [{"name": name, "api_keys": [self.key(name), self.key(name, rotated)]}
                                    for name in (FREE, OTHER, LIMITED)]
             document["tenants"][2].update(rate_per_s=QUOTA_RATE, burst=QUOTA_BURST)
             document["routes"][1]["allow_anonymous"] = True
@@ -98,12 +99,12 @@
         if not self.has_tenants:
             return {}, None, True
         # One caller of the crashing request: each further one may end as many servers.
-        tenant = FREE if item.startswith(CRASHING) else self.random.choice([FREE, OTHER, LIMITED])
-        number, is_valid = self.random.choice([("lasting", True)] * 4 + [
+        tenant = FREE if item.startswith(CRASHING) else self.random.choice([FREE, OTHER, OTHER, LIMITED])
+        number, is_valid = self.random.choice([("lasting", True)] * 8 + [
             (self.random.randrange(ROTATED_KEYS), None), ("never", False)])
         value = f"{self.random.choice(['Bearer', 'bearer', 'BEARER'])} {self.key(tenant, number)}"
         fields = {self.random.choice(["Authorization", "authorization", "AUTHORIZATION", "aUTHORIZATION"]): value}
-        how = self.random.choice(["once"] * 8 + ["missing", "repeated"])
+        how = self.random.choice(["once"] * 16 + ["missing", "repeated"])
         if how == "missing" and not item.startswith(CRASHING):
             fields, tenant, is_valid = {}, None, kind == "one"
         if how == "repeated":
@@ -336,8 +337,8 @@
             evacuates, began, is_certain = len(self.commands) % 2 == 0, time.monotonic(), True
             while True:
                 control = self.cluster.control_address(self.random.randrange(len(self.cluster.controls)))
-                status = call(control, "POST" if evacuates else "DELETE", f"/-/evacuate/{self.evacuated_domain}", timeout=2)[0]
-                if status == 200:
+                method, path = "POST" if evacuates else "DELETE", f"/-/evacuate/{self.evacuated_domain}"
+                if call(control, method, path, timeout=2)[0] == 200:
                     break
                 is_certain = False
                 if self.stop.wait(0.1):
@@ -360,11 +361,12 @@
         time.sleep(3)
         # Until the next command may be in force.
         ends = [begin for begin, _, _ in self.commands[1:]] + [math.inf]
-        times = [row[0] for leaf in self.cluster.leafs if leaf.zone == self.evacuated_domain for row in list(leaf.arrived)]
+        times = sorted(row[0] for leaf in self.cluster.leafs if leaf.zone == self.evacuated_domain
+                       for row in list(leaf.arrived))
         for (_, acknowledged, evacuates), end in zip(self.commands, ends):
             late = [at for at in times if acknowledged + IN_FORCE_SECONDS < at < end and self.is_calm(at)]
             if evacuates and late:
-                self.problem(f"{len(late)} requests reached the evacuated domain {self.evacuated_domain}, the first one "
+                self.problem(f"{len(late)} requests reached the evacuated domain {self.evacuated_domain}, the first "
                              f"{late[0] - acknowledged:.1f} s after the acknowledgement")
         is_evacuated = self.commands[-1][2]
         print(f"{len(self.commands)} commands, evacuated at the end: {is_evacuated}", flush=True)
@@ -407,7 +409,8 @@
                 return
             time.sleep(0.1)
         time.sleep(2)
-        threads = [threading.Thread(target=self.send_requests, daemon=True) for _ in range(3)]
+        # At least as many calls reach servers with tenants as without: relays learn from answers that a fault is over.
+        threads = [threading.Thread(target=self.send_requests, daemon=True) for _ in range(4 if self.has_tenants else 3)]
         operator = threading.Thread(target=self.operate, daemon=True)
         for thread in threads + [operator] * bool(self.evacuated_domain):
             thread.start()
