Wait for drained servers before the last check of a soak with evacuation

Change: with evacuation, the recovery phase waits until all servers have returned. The check stays as it is.

--- a/Source/UnitTests/Processes/platform_soak.py
+++ b/Source/UnitTests/Processes/platform_soak.py
@@ -449,6 +449,9 @@
         # Wait until all instances that were taken down are up again and have had time to catch up.
         while self.down_instances():
             time.sleep(0.1)
+        # While a domain is evacuated, a server of the other one that has left may be the only one of its group.
+        while self.evacuated_domain and any(leaf.state != "ready" for leaf in self.cluster.leafs):
+            time.sleep(0.1)
         time.sleep(max(leaf.down_seconds for leaf in self.cluster.leafs))
         sent, served = self.sent, self.served
         time.sleep(2)
