Show changes of the warm-up of groups in the check of a configuration

Cause: the check and the fields warmup_s and warmup_per_s were written beside each other, so a version that changed only these showed no difference. Measured: DifferencesTest fails without the change (two differences missing) and passes with it; ReviewTest 21, PlatformTest 28.

--- a/Source/Core/Review/Differences.cpp
+++ b/Source/Core/Review/Differences.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    constexpr double millisecondsPerSecond = 1'000;
+
     using Kind = Difference::Kind;
 
     // The fields of one route, group or tenant as texts; a field that is not set is absent.
@@ -66,7 +68,9 @@
 
     Fields fieldsOf(const Routes::Group& group)
     {
-        return { { Field::ConnectionLimit, std::to_string(group.connectionLimit.value()) } };
+        return { { Field::ConnectionLimit, std::to_string(group.connectionLimit.value()) },
+            { Field::Warmup, textOf(group.warmup.value() / millisecondsPerSecond) },
+            { Field::WarmupRate, textOf(group.warmupRate.value()) } };
     }
 
     Fields fieldsOf(const Routes::Tenant& tenant)
--- a/Source/Core/Review/Subject.h
+++ b/Source/Core/Review/Subject.h
@@ -37,6 +37,8 @@
     TopRecords,
     MinimumCoverage,
     ConnectionLimit,
+    Warmup, // In seconds.
+    WarmupRate,
     Keys,
     Rate,
     Burst,
--- a/Source/UnitTests/Review/DifferencesTest.cpp
+++ b/Source/UnitTests/Review/DifferencesTest.cpp
@@ -66,6 +66,8 @@
         table.routes[1].idempotency = Routes::Idempotency::AtMostOnce;
         table.routes[1].fanOut->groups = { Common::GroupName("c"), Common::GroupName("d"), Common::GroupName("e") };
         table.groups[0].connectionLimit = Common::Connections(5);
+        table.groups[0].warmup = Common::Milliseconds(2'500);
+        table.groups[0].warmupRate = Common::RequestRate(12);
         table.groups[1].name = Common::GroupName("d");
         table.limits.body = Common::Bytes(1);
     });
@@ -78,6 +80,8 @@
             { Kind::Removed, { Subject::Kind::Route, "single" }, std::nullopt, "", "" },
             { Kind::Added, { Subject::Kind::Route, "other" }, std::nullopt, "", "" },
             { Kind::Changed, { Subject::Kind::Group, "a" }, Field::ConnectionLimit, "4", "5" },
+            { Kind::Changed, { Subject::Kind::Group, "a" }, Field::Warmup, "0", "2.5" },
+            { Kind::Changed, { Subject::Kind::Group, "a" }, Field::WarmupRate, "0", "12" },
             { Kind::Removed, { Subject::Kind::Group, "b" }, std::nullopt, "", "" },
             { Kind::Added, { Subject::Kind::Group, "d" }, std::nullopt, "", "" } });
 }
