Share the outcome of a proposed change between route tables and evacuations

Cause: read again as a newcomer: Evacuations repeated a function of RouteTables. Two comments on leases did not say that the control instance must have an up-to-date log. Change: Daemon/ChangeOutcome; comments. Measured: the unit tests of Daemon's users pass; EvacuationTest and PlatformProcessTest follow with the whole set.

--- a/Source/Core/Daemon/Evacuations.cpp
+++ b/Source/Core/Daemon/Evacuations.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Hash.h"
 #include "Control/StateMachine.h"
+#include "Daemon/ChangeOutcome.h"
 #include "Model/Validation.h"
 #include "Observe/EventLog.h"
 
@@ -33,23 +34,6 @@
             Reason::NotFound, step, "no failure domain '" + domain.value() + "', expected one of " + names);
     }
 
-    Result<void> outcomeOf(const Result<Control::Reply>& result)
-    {
-        if (!result)
-            return result.error();
-        auto reply = std::get_if<Control::ProposeReply>(&result.value());
-        if (!reply)
-            return Common::makeError(Reason::Corrupt, step, "control sent a reply of an unexpected type");
-        if (auto error = std::get_if<Common::Error>(&reply->result))
-            return *error;
-        auto changed = std::get_if<Control::ChangeOutcome>(&std::get<Control::CommandOutcome>(reply->result));
-        if (!changed)
-            return Common::makeError(Reason::Corrupt, step, "control returned the outcome of another command");
-        if (auto rejected = std::get_if<Control::Rejected>(changed))
-            return rejected->error;
-        return Common::success();
-    }
-
     // The command itself was found valid, so no failure to commit it is the operator's.
     Result<void> asUnavailable(Result<void> outcome)
     {
@@ -89,7 +73,7 @@
     change.resource = wanted;
     m_control.call(configurationShard, Control::ProposeRequest { configurationShard, change },
         Clock::now() + setTimeout, [done = std::move(done), wanted](const Result<Control::Reply>& result) {
-            auto outcome = asUnavailable(outcomeOf(result));
+            auto outcome = asUnavailable(changeOutcomeOf(result, step));
             Observe::logEvent(Observe::Part::Control,
                 outcome ? Observe::Event::EvacuationAccepted : Observe::Event::EvacuationNotAccepted,
                 { { "domain", wanted.domain.value() }, { "evacuated", wanted.isEvacuated ? "true" : "false" },
--- a/Source/Core/Daemon/RouteTables.cpp
+++ b/Source/Core/Daemon/RouteTables.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Hash.h"
 #include "Control/StateMachine.h"
+#include "Daemon/ChangeOutcome.h"
 #include "Observe/EventLog.h"
 
 using Common::Clock;
@@ -25,24 +26,6 @@
             "routes-" + std::to_string(table.number.value()) + "-" + std::to_string(Common::hash64(table.document)));
     }
 
-    Result<void> outcomeOf(const Result<Control::Reply>& result)
-    {
-        if (!result)
-            return result.error();
-        auto reply = std::get_if<Control::ProposeReply>(&result.value());
-        if (!reply)
-            return Common::makeError(Reason::Corrupt, "raise-routes", "control sent a reply of an unexpected type");
-        if (auto error = std::get_if<Common::Error>(&reply->result))
-            return *error;
-        auto changed = std::get_if<Control::ChangeOutcome>(&std::get<Control::CommandOutcome>(reply->result));
-        if (!changed)
-            return Common::makeError(
-                Reason::Corrupt, "raise-routes", "control returned the outcome of another command");
-        if (auto rejected = std::get_if<Control::Rejected>(changed))
-            return rejected->error;
-        return Common::success();
-    }
-
     Result<Model::RouteTable> tableOf(
         const Result<Control::Reply>& result, const std::optional<Control::StoredResource>& copy)
     {
@@ -79,7 +62,7 @@
     m_control.call(configurationShard, Control::ProposeRequest { configurationShard, change },
         Clock::now() + raiseTimeout,
         [done = std::move(done), number = table.number](const Result<Control::Reply>& result) {
-            auto outcome = outcomeOf(result);
+            auto outcome = changeOutcomeOf(result, "raise-routes");
             Observe::logEvent(Observe::Part::Control,
                 outcome ? Observe::Event::RoutesAccepted : Observe::Event::RoutesNotAccepted,
                 { { "table", std::to_string(number.value()) },
--- a/Source/Core/Limits/RateKeeper.h
+++ b/Source/Core/Limits/RateKeeper.h
@@ -13,7 +13,8 @@
 //
 // At most one keeper gives out the full rate, although instances learn of changes at different times. Control
 // instances list an instance for 4 s after its last request. It grants only until 3 s after it sent the latest request
-// that was answered, by a clock that goes on while it is suspended. A new keeper settles while the lists may differ.
+// that a control instance with an up-to-date log answered, by a clock that goes on while it is suspended. A new keeper
+// settles while the lists may differ.
 namespace Limits {
 
 // Plain data. Instances are in contact while control instances answer them.
@@ -27,7 +28,7 @@
 };
 
 void setInstances(KeeperView&, std::vector<Common::Address>, const Common::Address& self, Common::TimePoint now);
-// A control instance has answered a request sent at this time.
+// A control instance with an up-to-date log has answered a request sent at this time.
 void renewLease(KeeperView&, Common::TimePoint sentAt, Common::TimePoint now);
 bool hasLease(const KeeperView&, Common::TimePoint now);
 
--- a/Source/Core/Relay/Engine.h
+++ b/Source/Core/Relay/Engine.h
@@ -109,8 +109,8 @@
     void setInstances(std::vector<Roster::Peer>);
     // A control instance has just confirmed the view of instances and servers.
     void confirmView();
-    // A control instance has answered a request that was sent at this time of the boot clock. For some time after it,
-    // this instance may keep the quotas of tenants.
+    // A control instance with an up-to-date log has answered a request that was sent at this time of the boot clock.
+    // For some time after it, this instance may keep the quotas of tenants.
     void confirmContact(Common::TimePoint sentAt);
     // Gives out no more tokens of tenants to others.
     void setLeaving();
