Review: a server whose departure was acknowledged is used again after a late heartbeat

Cause: a DELETE without a start ends only the latest start that the control processes have heard of.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,7 +10,7 @@
 
 DOWN_S = 0.6  # "back within a second"
 SERVES_ON_S = 9.0  # How long the leaving server goes on serving after the acknowledgement.
-CALLS_PER_SECOND = 40
+CALLS_PER_SECOND = 60
 
 
 def case(folder):
@@ -21,7 +21,7 @@
         d.start_all()
         route = {"name": "ledger", "host": h.HOST, "path_prefix": "/ledger/", "type": "safe", "timeout_ms": 2000,
                  "target_latency_ms": 800, "priority": 2, "service": "dugo", "max_attempts": 2}
-        leafs = d.add_leafs("dugo", h.ZONES * 2)
+        leafs = d.add_leafs("dugo", h.ZONES)
         d.put(h.configuration(1, [route], [h.service("dugo", 110)]))
         d.wait_ready()
 
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -146,8 +146,10 @@
 class Leaf:
     """A backend server: keeps its connections open, echoes the request's id and signs its answers."""
 
-    def __init__(self, deployment, number, service, zone, work_s=0.01, slots=2):
+    def __init__(self, deployment, number, service, zone, work_s=0.01, slots=2, spot=None):
         self.deployment, self.service, self.zone, self.slots = deployment, service, zone, slots
+        self.spot = number if spot is None else spot  # Where it runs; a server that starts later may have the same.
+        self.connections = set()
         self.id, self.born, self.seq = f"i-{number:04x}", int(time.time() * 1000), 0
         self.work_s = work_s  # Seconds of work on a request, or a function of its head.
         self.state = "ready"
@@ -155,7 +157,7 @@
         self.control = number  # The control machine that gets its heartbeats.
         self.lock, self.free = threading.Lock(), threading.Semaphore(slots)
         self.arrived, self.ran = [], []  # (time, request id)
-        self.address = (deployment.leaf_ip(number), deployment.port)
+        self.address = (deployment.leaf_ip(self.spot), deployment.port)
         self.socket = socket.create_server(self.address, backlog=128)
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -170,6 +172,8 @@
     def serve(self, connection):
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = connection.makefile("rb")
+        with self.lock:
+            self.connections.add(connection)
         try:
             while True:
                 line = stream.readline()
@@ -185,8 +189,30 @@
         except (OSError, ValueError):
             pass
         finally:
+            with self.lock:
+                self.connections.discard(connection)
+            stream.close()
             connection.close()
 
+    def end(self):
+        """The process ends: its sockets close."""
+        self.beats = False
+        self.close_listener()
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def close_listener(self):
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)  # Wakes the thread that accepts.
+        except OSError:
+            pass
+        self.socket.close()
+
     def answer(self, method, target, headers, body):
         request = headers.get("x-request-id", "")
         now = time.monotonic()
@@ -370,7 +396,7 @@
         for process in self.processes.values():
             process.wait()
         for leaf in self.leafs:
-            leaf.socket.close()
+            leaf.close_listener()
         self.record.close()
         if os.environ.get("KEEP"):
             print("the logs of the processes are in", self.folder)
