--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,69 +1,75 @@
-"""The operator raises max_body_bytes. Kept connections of callers go on with the old limit."""
-import http.client
+"""A server's departure is acknowledged, then all control processes are killed at the same moment and started again."""
 import os
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 import harness2 as h  # noqa: E402
 
-OLD_LIMIT, NEW_LIMIT = 4096, 262144
-SMALL, LARGE = 100, 65536
-CONNECTIONS = 12  # Kept connections to each relay.
-
-
-def send(d, relay, connection, request, size):
-    headers = {"Host": h.HOST, "X-Request-Id": request, "X-Deadline-Ms": "2000"}
-    d.record.write(f"client: {request} to {relay} on its kept connection, body of {size} bytes")
-    try:
-        connection.request("POST", "/ledger/x", body=b"a" * size, headers=headers)
-        response = connection.getresponse()
-        response.read()
-        status = response.status
-    except (OSError, http.client.HTTPException) as error:
-        d.record.write(f"client: {request}: {error}")
-        status = 0
-    d.record.write(f"client: {request} is answered {status}")
-    return status
+DOWN_S = 0.6  # "back within a second"
+SERVES_ON_S = 9.0  # How long the leaving server goes on serving after the acknowledgement.
+CALLS_PER_SECOND = 60
 
 
 def case(folder):
     d = h.Deployment(folder)
+    stop, number = threading.Event(), iter(range(1, 1 << 30))
+    sent = {}  # By request: when it was sent.
     try:
         d.start_all()
-        route = {"name": "ledger", "host": h.HOST, "path_prefix": "/ledger/", "type": "unsafe", "timeout_ms": 2000,
+        route = {"name": "ledger", "host": h.HOST, "path_prefix": "/ledger/", "type": "safe", "timeout_ms": 2000,
                  "target_latency_ms": 800, "priority": 2, "service": "dugo", "max_attempts": 2}
-        d.add_leafs("dugo", h.ZONES * 2)
-        first = h.configuration(3, [route], [h.service("dugo", 110)])
-        if h.TROUBLE:
-            first["limits"]["max_body_bytes"] = OLD_LIMIT
-        d.put(first)
+        leafs = d.add_leafs("dugo", h.ZONES)
+        d.put(h.configuration(1, [route], [h.service("dugo", 110)]))
         d.wait_ready()
-        time.sleep(5)  # All machines are in touch.
-        kept = [(relay, http.client.HTTPConnection(*d.front_address(relay), timeout=3))
-                for relay in d.relays for _ in range(CONNECTIONS)]
-        statuses = [send(d, relay, connection, f"small{i:03d}", SMALL) for i, (relay, connection) in enumerate(kept)]
-        if set(statuses) != {200}:
-            raise h.CannotRun(f"small requests are answered {h.count_by(statuses)}")
-        second = h.configuration(7, [route], [h.service("dugo", 110)])
-        acked = d.put(second)
-        d.record.say(f"version 7 with max_body_bytes {NEW_LIMIT} was acknowledged at {acked - d.record.began:.3f}")
-        # Well within four fifths of idle_timeout_ms, for which callers reuse an idle connection.
-        time.sleep(acked + d.bounds["config_apply_ms"] / 1000 + 1 - time.monotonic())
-        statuses = [send(d, relay, connection, f"large{i:03d}", LARGE) for i, (relay, connection) in enumerate(kept)]
-        fresh = [send(d, relay, http.client.HTTPConnection(*d.front_address(relay), timeout=3), f"fresh-{relay}", LARGE)
-                 for relay in d.relays]
-        d.record.say(f"requests of {LARGE} bytes, sent {d.bounds['config_apply_ms'] / 1000 + 1:.0f} s after the "
-                     f"acknowledgement: on kept connections {dict(h.count_by(statuses))}, on new ones "
-                     f"{dict(h.count_by(fresh))}")
-        if d.ended_by_themselves():
+
+        def load(relay):
+            while not stop.wait(len(d.relays) / CALLS_PER_SECOND):
+                request = f"q{next(number):05d}"
+                sent[request] = time.monotonic()
+                d.send(relay, "/ledger/x", request)
+        threads = [threading.Thread(target=load, args=(relay,)) for relay in d.relays]
+        for thread in threads:
+            thread.start()
+        time.sleep(6)  # All machines are in touch.
+        leaving = leafs[0]
+        status, acked = leaving.leave(d.control_address(leaving.control))
+        if h.TROUBLE:
+            for ip in d.controls:
+                d.kill(ip)
+        if status != 200:
+            raise h.CannotRun(f"the departure was answered {status}")
+        d.record.say(f"the departure of {leaving.id} was acknowledged at {acked - d.record.began:.3f}")
+        started = acked
+        if h.TROUBLE:
+            for ip in d.controls:
+                d.wait_ended(ip)
+            time.sleep(max(0.0, acked + DOWN_S - time.monotonic()))
+            for ip in d.controls:
+                d.start(ip)
+            started = time.monotonic()
+            d.record.say(f"the control processes started again by {started - d.record.began:.3f}")
+        time.sleep(max(0.0, acked + SERVES_ON_S - time.monotonic()))
+        stop.set()
+        for thread in threads:
+            thread.join()
+        if h.TROUBLE and d.ended_by_themselves():
             raise h.CannotRun("a process ended")
-        denied = sum(300 <= status < 500 and status not in (408, 421, 429) for status in statuses + fresh)
-        total = 2 * len(kept) + len(fresh)
-        d.record.say(f"DENIED: {denied} of {total} requests, allowed are {5 + total / 500:.1f}")
-        return denied <= 5 + total / 500
+        # Machines are in touch contact_ms after the last start in the core.
+        in_touch = started + d.bounds["contact_ms"] / 1000 if h.TROUBLE else acked
+        due = acked + d.bounds["drain_ms"] / 1000
+        late = [(at, request) for at, request in leaving.arrived
+                if at > due and sent.get(request, 0) > in_touch]
+        after = [at for at, request in leaving.arrived if at > due]
+        if late:
+            d.record.say(f"the last late request arrived {late[-1][0] - acked:.3f} s after the acknowledgement")
+        d.record.say(f"{len(late)} requests that machines in touch took reached {leaving.id} later than drain_ms "
+                     f"after the acknowledgement; {len(after)} from any machine")
+        return not late
     finally:
+        stop.set()
         d.close()
 
 
