--- a/review/harness2.py
+++ b/review/harness2.py
@@ -154,6 +154,7 @@
         self.work_s = work_s  # Seconds of work on a request, or a function of its head.
         self.state = "ready"
         self.beats = True  # Whether it sends heartbeats.
+        self.acknowledged = 0  # Its heartbeats that were.
         self.control = number  # The control machine that gets its heartbeats.
         self.lock, self.free = threading.Lock(), threading.Semaphore(slots)
         self.arrived, self.ran = [], []  # (time, request id)
@@ -248,6 +249,7 @@
         controls = self.deployment.controls
         for _ in controls:
             if self.say("PUT", self.state, self.deployment.control_address(self.control)) == 200:
+                self.acknowledged += 1
                 return
             self.control += 1
 
@@ -272,6 +274,7 @@
         self.zones, self.bounds = zones, dict(BOUNDS, **(bounds or {}))
         self.port = self.find_ports()
         self.controls = [f"{self.net}.{10 + i}" for i in range(controls)]
+        self.seeds = self.controls[:3]  # Any three.
         relay_zones = relay_zones or [zones[i % len(zones)] for i in range(relays)]
         self.relays = [f"{self.net}.{30 + i}" for i in range(len(relay_zones))]
         self.zone_of = dict(zip(self.relays, relay_zones))
@@ -301,7 +304,13 @@
     def front_address(self, ip):
         return ip, self.port + 3
 
-    def start(self, ip, bootstrap=False, zone=None):
+    def start(self, *machines, bootstrap=False):
+        """Starts the processes of these machines at the same moment."""
+        for ip, command in [(ip, self.prepare(ip, bootstrap)) for ip in machines]:
+            self.launch(ip, *command)
+
+    def prepare(self, ip, bootstrap):
+        """Writes the settings of a process. Returns its command and environment."""
         is_control = ip in self.controls
         role = next(it for it in self.roles.values() if it["serves"] == ["control" if is_control else "front"])
         listen = ({"control": f"{ip}:{self.port + 2}"} if is_control
@@ -310,7 +319,7 @@
         fields = {"node_name": "machine-" + ip, "ip": ip, "zone": self.zone_of[ip], "region": REGION,
                   "machine_class": role["on"], "serves": role["serves"],
                   "internal_ports": [self.port, self.port + 1], "bootstrap": bootstrap, "counts_as_loss": is_control,
-                  "seeds": [f"{seed}:{self.port + 2}" for seed in self.controls[:3]],
+                  "seeds": [f"{seed}:{self.port + 2}" for seed in self.seeds],
                   "heartbeat_ms": int(HEARTBEAT_S * 1000), "zones": {zone: REGION for zone in self.zones},
                   "listen": listen, "limits": {"cpu_share": 0.6 if is_control else 0.25, "cores": 1, "memory_mb": 256},
                   "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": self.bounds}
@@ -325,16 +334,18 @@
         os.replace(path + ".new", path)
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["CORIANDERLOCK_BOOT"] = path
+        return role["run"].split(), environment
+
+    def launch(self, ip, command, environment):
         with open(os.path.join(self.folder, ip + ".log"), "ab") as log:
-            self.processes[ip] = subprocess.Popen(role["run"].split(), cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
+            self.processes[ip] = subprocess.Popen(command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                                                   stdout=log, stderr=log)
         self.record.write(f"platform: {ip} starts")
 
     def start_all(self):
         if not os.path.exists(os.path.join(ROOT, "target/platform/corianderlock-platform")):
             raise CannotRun("the build of the deploy file is missing")
-        for ip in self.controls + self.relays:
-            self.start(ip, True)
+        self.start(*self.controls, *self.relays, bootstrap=True)
 
     def add_leafs(self, service, zones, **options):
         added = [Leaf(self, len(self.leafs) + i, service, zone, **options) for i, zone in enumerate(zones)]
@@ -416,6 +427,9 @@
 
 def run_case(case, folder):
     """Runs a case, a function of its folder that returns whether the rule held."""
+    def stop(*_):
+        raise CannotRun("it was stopped")  # So that its processes are ended.
+    signal.signal(signal.SIGTERM, stop)
     code = CANNOT_RUN
     try:
         code = HELD if case(folder) else BROKEN
