--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,7 @@
-"""A relay that gathers for another one freezes after it has sent to two servers of a shard; the other one sends again."""
-import collections
+"""A server starts again under its id and leaves at once; the heartbeat of the new start arrives after the departure."""
 import itertools
+import json
 import os
-import random
-import signal
 import sys
 import threading
 import time
@@ -12,72 +10,66 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import harness2 as h  # noqa: E402
 
-SHARDS = [f"foglalas{i:02d}" for i in range(20)]
-ELSEWHERE = 2  # Shards whose servers are in the other zone.
-LEAFS_OF_SHARD = 3
-MAX_ATTEMPTS = 2
-WORK_MEAN_S, WORK_SPREAD = 0.12, 0.35
-CALLS_PER_SECOND = 40
-FREEZES, FROZEN_S, GAP_S = 12, 1.5, 4.0
-ALLOWED = 3
+DOWN_S = 1.0  # Between the two starts.
+LEAVES_AFTER_S = 0.5  # After its second start.
+LATE_S = 4.0  # By which the only heartbeat of the second start is late.
+SERVES_ON_S = 9.0  # After the acknowledgement.
+CALLS_PER_SECOND = 60
 
 
-def work(_):
-    """Seconds of work: log-normal, as the site files have it."""
-    return min(WORK_MEAN_S * random.lognormvariate(0, WORK_SPREAD), 5 * WORK_MEAN_S)
+def deliver(d, name, body):
+    status = h.call(d.control_address(0), "PUT", "/-/instances/" + name, json.dumps(body))[0]
+    d.record.write(f"leaf {name}: the heartbeat of the second start arrives and is answered {status}")
 
 
 def case(folder):
-    d = h.Deployment(folder, relay_zones=["kozep-a", "kozep-b"])
-    stop, number, statuses = threading.Event(), itertools.count(1), []
+    d = h.Deployment(folder)
+    stop, number = threading.Event(), itertools.count(1)
     try:
         d.start_all()
-        route = {"name": "search", "host": h.HOST, "path_prefix": "/search/", "type": "safe", "timeout_ms": 4000,
-                 "target_latency_ms": 800, "priority": 1, "gather": SHARDS, "max_attempts": MAX_ATTEMPTS, "top_k": 20,
-                 "min_coverage": 0.89}
-        for i, shard in enumerate(SHARDS):
-            d.add_leafs(shard, [h.ZONES[i < ELSEWHERE]] * LEAFS_OF_SHARD, work_s=work, slots=4)
-        d.put(h.configuration(1, [route], [h.service(shard) for shard in SHARDS]))
+        route = {"name": "ledger", "host": h.HOST, "path_prefix": "/ledger/", "type": "safe", "timeout_ms": 2000,
+                 "target_latency_ms": 800, "priority": 2, "service": "dugo", "max_attempts": 2}
+        leafs = d.add_leafs("dugo", h.ZONES)
+        d.put(h.configuration(1, [route], [h.service("dugo", 110)]))
         d.wait_ready()
-        time.sleep(4)
 
-        def one(relay):
-            statuses.append(d.send(relay, "/search/x", f"q{next(number):05d}", time_left_ms=4000)[0])
-
-        def load():
-            began = time.monotonic()
-            for i in itertools.count():
-                time.sleep(max(0.0, began + i / CALLS_PER_SECOND - time.monotonic()))
-                if stop.is_set():
-                    return
-                threading.Thread(target=one, args=(d.relays[1],), daemon=True).start()
-        loader = threading.Thread(target=load)
-        loader.start()
-        time.sleep(5)
-        for _ in range(FREEZES):
-            if h.TROUBLE:
-                d.kill(d.relays[0], signal.SIGSTOP)
-            time.sleep(FROZEN_S)
-            if h.TROUBLE:
-                d.kill(d.relays[0], signal.SIGCONT)
-            time.sleep(GAP_S)
+        def load(relay):
+            while not stop.wait(len(d.relays) / CALLS_PER_SECOND):
+                d.send(relay, "/ledger/x", f"q{next(number):05d}")
+        threads = [threading.Thread(target=load, args=(relay,)) for relay in d.relays]
+        for thread in threads:
+            thread.start()
+        time.sleep(6)  # All machines are in touch, and stay so.
+        first = leafs[0]
+        d.record.say(f"{first.id} ends")
+        first.end()
+        time.sleep(DOWN_S)
+        second = h.Leaf(d, 0, "dugo", first.zone)
+        d.leafs.append(second)
+        second.seq = 1
+        body = {"service": "dugo", "address": "%s:%d" % second.address, "zone": second.zone, "version": "v1",
+                "slots": second.slots, "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": second.born}
+        d.record.say(f"{second.id} starts again under its id and sends a heartbeat")
+        beat = threading.Timer(LATE_S if h.TROUBLE else 0, deliver, (d, second.id, body))
+        beat.start()
+        time.sleep(LEAVES_AFTER_S)
+        status = h.call(d.control_address(1), "DELETE", "/-/instances/" + second.id)[0]
+        acked = time.monotonic()
+        if status != 200:
+            raise h.CannotRun(f"the departure was answered {status}")
+        d.record.say(f"its departure was acknowledged at {acked - d.record.began:.3f}")
+        time.sleep(SERVES_ON_S)
         stop.set()
-        loader.join()
-        time.sleep(4)
+        for thread in threads:
+            thread.join()
         if d.ended_by_themselves():
             raise h.CannotRun("a process ended")
-        ran_on = collections.defaultdict(set)
-        for leaf in d.leafs:
-            for _, request in leaf.runs():
-                ran_on[request, leaf.service].add(leaf.id)
-        over = sorted({request for (request, _), ids in ran_on.items() if len(ids) > MAX_ATTEMPTS})
-        for request in over:
-            d.record.write(f"{request} ran on " + ", ".join(
-                f"{sorted(ids)} of {name}" for (it, name), ids in ran_on.items() if it == request and len(ids) > MAX_ATTEMPTS))
-        twice = len({request for (request, _), ids in ran_on.items() if len(ids) == MAX_ATTEMPTS})
-        d.record.say(f"{len(statuses)} requests, answered {dict(h.count_by(statuses))}; {twice} ran on two servers of a shard")
-        d.record.say(f"BUDGET: {len(over)} requests ran on more than {MAX_ATTEMPTS} servers of a shard, allowed are {ALLOWED}")
-        return len(over) <= ALLOWED
+        due = acked + d.bounds["drain_ms"] / 1000
+        late = [at for at, _ in second.runs() if at > due]
+        if late:
+            d.record.say(f"late requests arrived {late[0] - acked:.3f} to {late[-1] - acked:.3f} s after that")
+        d.record.say(f"DRAIN: {len(late)} requests reached it later than drain_ms after the acknowledgement")
+        return not late
     finally:
         stop.set()
         d.close()
