--- a/review/10/case.py
+++ b/review/10/case.py
@@ -29,7 +29,7 @@
         d.start_all()
         route = {"name": "ledger", "host": h.HOST, "path_prefix": "/ledger/", "type": "safe", "timeout_ms": 2000,
                  "target_latency_ms": 800, "priority": 2, "service": "dugo", "max_attempts": 2}
-        leafs = d.add_leafs("dugo", h.ZONES)
+        leafs = d.add_leafs("dugo", (h.ZONES * 3)[:8])
         d.put(h.configuration(1, [route], [h.service("dugo", 110)]))
         d.wait_ready()
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,8 +12,9 @@
 
 DOWN_S = 3.0  # Of a machine that loses its disk.
 LEADER_DOWN_S = 2.5  # So that another one is elected meanwhile.
+LEADER_TRIES = 5
 READ_BACK_S = 16.0  # recovery_s is 12 s.
-ROUNDS = 6  # At most, in which the same two machines lose their disks.
+ROUNDS = 5  # At most, in which the same two machines lose their disks.
 
 
 def leader_of(d):
@@ -60,7 +61,7 @@
         time.sleep(5)
         # Earlier in the day, processes that serve control were killed, one at a time, so that another one leads now.
         seeds, others = d.controls[2:], d.controls[:2]
-        for _ in range(3):
+        for _ in range(LEADER_TRIES):
             leader = leader_of(d)
             if leader in others:
                 break
@@ -69,7 +70,7 @@
                 d.wait_ended(leader)
                 time.sleep(LEADER_DOWN_S)
                 d.start(leader)
-            time.sleep(d.bounds["catch_up_s"] + 1)
+            time.sleep(d.bounds["catch_up_s"] + 0.2)
         if leader_of(d) not in others:
             raise h.CannotRun("a seed leads")
         d.record.say(f"{leader_of(d)} leads, the seeds are {', '.join(seeds)}")
@@ -91,15 +92,14 @@
         while time.monotonic() < began + READ_BACK_S:
             versions.append(read(d, len(versions)))
             d.record.write(f"operator: reads version {versions[-1]}")
-            if versions[-1] == version and not h.TROUBLE:
-                break
-            if versions[-1] == version and len(versions) > 20:
+            if versions[-1] == version:
                 break
             time.sleep(0.3)
         if d.ended_by_themselves():
             raise h.CannotRun("a process ended")
         d.record.say(f"read back in {time.monotonic() - began:.0f} s: {dict(h.count_by(str(it) for it in versions))}")
-        return versions[-1] == version
+        # One that does not know which version is the newest may refuse; an older one may not be read.
+        return version in versions and set(versions) <= {None, version}
     finally:
         d.close()
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -49,7 +49,7 @@
     try:
         d.start_all()
         services = [h.service("dugo", 110), h.service("ertesito", 110)]
-        d.add_leafs("dugo", h.ZONES * 2)
+        d.add_leafs("dugo", (h.ZONES * 5)[:14])
         leaving = d.add_leafs("ertesito", h.ZONES[:2])
         d.put(h.configuration(1, [route("ledger", "dugo")], services))
         d.wait_ready()
